--- /dev/null
+++ b/bench/fake_upstream_main.cpp
@@ -0,0 +1,84 @@
+#include "announcer.h"
+#include "common/endpoint.h"
+#include "fake_upstream.h"
+
+#include <boost/program_options.hpp>
+
+#include <csignal>
+#include <iostream>
+#include <memory>
+#include <thread>
+
+using namespace amaranthladder;
+namespace po = boost::program_options;
+
+namespace {
+
+/// Runs the upstream until SIGTERM: then announces that it leaves and ends when nothing runs any more.
+void serve(fake_upstream& upstream, announcer* announced, int leave_seconds) {
+    sigset_t signals;
+    sigemptyset(&signals);
+    sigaddset(&signals, SIGTERM);
+    sigaddset(&signals, SIGINT);
+    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+    std::thread server([&upstream] { upstream.run(); });
+    int received = 0;
+    sigwait(&signals, &received);
+    if (announced != nullptr) {
+        announced->leave();
+        std::this_thread::sleep_for(std::chrono::seconds(leave_seconds));
+    }
+    while (upstream.running() > 0) {
+        std::this_thread::sleep_for(std::chrono::milliseconds(20));
+    }
+    upstream.stop();
+    server.join();
+}
+
+} // namespace
+
+int main(int argc, char** argv) {
+    try {
+        po::options_description options("Options");
+        options.add_options()("help", "show this text")(
+            "listen", po::value<std::string>()->default_value("127.0.0.1:0"),
+            "address to serve on")("daemon", po::value<std::string>(), "control address of the daemon to announce to")(
+            "id", po::value<std::string>()->default_value("upstream-1"),
+            "unique id")("service", po::value<std::string>()->default_value("tienda"),
+                         "service name")("version", po::value<std::string>()->default_value("v1"), "version")(
+            "slots", po::value<int>()->default_value(12),
+            "requests run at once")("delay-ms", po::value<int>()->default_value(0), "time that each request takes")(
+            "fail-percent", po::value<int>()->default_value(0), "share of requests answered 500")(
+            "leave-seconds", po::value<int>()->default_value(3), "time between leaving and the end");
+        po::variables_map given;
+        po::store(po::parse_command_line(argc, argv, options), given);
+        po::notify(given);
+        if (given.contains("help")) {
+            std::cout << options;
+            return 0;
+        }
+        fake_upstream_behavior behavior;
+        behavior.delay = absl::Milliseconds(given["delay-ms"].as<int>());
+        behavior.fail_percent = given["fail-percent"].as<int>();
+        fake_upstream upstream(parse_endpoint(given["listen"].as<std::string>()), given["version"].as<std::string>(),
+                               behavior);
+        std::cout << "listening on " << to_string(upstream.address()) << std::endl;
+        std::unique_ptr<announcer> announced;
+        if (given.contains("daemon")) {
+            announced = std::make_unique<announcer>(parse_endpoint(given["daemon"].as<std::string>()),
+                                                    announcement{given["id"].as<std::string>(),
+                                                                 given["service"].as<std::string>(),
+                                                                 given["version"].as<std::string>(),
+                                                                 upstream.address(),
+                                                                 given["slots"].as<int>(),
+                                                                 {},
+                                                                 0,
+                                                                 false});
+        }
+        serve(upstream, announced.get(), given["leave-seconds"].as<int>());
+        return 0;
+    } catch (const std::exception& problem) {
+        std::cerr << problem.what() << '\n';
+        return 2;
+    }
+}
--- /dev/null
+++ b/src/http/private/asio_types.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/buffer_body.hpp>
+#include <boost/beast/http/empty_body.hpp>
+#include <boost/beast/http/error.hpp>
+#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/serializer.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <boost/beast/http/write.hpp>
+#include <boost/system/error_code.hpp>
+
+#include <absl/time/time.h>
+
+namespace amaranthladder {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using error_code = boost::system::error_code;
+
+/// Completion token: an operation returns (error_code, result) and does not throw.
+inline constexpr auto as_result = asio::as_tuple(asio::use_awaitable);
+
+using request_parser = http::request_parser<http::buffer_body>;
+using response_parser = http::response_parser<http::buffer_body>;
+
+} // namespace amaranthladder
--- /dev/null
+++ b/src/http/private/caller_session.cpp
@@ -0,0 +1,235 @@
+#include "http/private/caller_session.h"
+
+#include "common/error.h"
+#include "http/private/disconnect_watch.h"
+#include "http/private/entry_call.h"
+#include "http/private/owner_call.h"
+
+#include <absl/cleanup/cleanup.h>
+#include <absl/random/distributions.h>
+
+#include <boost/asio/write.hpp>
+
+#include <fmt/format.h>
+
+#include <utility>
+
+namespace amaranthladder {
+
+namespace {
+
+constexpr std::size_t first_read_bytes = 8 * 1024;
+/// More daemons on one call's way than the deepest call chains have; a loop of upstreams and daemons ends here.
+constexpr int max_hops = 64;
+/// Bytes of an unread body that are discarded so that the peer can read the answer before the connection closes.
+constexpr std::size_t max_discarded_bytes = 1024 * 1024;
+constexpr auto discard_timeout = std::chrono::seconds(2);
+constexpr std::string_view continue_response = "HTTP/1.1 100 Continue\r\n\r\n";
+
+bool expects_continue(const http::request_header<>& head) {
+    return beast::iequals(head[http::field::expect], "100-continue");
+}
+
+} // namespace
+
+caller_session::caller_session(proxy_core& core, asio::ip::tcp::socket socket)
+    : m_core(core), m_stream(std::move(socket)),
+      m_buffer(core.options.max_header_bytes + core.options.body_buffer_bytes) {}
+
+asio::awaitable<void> caller_session::run() {
+    bool is_open = true;
+    while (is_open) {
+        m_is_idle = true;
+        if (!(co_await wait_for_request())) {
+            break;
+        }
+        m_is_idle = false;
+        m_received_at = m_core.clock.now();
+        if (!(co_await read_head())) {
+            break;
+        }
+        is_open = co_await serve_one();
+    }
+    m_stream.close();
+}
+
+void caller_session::close_if_idle() {
+    error_code ignored;
+    if (m_is_idle && m_stream.socket().available(ignored) == 0) {
+        m_stream.close();
+    }
+}
+
+void caller_session::close() {
+    m_stream.close();
+}
+
+asio::awaitable<bool> caller_session::wait_for_request() {
+    if (m_buffer.size() > 0) {
+        co_return true;
+    }
+    m_stream.expires_after(absl::ToChronoNanoseconds(m_core.options.keep_alive_timeout));
+    const auto [failure, size] = co_await m_stream.async_read_some(m_buffer.prepare(first_read_bytes), as_result);
+    m_buffer.commit(size);
+    co_return !failure;
+}
+
+asio::awaitable<bool> caller_session::read_head() {
+    m_parser.emplace();
+    m_parser->header_limit(static_cast<std::uint32_t>(m_core.options.max_header_bytes));
+    m_parser->body_limit(boost::none);
+    m_stream.expires_after(absl::ToChronoNanoseconds(m_core.options.header_timeout));
+    const auto [failure, size] = co_await http::async_read_header(m_stream, m_buffer, *m_parser, as_result);
+    if (failure) {
+        co_await refuse_head(failure);
+        co_return false;
+    }
+    co_return true;
+}
+
+asio::awaitable<void> caller_session::refuse_head(error_code failure) {
+    ++m_core.counters.malformed_requests;
+    if (failure == http::error::end_of_stream || failure == http::error::partial_message) {
+        co_return;
+    }
+    const http::request_header<> no_head;
+    request_body no_body(m_stream, m_buffer, *m_parser, 0, m_core.options.body_idle_timeout);
+    served_request request{m_stream, no_head, no_body, {}, m_received_at, false, false};
+    const bool is_too_large = failure == http::error::header_limit || failure == http::error::buffer_overflow;
+    std::string detail = failure.message();
+    m_core.log.warning(fmt::format("malformed-request reason=\"{}\"", detail));
+    co_await write_refusal(request, is_too_large ? result_code::headers_too_large : result_code::request_malformed,
+                           execution::not_run, std::move(detail));
+    co_await close_after_answer();
+}
+
+asio::awaitable<bool> caller_session::serve_one() {
+    ++m_core.counters.requests_in_flight;
+    const absl::Cleanup ended = [this] { --m_core.counters.requests_in_flight; };
+    const http::request_header<>& head = m_parser->get();
+    request_body body(m_stream, m_buffer, *m_parser, m_core.options.body_buffer_bytes,
+                      m_core.options.body_idle_timeout);
+    served_request request{m_stream, head, body, {}, m_received_at, false, m_parser->keep_alive()};
+    request.expects_continue = expects_continue(head);
+    std::string problem;
+    try {
+        request.info = read_forwarding_headers(head);
+    } catch (const error& failure) {
+        problem = failure.what();
+    }
+    serve_result result;
+    if (!problem.empty()) {
+        request.keeps_connection = false;
+        result = co_await write_refusal(request, result_code::request_malformed, execution::not_run, problem);
+    } else if (request.info.is_from_entry()) {
+        result = co_await serve_as_owner(request);
+    } else {
+        result = co_await serve_as_entry(request);
+    }
+    if (!request.keeps_connection || !body.is_at_end()) {
+        co_await close_after_answer();
+        co_return false;
+    }
+    co_return m_stream.socket().is_open();
+}
+
+asio::awaitable<serve_result> caller_session::serve_as_entry(served_request& request) {
+    if (request.info.request_id.empty()) {
+        request.info.request_id = make_request_id();
+    }
+    request.keeps_connection = request.keeps_connection && !m_core.is_draining;
+    if (++request.info.hop > max_hops) {
+        request.keeps_connection = false;
+        co_return co_await write_refusal(request, result_code::too_many_hops, execution::not_run, "");
+    }
+    if (request.expects_continue && !(co_await accept_expected_body(request))) {
+        request.keeps_connection = false;
+        co_return serve_result{result_code::caller_disconnected, 0};
+    }
+    if (const error_code failure = co_await request.body.read_prefix()) {
+        request.keeps_connection = false;
+        co_return co_await write_refusal(request, result_code::request_malformed, execution::not_run,
+                                         failure.message());
+    }
+    entry_call call(m_core, request);
+    if (!request.body.is_whole()) {
+        // The body is still being read, so a disconnect shows there.
+        co_return co_await call.serve();
+    }
+    const disconnect_watch watch(m_stream, [&call] { call.abandon(); });
+    co_return co_await call.serve();
+}
+
+asio::awaitable<serve_result> caller_session::serve_as_owner(served_request& request) {
+    ++m_core.counters.owner_requests;
+    if (request.info.mesh != m_core.options.mesh) {
+        request.keeps_connection = false;
+        co_return co_await write_refusal(request, result_code::request_malformed, execution::not_run,
+                                         "the request belongs to another mesh");
+    }
+    const local_upstream* upstream = m_core.find_local(request.info.upstream);
+    if (upstream == nullptr) {
+        request.keeps_connection = request.keeps_connection && request.body.is_at_end();
+        co_return co_await write_refusal(request, result_code::no_upstream, execution::not_run, request.info.upstream);
+    }
+    const auto method = request.head.method_string();
+    const auto found = m_core.state->routes.find(request.info.route);
+    const bool is_idempotent = retry_policy::is_idempotent_method({method.data(), method.size()}) ||
+                               (found != m_core.state->routes.end() && found->second.is_idempotent);
+    const absl::Time deadline = m_received_at + request.info.time_left.value_or(m_core.options.default_timeout);
+    if (!request.expects_continue) {
+        if (const error_code failure = co_await request.body.read_prefix()) {
+            request.keeps_connection = false;
+            co_return serve_result{result_code::caller_disconnected, 0};
+        }
+    }
+    owner_call call(m_core, *upstream, request, request.info.route, is_idempotent, deadline);
+    std::optional<disconnect_watch> watch;
+    if (request.body.is_whole()) {
+        watch.emplace(m_stream, [&call] { call.abandon(); });
+    }
+    const exchange_start started = co_await call.open();
+    relay_result relayed{started.code, false};
+    execution request_execution = started.request_execution;
+    if (started.code == result_code::ok) {
+        relayed = co_await call.relay_answer();
+        request_execution = execution::may_have_run;
+    }
+    if (relayed.code != result_code::ok) {
+        request.keeps_connection = request.keeps_connection && request.body.is_at_end() && !relayed.has_begun;
+    }
+    if (relayed.code == result_code::ok || relayed.has_begun || relayed.code == result_code::caller_disconnected) {
+        co_return serve_result{relayed.code, 0};
+    }
+    co_return co_await write_refusal(request, relayed.code, request_execution, request.info.upstream);
+}
+
+asio::awaitable<bool> caller_session::accept_expected_body(served_request& request) {
+    request.expects_continue = false;
+    m_stream.expires_after(absl::ToChronoNanoseconds(m_core.options.body_idle_timeout));
+    const auto [failure, size] = co_await asio::async_write(
+        m_stream, asio::buffer(continue_response.data(), continue_response.size()), as_result);
+    co_return !failure;
+}
+
+asio::awaitable<void> caller_session::close_after_answer() {
+    // Closing with unread data resets the connection, and the peer may lose the answer that was just sent.
+    error_code ignored;
+    m_stream.socket().shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+    std::size_t discarded = 0;
+    m_stream.expires_after(discard_timeout);
+    while (discarded < max_discarded_bytes) {
+        m_buffer.clear();
+        const auto [failure, size] = co_await m_stream.async_read_some(m_buffer.prepare(first_read_bytes), as_result);
+        if (failure) {
+            break;
+        }
+        discarded += size;
+    }
+}
+
+std::string caller_session::make_request_id() {
+    return fmt::format("{}-{:016x}", m_core.options.worker, absl::Uniform<std::uint64_t>(m_core.random));
+}
+
+} // namespace amaranthladder
--- /dev/null
+++ b/src/http/private/disconnect_watch.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include "http/private/asio_types.h"
+
+#include <functional>
+#include <memory>
+
+namespace amaranthladder {
+
+/// Notices that a caller closes its connection while its request is being served.
+///
+/// While a watch exists, nothing may be read from the connection.
+class disconnect_watch {
+public:
+    /// @param stream the caller's connection; outlives the watch.
+    /// @param on_disconnect called at most once, from the event loop.
+    disconnect_watch(beast::tcp_stream& stream, std::function<void()> on_disconnect);
+    ~disconnect_watch();
+    disconnect_watch(const disconnect_watch&) = delete;
+    disconnect_watch& operator=(const disconnect_watch&) = delete;
+
+    /// @return true if the caller has closed its connection.
+    bool has_disconnected() const {
+        return m_state->has_disconnected;
+    }
+
+private:
+    struct state {
+        beast::tcp_stream* stream = nullptr;
+        std::function<void()> on_disconnect;
+        bool is_stopped = false;
+        bool has_disconnected = false;
+    };
+
+    static void on_readable(const std::shared_ptr<state>& shared);
+
+    std::shared_ptr<state> m_state;
+};
+
+} // namespace amaranthladder
--- /dev/null
+++ b/src/http/private/entry_call.cpp
@@ -0,0 +1,311 @@
+#include "http/private/entry_call.h"
+
+#include "http/private/exchange.h"
+#include "http/private/owner_call.h"
+
+#include <absl/cleanup/cleanup.h>
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <charconv>
+#include <utility>
+
+namespace amaranthladder {
+
+namespace {
+
+/// Owner refusals are small; a longer body is not one of ours.
+constexpr std::size_t max_refusal_bytes = 16 * 1024;
+
+std::optional<double> load_of(const http::fields& fields) {
+    const std::string_view text = field_value(fields, header::load);
+    double load = 0;
+    const auto [end, failure] = std::from_chars(text.data(), text.data() + text.size(), load);
+    return !text.empty() && failure == std::errc{} ? std::optional(load) : std::nullopt;
+}
+
+attempt_outcome refusal_outcome(result_code code) {
+    switch (code) {
+    case result_code::upstream_leaving:
+    case result_code::daemon_draining:
+    case result_code::no_upstream:
+        return attempt_outcome::refused_leaving;
+    case result_code::connect_failed:
+        return attempt_outcome::connect_failed;
+    default:
+        return attempt_outcome::refused_load;
+    }
+}
+
+} // namespace
+
+entry_call::entry_call(proxy_core& core, served_request& request) : m_core(core), m_request(request) {}
+
+asio::awaitable<serve_result> entry_call::serve() {
+    ++m_core.counters.entry_requests;
+    const auto method = m_request.head.method_string();
+    const auto path = m_request.head.target();
+    const route_match found = m_core.requests.match({method.data(), method.size()}, {path.data(), path.size()});
+    if (found.refusal != result_code::ok) {
+        co_return co_await refuse(found.refusal, execution::not_run,
+                                  fmt::format("{} {}", std::string_view(method.data(), method.size()),
+                                              std::string_view(path.data(), path.size())));
+    }
+    if (const error_code failure = co_await m_request.body.read_prefix()) {
+        m_request.keeps_connection = false;
+        co_return co_await refuse(result_code::request_malformed, execution::not_run, failure.message());
+    }
+    co_return co_await serve_route(*found.matched);
+}
+
+void entry_call::abandon() {
+    m_is_abandoned = true;
+    if (m_abandon_attempt) {
+        m_abandon_attempt();
+    }
+}
+
+asio::awaitable<serve_result> entry_call::serve_route(const route& target) {
+    m_deadline = deadline_of(target);
+    m_core.budget.on_request(target.service, m_core.clock.now());
+    request_facts facts;
+    facts.is_idempotent = is_idempotent(target);
+    facts.deadline = m_deadline;
+    attempt_end last;
+    last.code = result_code::no_upstream;
+    int attempts = 0;
+    while (true) {
+        const routing_decision decision = m_core.requests.choose(target, facts, m_core.clock.now(), m_core.random);
+        log_decision(decision, attempts + 1);
+        if (decision.is_refused()) {
+            const result_code code = attempts == 0 ? decision.refusal : last.code;
+            co_return co_await refuse(code, last.request_execution, decision.service);
+        }
+        ++attempts;
+        ++m_core.counters.attempts;
+        m_request.info.attempt = attempts;
+        m_core.requests.on_started(decision.upstream_id, m_core.clock.now());
+        last = co_await attempt(target, decision);
+        m_core.requests.on_finished(decision.upstream_id, last.outcome, last.latency, last.load, m_core.clock.now());
+        log_end(decision, last);
+        if (last.result) {
+            co_return *last.result;
+        }
+        if (m_is_abandoned) {
+            m_request.keeps_connection = false;
+            co_return serve_result{result_code::caller_disconnected, 0};
+        }
+        if (!may_retry(target, last, attempts)) {
+            co_return co_await refuse(last.code, last.request_execution, decision.upstream_id);
+        }
+        ++m_core.counters.retries;
+        facts.tried.push_back(decision.upstream_id);
+    }
+}
+
+asio::awaitable<entry_call::attempt_end> entry_call::attempt(const route& target, const routing_decision& decision) {
+    const absl::Time started_at = m_core.clock.now();
+    attempt_end ended;
+    if (m_core.find_local(decision.upstream_id) != nullptr) {
+        ended = co_await attempt_here(target, decision);
+    } else {
+        ended = co_await attempt_at_owner(target, decision);
+    }
+    m_abandon_attempt = nullptr;
+    if (ended.latency == absl::ZeroDuration()) {
+        ended.latency = m_core.clock.now() - started_at;
+    }
+    if (m_is_abandoned) {
+        ended.outcome = attempt_outcome::cancelled;
+    }
+    co_return ended;
+}
+
+asio::awaitable<entry_call::attempt_end> entry_call::attempt_here(const route& target,
+                                                                  const routing_decision& decision) {
+    owner_call call(m_core, *m_core.find_local(decision.upstream_id), m_request, target.name, is_idempotent(target),
+                    m_deadline);
+    m_abandon_attempt = [&call] { call.abandon(); };
+    const absl::Cleanup forget = [this] { m_abandon_attempt = nullptr; };
+    const exchange_start started = co_await call.open();
+    if (started.code != result_code::ok) {
+        co_return end_of(started);
+    }
+    const unsigned status = call.status();
+    const relay_result relayed = co_await call.relay_answer();
+    attempt_end ended = end_of(relayed, status);
+    ended.latency = call.latency();
+    ended.load = call.load();
+    co_return ended;
+}
+
+asio::awaitable<entry_call::attempt_end> entry_call::attempt_at_owner(const route& target,
+                                                                      const routing_decision& decision) {
+    http::request_header<> head(m_request.head);
+    remove_hop_by_hop_headers(head);
+    forwarding_info info = m_request.info;
+    info.mesh = m_core.options.mesh;
+    info.route = target.name;
+    info.upstream = decision.upstream_id;
+    info.time_left = m_deadline - m_core.clock.now();
+    write_forwarding_headers(head, info);
+    exchange sent(m_core.pool, m_core.options, m_core.clock);
+    m_abandon_attempt = [&sent] { sent.abort(); };
+    const absl::Cleanup forget = [this] { m_abandon_attempt = nullptr; };
+    const absl::Time started_at = m_core.clock.now();
+    // The owner answers within its own first-byte timeout; it must be the one to report it.
+    const exchange::request request{decision.owner,
+                                    head,
+                                    m_request.body,
+                                    is_idempotent(target),
+                                    !m_request.body.is_whole(),
+                                    m_deadline,
+                                    m_core.options.first_byte_timeout + m_core.options.connect_timeout};
+    const exchange_start started = co_await sent.start(request);
+    if (started.code != result_code::ok) {
+        co_return end_of(started);
+    }
+    const absl::Duration latency = m_core.clock.now() - started_at;
+    const http::fields& fields = sent.response().get();
+    if (!field_value(fields, header::outcome).empty()) {
+        co_return co_await take_owner_refusal(sent);
+    }
+    const unsigned status = sent.response().get().result_int();
+    const std::optional<double> load = load_of(fields);
+    const std::string& id = m_request.info.request_id;
+    const auto set_headers = [&id](http::fields& out) {
+        out.set(beast::string_view(header::request_id.data(), header::request_id.size()), id);
+    };
+    const relay_result relayed = co_await m_core.relay.relay(sent, m_request, set_headers);
+    attempt_end ended = end_of(relayed, status);
+    ended.latency = latency;
+    ended.load = load;
+    co_return ended;
+}
+
+asio::awaitable<entry_call::attempt_end> entry_call::take_owner_refusal(exchange& sent) {
+    const http::fields& fields = sent.response().get();
+    const std::string_view code_text = field_value(fields, header::code);
+    int number = 0;
+    std::from_chars(code_text.data(), code_text.data() + code_text.size(), number);
+    attempt_end ended;
+    ended.load = load_of(fields);
+    ended.request_execution =
+        field_value(fields, header::outcome) == name(execution::not_run) ? execution::not_run : execution::may_have_run;
+    const auto codes = result_codes();
+    const auto known = std::ranges::find(codes, static_cast<result_code>(number), &result_code_entry::code);
+    ended.code = known == codes.end() ? result_code::response_malformed : known->code;
+    ended.outcome =
+        ended.request_execution == execution::not_run ? refusal_outcome(ended.code) : attempt_outcome::sent_no_answer;
+    std::string body(max_refusal_bytes, '\0');
+    std::size_t size = 1;
+    error_code failure;
+    std::size_t used = 0;
+    while (!failure && size > 0 && used < max_refusal_bytes) {
+        failure = co_await sent.read_body(std::span(body).subspan(used), size);
+        used += size;
+    }
+    sent.finish();
+    co_return ended;
+}
+
+asio::awaitable<serve_result> entry_call::refuse(result_code code, execution request_execution, std::string detail) {
+    auto& count = request_execution == execution::not_run ? m_core.counters.refusals_not_run
+                                                          : m_core.counters.refusals_may_have_run;
+    ++count;
+    // An unread body would be taken for the next request.
+    if (!m_request.body.is_at_end()) {
+        m_request.keeps_connection = false;
+    }
+    return write_refusal(m_request, code, request_execution, std::move(detail));
+}
+
+entry_call::attempt_end entry_call::end_of(const exchange_start& started) const {
+    attempt_end ended;
+    ended.code = started.code;
+    ended.request_execution = started.request_execution;
+    if (started.code == result_code::caller_disconnected) {
+        ended.outcome = attempt_outcome::cancelled;
+    } else if (started.request_execution == execution::not_run) {
+        const bool is_connection = started.code == result_code::connection_lost;
+        ended.outcome = is_connection ? attempt_outcome::connect_failed : refusal_outcome(started.code);
+    } else {
+        ended.outcome = attempt_outcome::sent_no_answer;
+    }
+    return ended;
+}
+
+entry_call::attempt_end entry_call::end_of(const relay_result& relayed, unsigned status) const {
+    attempt_end ended;
+    ended.code = relayed.code;
+    ended.request_execution = execution::may_have_run;
+    if (relayed.code == result_code::ok) {
+        ended.outcome = status < 500 ? attempt_outcome::answered : attempt_outcome::answered_error;
+    } else if (relayed.code == result_code::caller_disconnected) {
+        ended.outcome = attempt_outcome::cancelled;
+    } else {
+        ended.outcome = attempt_outcome::answer_broken;
+    }
+    if (relayed.has_begun) {
+        ended.result = serve_result{relayed.code, status};
+        if (relayed.code != result_code::ok) {
+            m_request.keeps_connection = false;
+        }
+    }
+    return ended;
+}
+
+bool entry_call::is_idempotent(const route& target) const {
+    const auto method = m_request.head.method_string();
+    return target.is_idempotent || retry_policy::is_idempotent_method({method.data(), method.size()});
+}
+
+absl::Time entry_call::deadline_of(const route& target) const {
+    absl::Duration limit = target.timeout;
+    const auto found = m_core.state->services.find(target.service);
+    if (limit <= absl::ZeroDuration() && found != m_core.state->services.end()) {
+        limit = found->second.timeout;
+    }
+    if (limit <= absl::ZeroDuration()) {
+        limit = m_core.options.default_timeout;
+    }
+    return m_request.received_at + std::min(limit, m_request.info.time_left.value_or(limit));
+}
+
+bool entry_call::may_retry(const route& target, const attempt_end& ended, int attempts) {
+    const auto method = m_request.head.method_string();
+    failed_attempt failed;
+    failed.service = target.service;
+    failed.method = {method.data(), method.size()};
+    failed.route_is_idempotent = target.is_idempotent;
+    failed.outcome = ended.outcome;
+    failed.body_is_replayable = m_request.body.is_replayable();
+    failed.deadline = m_deadline;
+    failed.attempts = attempts;
+    const retry_decision decided = m_core.retries.decide(failed, m_core.budget, m_core.clock.now());
+    if (m_core.log.is_enabled(log_level::info)) {
+        m_core.log.info(fmt::format("retry request={} allowed={} reason={}", m_request.info.request_id,
+                                    decided.is_allowed, name(decided.reason)));
+    }
+    return decided.is_allowed;
+}
+
+void entry_call::log_decision(const routing_decision& decision, int attempt_number) const {
+    if (!m_core.log.is_enabled(log_level::info)) {
+        return;
+    }
+    m_core.log.info(fmt::format("routing request={} attempt={} {}", m_request.info.request_id, attempt_number,
+                                to_log_line(decision)));
+}
+
+void entry_call::log_end(const routing_decision& decision, const attempt_end& ended) const {
+    if (!m_core.log.is_enabled(log_level::debug)) {
+        return;
+    }
+    m_core.log.debug(fmt::format("attempt-end request={} upstream={} outcome={} code={} latency_us={}",
+                                 m_request.info.request_id, decision.upstream_id, name(ended.outcome), name(ended.code),
+                                 absl::ToInt64Microseconds(ended.latency)));
+}
+
+} // namespace amaranthladder
--- /dev/null
+++ b/src/http/private/entry_call.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include "http/private/proxy_core.h"
+#include "http/private/served_request.h"
+#include "routing/attempt_outcome.h"
+#include "routing/routing_decision.h"
+
+#include <absl/time/time.h>
+
+#include <functional>
+#include <optional>
+
+namespace amaranthladder {
+
+/// One request of a caller at this daemon: finds its route, chooses an upstream, and tries again where that is safe.
+class entry_call {
+public:
+    entry_call(proxy_core& core, served_request& request);
+
+    /// Serves the request to its end.
+    asio::awaitable<serve_result> serve();
+
+    /// Ends the call because its caller has left.
+    void abandon();
+
+private:
+    /// How one attempt ended. `result` is set if the caller has been answered or has left.
+    struct attempt_end {
+        attempt_outcome outcome = attempt_outcome::cancelled;
+        result_code code = result_code::ok;
+        execution request_execution = execution::not_run;
+        absl::Duration latency;
+        std::optional<double> load;
+        std::optional<serve_result> result;
+    };
+
+    asio::awaitable<serve_result> serve_route(const route& target);
+    asio::awaitable<attempt_end> attempt(const route& target, const routing_decision& decision);
+    asio::awaitable<attempt_end> attempt_here(const route& target, const routing_decision& decision);
+    asio::awaitable<attempt_end> attempt_at_owner(const route& target, const routing_decision& decision);
+    asio::awaitable<attempt_end> take_owner_refusal(class exchange& sent);
+    asio::awaitable<serve_result> refuse(result_code code, execution request_execution, std::string detail);
+    attempt_end end_of(const exchange_start& started) const;
+    attempt_end end_of(const relay_result& relayed, unsigned status) const;
+    bool is_idempotent(const route& target) const;
+    absl::Time deadline_of(const route& target) const;
+    bool may_retry(const route& target, const attempt_end& ended, int attempts);
+    void log_decision(const routing_decision& decision, int attempt_number) const;
+    void log_end(const routing_decision& decision, const attempt_end& ended) const;
+
+    proxy_core& m_core;
+    served_request& m_request;
+    absl::Time m_deadline;
+    std::function<void()> m_abandon_attempt;
+    bool m_is_abandoned = false;
+};
+
+} // namespace amaranthladder
--- /dev/null
+++ b/src/http/private/exchange.cpp
@@ -0,0 +1,214 @@
+#include "http/private/exchange.h"
+
+#include <boost/asio/ip/address.hpp>
+#include <boost/asio/ip/tcp.hpp>
+
+#include <algorithm>
+#include <limits>
+#include <vector>
+
+namespace amaranthladder {
+
+namespace {
+
+constexpr std::size_t stream_chunk_bytes = 64 * 1024;
+
+bool is_timeout(error_code failure) {
+    return failure == beast::error::timeout;
+}
+
+bool is_malformed(error_code failure) {
+    return failure.category() == http::make_error_code(http::error::bad_version).category() &&
+           failure != http::error::end_of_stream && failure != http::error::partial_message;
+}
+
+} // namespace
+
+exchange::exchange(connection_pool& pool, const proxy_options& options, const steady_clock& clock)
+    : m_pool(pool), m_options(options), m_clock(clock) {}
+
+asio::awaitable<exchange_start> exchange::connect(const endpoint& target, bool is_idempotent, absl::Time deadline) {
+    // A connection that was silent for long may be dead without a sign; a request that must not run twice does not
+    // use it, since it could not be sent again.
+    const absl::Duration max_idle = is_idempotent ? m_options.keep_alive_timeout : m_options.idle_connection;
+    m_connection = m_pool.take(target, max_idle, m_clock.now());
+    if (m_connection) {
+        co_return exchange_start{};
+    }
+    error_code failure;
+    const auto address = asio::ip::make_address(target.address, failure);
+    if (failure) {
+        co_return exchange_start{result_code::connect_failed, execution::not_run};
+    }
+    m_connection = m_pool.create(target);
+    set_expiry(m_options.connect_timeout, deadline);
+    const auto [connect_failure] =
+        co_await m_connection->stream.async_connect(asio::ip::tcp::endpoint(address, target.port), as_result);
+    if (connect_failure) {
+        m_connection.reset();
+        co_return exchange_start{result_code::connect_failed, execution::not_run};
+    }
+    m_connection->stream.socket().set_option(asio::ip::tcp::no_delay(true), failure);
+    m_connection->opened_at = m_clock.now();
+    co_return exchange_start{};
+}
+
+asio::awaitable<exchange_start> exchange::start(const request& sent) {
+    if (!m_connection) {
+        const exchange_start connected = co_await connect(sent.target, sent.is_idempotent, sent.deadline);
+        if (connected.code != result_code::ok) {
+            co_return connected;
+        }
+    }
+    const exchange_start sending = co_await send(sent);
+    if (sending.code != result_code::ok || (m_response && m_response->is_header_done())) {
+        co_return sending;
+    }
+    m_is_request_sent = true;
+    co_return co_await receive_head(sent, false);
+}
+
+asio::awaitable<exchange_start> exchange::send(const request& sent) {
+    if (sent.body.is_whole()) {
+        return send_whole(sent);
+    }
+    return send_streamed(sent);
+}
+
+asio::awaitable<exchange_start> exchange::send_whole(const request& sent) {
+    http::request<http::string_body> message(sent.head, sent.body.prefix());
+    if (!sent.body.prefix().empty() || message.has_content_length()) {
+        message.content_length(sent.body.prefix().size());
+    }
+    set_expiry(m_options.body_idle_timeout, sent.deadline);
+    const auto [failure, bytes] = co_await http::async_write(m_connection->stream, message, as_result);
+    co_return failure ? failed_before_response(failure, bytes) : exchange_start{};
+}
+
+asio::awaitable<exchange_start> exchange::send_streamed(const request& sent) {
+    http::request<http::buffer_body> message(sent.head);
+    if (!message.has_content_length()) {
+        message.chunked(true);
+    }
+    if (sent.waits_for_continue) {
+        message.set(http::field::expect, "100-continue");
+    }
+    http::request_serializer<http::buffer_body> serializer(message);
+    set_expiry(m_options.body_idle_timeout, sent.deadline);
+    const auto [failure, bytes] = co_await http::async_write_header(m_connection->stream, serializer, as_result);
+    if (failure) {
+        co_return failed_before_response(failure, bytes);
+    }
+    if (sent.waits_for_continue) {
+        const exchange_start answered = co_await receive_head(sent, true);
+        if (!m_is_continued) {
+            co_return answered;
+        }
+    }
+    std::vector<char> chunk(sent.body.prefix().begin(), sent.body.prefix().end());
+    std::size_t size = chunk.size();
+    chunk.resize(std::max(stream_chunk_bytes, size));
+    bool is_last = false;
+    while (!is_last) {
+        is_last = size == 0;
+        message.body().data = is_last ? nullptr : chunk.data();
+        message.body().size = size;
+        message.body().more = !is_last;
+        m_connection->stream.expires_after(absl::ToChronoNanoseconds(m_options.body_idle_timeout));
+        auto [write_failure, written] = co_await http::async_write(m_connection->stream, serializer, as_result);
+        if (write_failure && write_failure != http::error::need_buffer) {
+            co_return failed_before_response(write_failure, bytes);
+        }
+        if (is_last) {
+            break;
+        }
+        if (const error_code read_failure = co_await sent.body.read_more(chunk, size)) {
+            co_return exchange_start{result_code::caller_disconnected, execution::may_have_run};
+        }
+    }
+    co_return exchange_start{};
+}
+
+asio::awaitable<exchange_start> exchange::receive_head(const request& sent, bool accepts_continue) {
+    while (true) {
+        m_response.emplace();
+        m_response->header_limit(static_cast<std::uint32_t>(m_options.max_header_bytes));
+        m_response->body_limit(boost::none);
+        if (sent.head.method() == http::verb::head) {
+            m_response->skip(true);
+        }
+        set_expiry(sent.first_byte_timeout, sent.deadline);
+        const auto [failure, bytes] =
+            co_await http::async_read_header(m_connection->stream, m_connection->buffer, *m_response, as_result);
+        if (failure) {
+            exchange_start failed = failed_before_response(failure, std::numeric_limits<std::size_t>::max());
+            if (failed.code == result_code::response_timeout && m_clock.now() < sent.deadline) {
+                // The connection may have gone silent; those of the same age to the same target may have too.
+                m_pool.retire(m_connection->target, m_connection->opened_at);
+            }
+            co_return failed;
+        }
+        const unsigned status = m_response->get().result_int();
+        if (status == static_cast<unsigned>(http::status::continue_) && accepts_continue) {
+            m_is_continued = true;
+            m_response.reset();
+            co_return exchange_start{};
+        }
+        if (status >= 200) {
+            co_return exchange_start{};
+        }
+    }
+}
+
+asio::awaitable<error_code> exchange::read_body(std::span<char> chunk, std::size_t& size) {
+    size = 0;
+    error_code failure;
+    while (!failure && !m_response->is_done() && size == 0) {
+        auto& body = m_response->get().body();
+        body.data = chunk.data();
+        body.size = chunk.size();
+        body.more = true;
+        m_connection->stream.expires_after(absl::ToChronoNanoseconds(m_options.body_idle_timeout));
+        auto [read_failure, bytes] =
+            co_await http::async_read_some(m_connection->stream, m_connection->buffer, *m_response, as_result);
+        size = chunk.size() - body.size;
+        if (read_failure != http::error::need_buffer) {
+            failure = read_failure;
+        }
+    }
+    co_return failure;
+}
+
+void exchange::finish() {
+    if (!m_connection || !m_response || !m_is_request_sent || !m_response->is_done() || !m_response->keep_alive()) {
+        abort();
+        return;
+    }
+    m_pool.put(std::move(m_connection), m_clock.now());
+}
+
+void exchange::abort() {
+    if (m_connection) {
+        m_connection->stream.close();
+    }
+}
+
+exchange_start exchange::failed_before_response(error_code failure, std::size_t bytes_sent) const {
+    if (bytes_sent == 0) {
+        return {result_code::connection_lost, execution::not_run};
+    }
+    if (is_timeout(failure)) {
+        return {result_code::response_timeout, execution::may_have_run};
+    }
+    if (is_malformed(failure)) {
+        return {result_code::response_malformed, execution::may_have_run};
+    }
+    return {result_code::connection_lost, execution::may_have_run};
+}
+
+void exchange::set_expiry(absl::Duration limit, absl::Time deadline) {
+    const absl::Duration left = std::max(absl::ZeroDuration(), std::min(limit, deadline - m_clock.now()));
+    m_connection->stream.expires_after(absl::ToChronoNanoseconds(left));
+}
+
+} // namespace amaranthladder
--- /dev/null
+++ b/src/http/private/exchange.h
@@ -0,0 +1,93 @@
+#pragma once
+
+#include "common/result_code.h"
+#include "common/steady_clock.h"
+#include "http/private/asio_types.h"
+#include "http/private/connection_pool.h"
+#include "http/private/request_body.h"
+#include "http/proxy_options.h"
+
+#include <absl/time/time.h>
+
+#include <memory>
+#include <optional>
+#include <span>
+
+namespace amaranthladder {
+
+/// How the start of an exchange ended.
+struct exchange_start {
+    result_code code = result_code::ok;
+    /// What is known about the execution of the request when `code` is not ok.
+    execution request_execution = execution::not_run;
+};
+
+/// One request and its response over one connection, to an upstream or to another daemon.
+///
+/// The connection returns to the pool only when the response was read to its end and both sides keep it open. In
+/// every other case it is closed, so that a late response can never reach another request.
+class exchange {
+public:
+    /// What the exchange sends and how long it may take.
+    struct request {
+        endpoint target;
+        http::request_header<>& head;
+        request_body& body;
+        bool is_idempotent = false;
+        /// Sends a body beyond the prefix only after the target has answered 100 (Continue).
+        bool waits_for_continue = false;
+        absl::Time deadline;
+        absl::Duration first_byte_timeout;
+    };
+
+    exchange(connection_pool& pool, const proxy_options& options, const steady_clock& clock);
+
+    /// Connects or takes a kept connection, sends the request and reads the response's header.
+    asio::awaitable<exchange_start> start(const request& sent);
+
+    /// Connects or takes a kept connection only; start() does it otherwise.
+    asio::awaitable<exchange_start> connect(const endpoint& target, bool is_idempotent, absl::Time deadline);
+
+    /// @return the parser of the response, once start() has returned ok.
+    response_parser& response() {
+        return *m_response;
+    }
+
+    /// Reads more of the response's body.
+    /// @param chunk where to read to.
+    /// @param size set to the number of bytes read; 0 only at the end of the body.
+    asio::awaitable<error_code> read_body(std::span<char> chunk, std::size_t& size);
+
+    /// Ends the exchange after the whole response was read: keeps or closes the connection.
+    void finish();
+
+    /// Closes the connection at once; pending operations fail.
+    void abort();
+
+    /// @return the time at which the connection in use was opened.
+    absl::Time opened_at() const {
+        return m_connection ? m_connection->opened_at : absl::InfinitePast();
+    }
+
+    bool is_on_reused_connection() const {
+        return m_connection && m_connection->is_reused;
+    }
+
+private:
+    asio::awaitable<exchange_start> send(const request& sent);
+    asio::awaitable<exchange_start> send_whole(const request& sent);
+    asio::awaitable<exchange_start> send_streamed(const request& sent);
+    asio::awaitable<exchange_start> receive_head(const request& sent, bool accepts_continue);
+    exchange_start failed_before_response(error_code failure, std::size_t bytes_sent) const;
+    void set_expiry(absl::Duration limit, absl::Time deadline);
+
+    connection_pool& m_pool;
+    const proxy_options& m_options;
+    const steady_clock& m_clock;
+    std::unique_ptr<upstream_connection> m_connection;
+    std::optional<response_parser> m_response;
+    bool m_is_continued = false;
+    bool m_is_request_sent = false;
+};
+
+} // namespace amaranthladder
--- /dev/null
+++ b/src/http/private/local_upstream.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include "http/private/slot_gate.h"
+#include "peers/upstream_record.h"
+
+#include <memory>
+#include <string>
+#include <utility>
+
+namespace amaranthladder {
+
+/// An upstream beside this daemon, with the limit of its slots.
+struct local_upstream {
+    upstream_record record;
+    std::shared_ptr<slot_gate> gate; ///< Shared with the requests that hold or wait for a slot.
+};
+
+} // namespace amaranthladder
--- /dev/null
+++ b/src/http/private/owner_call.cpp
@@ -0,0 +1,138 @@
+#include "http/private/owner_call.h"
+
+#include <boost/asio/write.hpp>
+
+#include <fmt/format.h>
+
+#include <string_view>
+#include <utility>
+
+namespace amaranthladder {
+
+namespace {
+
+constexpr std::string_view continue_response = "HTTP/1.1 100 Continue\r\n\r\n";
+
+owned_call::outcome outcome_of(unsigned status) {
+    if (status == static_cast<unsigned>(http::status::service_unavailable)) {
+        return owned_call::outcome::refused;
+    }
+    return status >= 500 ? owned_call::outcome::failed : owned_call::outcome::good;
+}
+
+} // namespace
+
+owner_call::owner_call(proxy_core& core, const local_upstream& upstream, served_request& request, std::string route,
+                       bool is_idempotent, absl::Time deadline)
+    : m_core(core), m_upstream(upstream.record), m_gate(upstream.gate), m_request(request), m_route(std::move(route)),
+      m_is_idempotent(is_idempotent), m_deadline(deadline), m_id(core.next_request++),
+      m_exchange(core.pool, core.options, core.clock) {}
+
+asio::awaitable<exchange_start> owner_call::open() {
+    const result_code granted = co_await m_gate->acquire(m_id, m_deadline);
+    if (m_core.log.is_enabled(log_level::info)) {
+        m_core.log.info(fmt::format("admission request={} upstream={} route={} result={} running={} queued={}",
+                                    m_request.info.request_id, m_upstream.id, m_route, name(granted),
+                                    m_gate->limiter().running(), m_gate->limiter().queued()));
+    }
+    if (granted != result_code::ok) {
+        if (granted != result_code::upstream_leaving && granted != result_code::caller_disconnected) {
+            report(owned_call::outcome::refused);
+        }
+        co_return exchange_start{granted, execution::not_run};
+    }
+    m_permit.emplace(*m_gate, m_id);
+    m_started_at = m_core.clock.now();
+    const exchange_start started = co_await run();
+    m_latency = m_core.clock.now() - m_started_at;
+    if (m_is_abandoned) {
+        co_return exchange_start{result_code::caller_disconnected, started.request_execution};
+    }
+    if (started.code == result_code::ok) {
+        report(outcome_of(status()));
+    } else if (started.code != result_code::caller_disconnected) {
+        report(owned_call::outcome::failed);
+    }
+    co_return started;
+}
+
+asio::awaitable<exchange_start> owner_call::run() {
+    const exchange_start connected = co_await m_exchange.connect(m_upstream.address, m_is_idempotent, m_deadline);
+    if (connected.code != result_code::ok) {
+        co_return connected;
+    }
+    if (m_request.expects_continue && !(co_await send_continue())) {
+        co_return exchange_start{result_code::caller_disconnected, execution::not_run};
+    }
+    if (const error_code failure = co_await m_request.body.read_prefix()) {
+        m_request.keeps_connection = false;
+        co_return exchange_start{result_code::caller_disconnected, execution::not_run};
+    }
+    const http::request_header<> head = make_head();
+    const exchange::request sent{m_upstream.address,
+                                 head,
+                                 m_request.body,
+                                 m_is_idempotent,
+                                 false,
+                                 m_deadline,
+                                 m_core.options.first_byte_timeout};
+    exchange_start started = co_await m_exchange.start(sent);
+    if (started.code == result_code::ok) {
+        const std::string_view answered_id = field_value(m_exchange.response().get(), header::request_id);
+        if (!answered_id.empty() && answered_id != m_request.info.request_id) {
+            m_exchange.abort();
+            started = {result_code::response_mismatched, execution::may_have_run};
+        }
+    }
+    co_return started;
+}
+
+asio::awaitable<bool> owner_call::send_continue() {
+    m_request.expects_continue = false;
+    m_request.stream.expires_after(absl::ToChronoNanoseconds(m_core.options.body_idle_timeout));
+    const auto [failure, bytes] = co_await asio::async_write(
+        m_request.stream, asio::buffer(continue_response.data(), continue_response.size()), as_result);
+    co_return !failure;
+}
+
+http::request_header<> owner_call::make_head() const {
+    http::request_header<> head(m_request.head);
+    remove_hop_by_hop_headers(head);
+    forwarding_info info;
+    info.request_id = m_request.info.request_id;
+    info.route = m_route;
+    info.hop = m_request.info.hop;
+    info.attempt = m_request.info.attempt;
+    info.time_left = m_deadline - m_core.clock.now();
+    write_forwarding_headers(head, info);
+    return head;
+}
+
+asio::awaitable<relay_result> owner_call::relay_answer() {
+    const bool is_for_entry = m_request.info.is_from_entry();
+    const std::string load_text = fmt::format("{:.3f}", load());
+    const std::string& id = m_request.info.request_id;
+    const auto set_headers = [&](http::fields& fields) {
+        fields.set(beast::string_view(header::request_id.data(), header::request_id.size()), id);
+        if (is_for_entry) {
+            fields.set(beast::string_view(header::load.data(), header::load.size()), load_text);
+        }
+    };
+    const relay_result relayed = co_await m_core.relay.relay(m_exchange, m_request, set_headers);
+    if (relayed.code == result_code::response_truncated) {
+        report(owned_call::outcome::failed);
+    }
+    co_return relayed;
+}
+
+void owner_call::abandon() {
+    m_is_abandoned = true;
+    m_gate->abandon(m_id);
+    m_exchange.abort();
+}
+
+void owner_call::report(owned_call::outcome outcome) {
+    m_core.report_call({m_upstream.service, m_upstream.version, m_route, outcome, m_latency, m_core.clock.now()});
+}
+
+} // namespace amaranthladder
--- /dev/null
+++ b/src/http/private/owner_call.h
@@ -0,0 +1,74 @@
+#pragma once
+
+#include "http/private/exchange.h"
+#include "http/private/proxy_core.h"
+#include "http/private/served_request.h"
+
+#include <absl/time/time.h>
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace amaranthladder {
+
+/// One request at an upstream beside this daemon: waits for a slot, sends the request and passes the answer on.
+class owner_call {
+public:
+    /// @param core what all requests share.
+    /// @param upstream the upstream; its gate is kept alive by the call.
+    /// @param request the request.
+    /// @param route name of its route.
+    /// @param is_idempotent true if it may run twice.
+    /// @param deadline when it must have been answered.
+    owner_call(proxy_core& core, const local_upstream& upstream, served_request& request, std::string route,
+               bool is_idempotent, absl::Time deadline);
+
+    /// Waits for a slot, sends the request and reads the header of the answer.
+    /// @return ok, or why there is no answer and whether the request may have run. Nothing has been sent to the caller.
+    asio::awaitable<exchange_start> open();
+
+    /// Passes the answer on to the caller, after open() returned ok.
+    asio::awaitable<relay_result> relay_answer();
+
+    /// @return the HTTP status of the answer, after open() returned ok.
+    unsigned status() {
+        return m_exchange.response().get().result_int();
+    }
+
+    /// @return from the grant of the slot to the header of the answer.
+    absl::Duration latency() const {
+        return m_latency;
+    }
+
+    /// @return running and queued requests over slots.
+    double load() const {
+        return m_gate->limiter().load();
+    }
+
+    /// Ends the call because its caller has left.
+    void abandon();
+
+private:
+    asio::awaitable<exchange_start> run();
+    asio::awaitable<bool> send_continue();
+    http::request_header<> make_head() const;
+    void report(owned_call::outcome outcome);
+
+    proxy_core& m_core;
+    upstream_record m_upstream;
+    std::shared_ptr<slot_gate> m_gate;
+    served_request& m_request;
+    std::string m_route;
+    bool m_is_idempotent;
+    absl::Time m_deadline;
+    request_id m_id;
+    std::optional<slot_permit> m_permit;
+    exchange m_exchange;
+    absl::Time m_started_at;
+    absl::Duration m_latency;
+    bool m_is_abandoned = false;
+};
+
+} // namespace amaranthladder
--- /dev/null
+++ b/src/http/private/proxy_core.h
@@ -0,0 +1,63 @@
+#pragma once
+
+#include "common/event_log.h"
+#include "common/steady_clock.h"
+#include "http/private/asio_types.h"
+#include "http/private/connection_pool.h"
+#include "http/private/local_upstream.h"
+#include "http/private/response_relay.h"
+#include "http/proxy_events.h"
+#include "http/proxy_options.h"
+#include "routing/retry_budget.h"
+#include "routing/retry_policy.h"
+#include "routing/router.h"
+
+#include <absl/random/random.h>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+namespace amaranthladder {
+
+/// What all requests of a daemon share. Used by the event loop's thread only.
+struct proxy_core {
+    proxy_core(const proxy_options& proxy_settings, router_settings routing, retry_budget_policy budget_policy,
+               const steady_clock& time, event_log& lines, std::function<void(const owned_call&)> report)
+        : options(proxy_settings), clock(time), log(lines), report_call(std::move(report)),
+          pool(context, max_idle_connections_per_target), requests(std::move(routing)), budget(budget_policy),
+          relay(options) {}
+
+    /// As many as requests that a daemon commonly has under way to one target.
+    static constexpr std::size_t max_idle_connections_per_target = 128;
+
+    /// @return the upstream beside this daemon with that id, or null.
+    local_upstream* find_local(const std::string& id) {
+        const auto found = local_upstreams.find(id);
+        return found == local_upstreams.end() ? nullptr : &found->second;
+    }
+
+    const proxy_options& options;
+    const steady_clock& clock;
+    event_log& log;
+    std::function<void(const owned_call&)> report_call;
+
+    router requests;
+    retry_policy retries;
+    retry_budget budget;
+    response_relay relay;
+    std::map<std::string, local_upstream> local_upstreams;
+    std::shared_ptr<const intended_state> state = std::make_shared<intended_state>();
+    absl::BitGen random;
+    proxy_counters counters;
+    request_id next_request = 1;
+    bool is_draining = false;
+
+    // The requests that are still suspended end when the event loop is destroyed, and use the members above. The
+    // pool's sockets must be destroyed before the event loop.
+    asio::io_context context{1};
+    connection_pool pool;
+};
+
+} // namespace amaranthladder
--- /dev/null
+++ b/src/http/private/request_body.cpp
@@ -0,0 +1,61 @@
+#include "http/private/request_body.h"
+
+namespace amaranthladder {
+
+request_body::request_body(beast::tcp_stream& stream, beast::flat_buffer& buffer, request_parser& parser,
+                           std::size_t prefix_limit, absl::Duration idle_timeout)
+    : m_stream(stream), m_buffer(buffer), m_parser(parser), m_prefix_limit(prefix_limit), m_idle_timeout(idle_timeout) {
+}
+
+asio::awaitable<error_code> request_body::read_prefix() {
+    if (m_has_prefix) {
+        co_return error_code{};
+    }
+    m_has_prefix = true;
+    if (m_parser.is_done()) {
+        co_return error_code{};
+    }
+    m_prefix.resize(m_prefix_limit);
+    std::size_t used = 0;
+    error_code failure;
+    while (!failure && !m_parser.is_done() && used < m_prefix_limit) {
+        std::size_t size = 0;
+        failure = co_await read_into(std::span(m_prefix).subspan(used), size);
+        used += size;
+    }
+    m_prefix.resize(used);
+    co_return failure;
+}
+
+bool request_body::is_whole() const {
+    return m_parser.is_done() && !m_has_streamed;
+}
+
+asio::awaitable<error_code> request_body::read_more(std::span<char> chunk, std::size_t& size) {
+    size = 0;
+    m_has_streamed = true;
+    error_code failure;
+    while (!failure && !m_parser.is_done() && size == 0) {
+        failure = co_await read_into(chunk, size);
+    }
+    co_return failure;
+}
+
+asio::awaitable<error_code> request_body::read_into(std::span<char> chunk, std::size_t& size) {
+    auto& body = m_parser.get().body();
+    body.data = chunk.data();
+    body.size = chunk.size();
+    body.more = true;
+    m_stream.expires_after(absl::ToChronoNanoseconds(m_idle_timeout));
+    auto [failure, transferred] = co_await http::async_read_some(m_stream, m_buffer, m_parser, as_result);
+    // The parser reports a full chunk as an error.
+    if (failure == http::error::need_buffer) {
+        failure = {};
+    }
+    size = chunk.size() - body.size;
+    body.data = nullptr;
+    body.size = 0;
+    co_return failure;
+}
+
+} // namespace amaranthladder
--- /dev/null
+++ b/src/http/private/served_request.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include "common/result_code.h"
+#include "http/private/asio_types.h"
+#include "http/private/forwarding_headers.h"
+#include "http/private/request_body.h"
+
+#include <absl/time/time.h>
+
+#include <string>
+
+namespace amaranthladder {
+
+/// One request while it is served.
+struct served_request {
+    beast::tcp_stream& stream; ///< The caller's connection.
+    const http::request_header<>& head;
+    request_body& body;
+    forwarding_info info;
+    absl::Time received_at;
+    bool expects_continue = false; ///< The sender waits for 100 (Continue) before it sends the body.
+    bool keeps_connection = true;  ///< The connection can carry another request after this one.
+
+    bool is_head_only() const {
+        return head.method() == http::verb::head;
+    }
+};
+
+/// How serving a request ended, for the decision log and the counters.
+struct serve_result {
+    result_code code = result_code::ok;
+    unsigned status = 0; ///< HTTP status sent to the caller; 0 if none was.
+};
+
+/// Answers a refusal with its result code as JSON and in headers.
+/// @param detail text for people; may be empty.
+asio::awaitable<serve_result> write_refusal(served_request& request, result_code code, execution request_execution,
+                                            std::string detail);
+
+/// Closes a connection so that its peer sees an error and not a complete answer.
+void reset_connection(beast::tcp_stream& stream);
+
+} // namespace amaranthladder
--- /dev/null
+++ b/src/http/private/slot_gate.cpp
@@ -0,0 +1,64 @@
+#include "http/private/slot_gate.h"
+
+namespace amaranthladder {
+
+slot_gate::slot_gate(asio::io_context& context, const steady_clock& clock, int slots, int queue_limit)
+    : m_context(context), m_clock(clock), m_limiter(slots, queue_limit) {}
+
+asio::awaitable<result_code> slot_gate::acquire(request_id id, absl::Time deadline) {
+    const admission offered = m_limiter.offer(id, deadline, m_clock.now());
+    if (offered.result == admission::verdict::run) {
+        co_return result_code::ok;
+    }
+    if (offered.result == admission::verdict::refused) {
+        co_return offered.refusal;
+    }
+    asio::steady_timer timer(m_context, asio::steady_timer::time_point::max());
+    m_waiters[id].timer = &timer;
+    while (!m_waiters[id].result) {
+        co_await timer.async_wait(as_result);
+    }
+    const result_code result = *m_waiters[id].result;
+    m_waiters.erase(id);
+    co_return result;
+}
+
+void slot_gate::release(request_id id) {
+    apply(m_limiter.finish(id, m_clock.now()));
+}
+
+void slot_gate::abandon(request_id id) {
+    if (m_limiter.cancel(id) == cancel_result::queued) {
+        wake(id, result_code::caller_disconnected);
+    }
+}
+
+void slot_gate::expire() {
+    for (const request_id id : m_limiter.expire(m_clock.now())) {
+        wake(id, result_code::queue_deadline);
+    }
+}
+
+void slot_gate::set_limits(int slots, int queue_limit) {
+    apply(m_limiter.set_limits(slots, queue_limit, m_clock.now()));
+}
+
+void slot_gate::apply(const slot_change& change) {
+    for (const request_id id : change.run) {
+        wake(id, result_code::ok);
+    }
+    for (const request_id id : change.dropped) {
+        wake(id, result_code::queue_deadline);
+    }
+}
+
+void slot_gate::wake(request_id id, result_code result) {
+    const auto found = m_waiters.find(id);
+    if (found == m_waiters.end()) {
+        return;
+    }
+    found->second.result = result;
+    found->second.timer->cancel();
+}
+
+} // namespace amaranthladder
--- /dev/null
+++ b/src/http/private/slot_gate.h
@@ -0,0 +1,70 @@
+#pragma once
+
+#include "common/result_code.h"
+#include "common/steady_clock.h"
+#include "http/private/asio_types.h"
+#include "routing/slot_limiter.h"
+
+#include <absl/time/time.h>
+
+#include <map>
+#include <optional>
+#include <vector>
+
+namespace amaranthladder {
+
+/// Lets requests wait for a slot of one upstream beside this daemon. The decisions are slot_limiter's.
+class slot_gate {
+public:
+    slot_gate(asio::io_context& context, const steady_clock& clock, int slots, int queue_limit);
+
+    /// Waits for a slot.
+    /// @return ok if the request now holds a slot, which release() frees; otherwise the refusal: it did not run.
+    asio::awaitable<result_code> acquire(request_id id, absl::Time deadline);
+
+    void release(request_id id);
+
+    /// Ends the wait of a request whose caller has left.
+    void abandon(request_id id);
+
+    /// Drops waiting requests that can no longer meet their deadlines. To be called every few milliseconds.
+    void expire();
+
+    /// Changes the limits; requests that may run now are woken.
+    void set_limits(int slots, int queue_limit);
+
+    slot_limiter& limiter() {
+        return m_limiter;
+    }
+
+private:
+    struct waiter {
+        asio::steady_timer* timer = nullptr;
+        std::optional<result_code> result;
+    };
+
+    void apply(const slot_change& change);
+    void wake(request_id id, result_code result);
+
+    asio::io_context& m_context;
+    const steady_clock& m_clock;
+    slot_limiter m_limiter;
+    std::map<request_id, waiter> m_waiters;
+};
+
+/// Frees a slot at the end of a scope.
+class slot_permit {
+public:
+    slot_permit(slot_gate& gate, request_id id) : m_gate(gate), m_id(id) {}
+    ~slot_permit() {
+        m_gate.release(m_id);
+    }
+    slot_permit(const slot_permit&) = delete;
+    slot_permit& operator=(const slot_permit&) = delete;
+
+private:
+    slot_gate& m_gate;
+    request_id m_id;
+};
+
+} // namespace amaranthladder
--- /dev/null
+++ b/src/http/request_proxy.cpp
@@ -0,0 +1,273 @@
+#include "http/request_proxy.h"
+
+#include "common/error.h"
+#include "http/private/caller_session.h"
+#include "http/private/proxy_core.h"
+
+#include <absl/cleanup/cleanup.h>
+#include <absl/synchronization/mutex.h>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
+
+#include <fmt/format.h>
+
+#include <future>
+#include <set>
+#include <utility>
+
+namespace amaranthladder {
+
+namespace {
+
+constexpr auto tick_interval = std::chrono::milliseconds(5);
+constexpr auto idle_sweep_interval = std::chrono::seconds(1);
+/// Time in which a request that is on its way on a kept connection still arrives during a drain.
+constexpr auto drain_grace = std::chrono::milliseconds(500);
+constexpr auto drain_poll = std::chrono::milliseconds(20);
+constexpr auto explain_timeout = std::chrono::seconds(2);
+constexpr int listen_backlog = 1024;
+
+} // namespace
+
+class request_proxy::implementation {
+public:
+    implementation(proxy_options options, router_settings routing, retry_budget_policy budget,
+                   const steady_clock& clock, event_log& log, std::function<void(const owned_call&)> report_call)
+        : m_options(std::move(options)),
+          m_core(m_options, std::move(routing), budget, clock, log, std::move(report_call)),
+          m_acceptor(m_core.context) {
+        listen();
+        asio::co_spawn(m_core.context, accept(), asio::detached);
+        asio::co_spawn(m_core.context, tick(), asio::detached);
+        asio::co_spawn(m_core.context, sweep(), asio::detached);
+    }
+
+    void run() {
+        m_core.context.run();
+    }
+
+    void stop() {
+        m_core.context.stop();
+    }
+
+    void drain() {
+        asio::post(m_core.context, [this] {
+            if (!m_core.is_draining) {
+                m_core.is_draining = true;
+                asio::co_spawn(m_core.context, drain_connections(), asio::detached);
+            }
+        });
+    }
+
+    template <typename Function> void post(Function function) {
+        asio::post(m_core.context, std::move(function));
+    }
+
+    proxy_core& core() {
+        return m_core;
+    }
+
+    endpoint address() const {
+        return m_address;
+    }
+
+    proxy_counters counters() const {
+        const absl::MutexLock lock(&m_mutex);
+        return m_published;
+    }
+
+    void set_local_upstream(upstream_record record, int queue_limit) {
+        local_upstream* known = m_core.find_local(record.id);
+        if (known == nullptr) {
+            known = &m_core.local_upstreams[record.id];
+            known->gate = std::make_shared<slot_gate>(m_core.context, m_core.clock, record.slots, queue_limit);
+        } else if (known->record.slots != record.slots) {
+            known->gate->set_limits(record.slots, queue_limit);
+        }
+        slot_limiter& limiter = known->gate->limiter();
+        if (record.is_leaving && !limiter.is_leaving()) {
+            limiter.set_leaving();
+        } else if (!record.is_leaving && limiter.is_leaving()) {
+            limiter.clear_leaving();
+        }
+        known->record = std::move(record);
+    }
+
+private:
+    void listen() {
+        try {
+            const asio::ip::tcp::endpoint local(asio::ip::make_address(m_options.listen_address.address),
+                                                m_options.listen_address.port);
+            m_acceptor.open(local.protocol());
+            m_acceptor.set_option(asio::socket_base::reuse_address(true));
+            m_acceptor.bind(local);
+            m_acceptor.listen(listen_backlog);
+            m_address = {m_options.listen_address.address, m_acceptor.local_endpoint().port()};
+        } catch (const boost::system::system_error& problem) {
+            throw error(result_code::listen_failed,
+                        fmt::format("{}: {}", to_string(m_options.listen_address), problem.what()));
+        }
+    }
+
+    asio::awaitable<void> accept() {
+        while (m_acceptor.is_open()) {
+            auto [failure, socket] = co_await m_acceptor.async_accept(as_result);
+            if (failure) {
+                // Out of descriptors, for example: waits instead of spinning.
+                asio::steady_timer timer(m_core.context, drain_poll);
+                co_await timer.async_wait(as_result);
+                continue;
+            }
+            ++m_core.counters.connections_accepted;
+            if (m_sessions.size() >= m_options.max_connections) {
+                ++m_core.counters.connections_refused;
+                continue;
+            }
+            socket.set_option(asio::ip::tcp::no_delay(true), failure);
+            asio::co_spawn(m_core.context, serve(std::move(socket)), asio::detached);
+        }
+    }
+
+    asio::awaitable<void> serve(asio::ip::tcp::socket socket) {
+        caller_session session(m_core, std::move(socket));
+        m_sessions.insert(&session);
+        const absl::Cleanup forget = [this, &session] { m_sessions.erase(&session); };
+        try {
+            co_await session.run();
+        } catch (const std::exception& problem) {
+            m_core.log.error(fmt::format("session-failed reason=\"{}\"", problem.what()));
+        }
+    }
+
+    asio::awaitable<void> tick() {
+        asio::steady_timer timer(m_core.context);
+        while (true) {
+            timer.expires_after(tick_interval);
+            co_await timer.async_wait(as_result);
+            for (auto& [id, upstream] : m_core.local_upstreams) {
+                upstream.gate->expire();
+            }
+        }
+    }
+
+    asio::awaitable<void> sweep() {
+        asio::steady_timer timer(m_core.context);
+        while (true) {
+            timer.expires_after(idle_sweep_interval);
+            co_await timer.async_wait(as_result);
+            m_core.pool.close_idle(m_options.keep_alive_timeout, m_core.clock.now());
+            m_core.counters.connections_open = m_sessions.size();
+            m_core.counters.idle_upstream_connections = m_core.pool.idle_count();
+            const absl::MutexLock lock(&m_mutex);
+            m_published = m_core.counters;
+        }
+    }
+
+    asio::awaitable<void> drain_connections() {
+        error_code ignored;
+        m_acceptor.close(ignored);
+        const absl::Time started_at = m_core.clock.now();
+        asio::steady_timer timer(m_core.context, drain_grace);
+        co_await timer.async_wait(as_result);
+        while (!m_sessions.empty() && m_core.clock.now() - started_at < m_options.drain_timeout) {
+            for (caller_session* session : m_sessions) {
+                session->close_if_idle();
+            }
+            timer.expires_after(drain_poll);
+            co_await timer.async_wait(as_result);
+        }
+        m_core.log.info(fmt::format("drained connections_cut={}", m_sessions.size()));
+        m_core.context.stop();
+    }
+
+    proxy_options m_options;
+    endpoint m_address;
+    std::set<caller_session*> m_sessions;
+    mutable absl::Mutex m_mutex;
+    proxy_counters m_published ABSL_GUARDED_BY(m_mutex);
+    proxy_core m_core; // Destroys suspended sessions, which use the members above.
+    asio::ip::tcp::acceptor m_acceptor;
+};
+
+request_proxy::request_proxy(proxy_options options, router_settings routing, retry_budget_policy budget,
+                             const steady_clock& clock, event_log& log,
+                             std::function<void(const owned_call&)> report_call)
+    : m_implementation(std::make_unique<implementation>(std::move(options), std::move(routing), budget, clock, log,
+                                                        std::move(report_call))) {}
+
+request_proxy::~request_proxy() = default;
+
+void request_proxy::run() {
+    m_implementation->run();
+}
+
+void request_proxy::stop() {
+    m_implementation->stop();
+}
+
+void request_proxy::drain() {
+    m_implementation->drain();
+}
+
+void request_proxy::set_configuration(std::shared_ptr<const intended_state> state) {
+    m_implementation->post([this, state = std::move(state)] {
+        m_implementation->core().state = state;
+        m_implementation->core().requests.set_configuration(state);
+    });
+}
+
+void request_proxy::set_upstreams(std::vector<upstream_record> records) {
+    m_implementation->post([this, records = std::move(records)] {
+        proxy_core& core = m_implementation->core();
+        core.requests.set_upstreams(records, core.clock.now());
+    });
+}
+
+void request_proxy::set_share_overrides(share_overrides overrides) {
+    m_implementation->post([this, overrides = std::move(overrides)]() mutable {
+        m_implementation->core().requests.set_share_overrides(std::move(overrides));
+    });
+}
+
+void request_proxy::set_local_upstream(upstream_record record, int queue_limit) {
+    m_implementation->post([this, record = std::move(record), queue_limit]() mutable {
+        m_implementation->set_local_upstream(std::move(record), queue_limit);
+    });
+}
+
+void request_proxy::remove_local_upstream(const std::string& id) {
+    m_implementation->post([this, id] { m_implementation->core().local_upstreams.erase(id); });
+}
+
+endpoint request_proxy::address() const {
+    return m_implementation->address();
+}
+
+proxy_counters request_proxy::counters() const {
+    return m_implementation->counters();
+}
+
+std::string request_proxy::explain(const std::string& method, const std::string& path) {
+    const auto answer = std::make_shared<std::promise<std::string>>();
+    std::future<std::string> result = answer->get_future();
+    m_implementation->post([this, answer, method, path] {
+        proxy_core& core = m_implementation->core();
+        const route_match found = core.requests.match(method, path);
+        if (found.refusal != result_code::ok) {
+            answer->set_value(fmt::format("refusal={}", name(found.refusal)));
+            return;
+        }
+        const route& target = *found.matched;
+        const routing_decision decision = core.requests.choose(target, {}, core.clock.now(), core.random);
+        answer->set_value(
+            fmt::format("{} file={} line={}", to_log_line(decision), target.origin.file, target.origin.line));
+    });
+    if (result.wait_for(explain_timeout) != std::future_status::ready) {
+        throw error(result_code::daemon_draining, "the event loop does not answer");
+    }
+    return result.get();
+}
+
+} // namespace amaranthladder
--- /dev/null
+++ b/src/http/request_proxy.h
@@ -0,0 +1,75 @@
+#pragma once
+
+#include "common/event_log.h"
+#include "common/steady_clock.h"
+#include "http/proxy_events.h"
+#include "http/proxy_options.h"
+#include "peers/upstream_record.h"
+#include "routing/retry_budget.h"
+#include "routing/router.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace amaranthladder {
+
+/// The daemon's data path: receives requests of callers and of other daemons and passes them on to upstreams.
+///
+/// One thread runs the event loop (run()). All other public functions may be called from any thread.
+class request_proxy {
+public:
+    /// @param options limits and timeouts.
+    /// @param routing settings of the router.
+    /// @param budget constants of the retry budget.
+    /// @param clock outlives the proxy.
+    /// @param log outlives the proxy.
+    /// @param report_call called on the event loop's thread for each call of an upstream beside this daemon.
+    /// @throws error with result_code::listen_failed.
+    request_proxy(proxy_options options, router_settings routing, retry_budget_policy budget, const steady_clock& clock,
+                  event_log& log, std::function<void(const owned_call&)> report_call);
+    ~request_proxy();
+    request_proxy(const request_proxy&) = delete;
+    request_proxy& operator=(const request_proxy&) = delete;
+
+    /// Runs the event loop until stop() is called or a drain has ended.
+    void run();
+
+    /// Stops the event loop at once.
+    void stop();
+
+    /// Accepts no more connections, lets every request in flight end, then ends run(). Connections without a request
+    /// are closed after a short time, in which a request that is on its way still arrives.
+    void drain();
+
+    void set_configuration(std::shared_ptr<const intended_state> state);
+    void set_upstreams(std::vector<upstream_record> records);
+    void set_share_overrides(share_overrides overrides);
+
+    /// Takes requests for an upstream beside this daemon, or changes its limits.
+    /// @param queue_limit requests that may wait for a slot.
+    void set_local_upstream(upstream_record record, int queue_limit);
+
+    /// Takes no more requests for an upstream that is gone.
+    void remove_local_upstream(const std::string& id);
+
+    /// @return the address in use.
+    endpoint address() const;
+
+    /// @return the counters, copied by the event loop's thread once a second.
+    proxy_counters counters() const;
+
+    /// Runs the choice of an upstream without sending anything, for `explain`. Waits for the event loop's thread.
+    /// @param method HTTP method.
+    /// @param path request target.
+    /// @return the route's name and the decision's log line, or the refusal.
+    /// @throws error with result_code::daemon_draining if the event loop does not answer within two seconds.
+    std::string explain(const std::string& method, const std::string& path);
+
+private:
+    class implementation;
+    std::unique_ptr<implementation> m_implementation;
+};
+
+} // namespace amaranthladder
