--- /dev/null
+++ b/src/routing/retry_budget.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include <absl/container/flat_hash_map.h>
+#include <absl/time/time.h>
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <string>
+
+namespace amaranthladder {
+
+/// Constants of retry_budget; docs/routing.md gives the reasons.
+struct retry_budget_policy {
+    double service_share = 0.08; ///< Retries earned by one caller request for its service.
+    double reserve_share = 0.01; ///< Retries earned by one caller request for the reserve that all services share.
+    double reserve = 2;          ///< Retries in the reserve at the start, and its upper limit.
+    absl::Duration window = absl::Seconds(10); ///< Unused retries are kept for the requests of this period only.
+};
+
+/// Bounds the retries of one entry to a share of its caller requests.
+///
+/// At every moment: retries granted <= (service_share + reserve_share) * caller requests + reserve. With the defaults,
+/// upstream calls are under 1.1 times caller calls from 200 caller calls on.
+class retry_budget {
+public:
+    explicit retry_budget(retry_budget_policy policy = {});
+
+    /// Counts a request of a caller. Not to be called for retries.
+    void on_request(const std::string& service, absl::Time now);
+
+    /// Takes one retry out of the budget.
+    /// @return false if the budget is spent; nothing is taken then.
+    bool try_spend(const std::string& service, absl::Time now);
+
+    /// @return retries that @p service could make now, in whole and part.
+    double available(const std::string& service, absl::Time now) const;
+
+private:
+    static constexpr std::size_t bucket_count = 10;
+
+    struct account {
+        double tokens = 0;
+        std::array<std::uint32_t, bucket_count> requests{};
+        std::int64_t newest_bucket = 0;
+        std::uint64_t recent = 0; ///< Sum of requests.
+    };
+
+    std::int64_t bucket_number(absl::Time now) const;
+    void advance(account& service_account, absl::Time now) const;
+
+    retry_budget_policy m_policy;
+    double m_reserve;
+    absl::flat_hash_map<std::string, account> m_accounts;
+};
+
+} // namespace amaranthladder
--- /dev/null
+++ b/src/routing/route_table.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include "common/result_code.h"
+#include "config/intended_state.h"
+
+#include <absl/container/flat_hash_map.h>
+
+#include <cstddef>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace amaranthladder {
+
+/// The result of looking up a request's route.
+struct route_match {
+    std::shared_ptr<const route> matched;        ///< Keeps its snapshot alive; empty on a refusal.
+    result_code refusal = result_code::no_route; ///< ok, no_route or method_not_allowed.
+};
+
+/// Finds the route of a request: the longest path prefix of whole segments wins.
+///
+/// If the longest matching prefix has routes but none allows the method, the request is refused; shorter prefixes are
+/// not tried, since a request must not reach another service because of its method.
+class route_table {
+public:
+    /// An empty table, which refuses every request.
+    route_table() = default;
+
+    /// @param state the state whose routes to use; the table keeps it alive.
+    explicit route_table(std::shared_ptr<const intended_state> state);
+
+    /// @param method the HTTP method, compared case-sensitively.
+    /// @param target the request target; a query and a fragment are ignored. Percent-encoded characters are compared
+    ///        as they stand.
+    /// @return the route or a refusal.
+    route_match match(std::string_view method, std::string_view target) const;
+
+private:
+    route_match match_method(const std::vector<const route*>& routes, std::string_view method) const;
+
+    std::shared_ptr<const intended_state> m_state;
+    absl::flat_hash_map<std::string, std::vector<const route*>> m_routes_by_prefix; ///< Without a trailing slash.
+    std::size_t m_deepest_prefix = 0; ///< Segments of the deepest prefix; bounds the work for paths of many slashes.
+};
+
+} // namespace amaranthladder
--- /dev/null
+++ b/src/routing/router.cpp
@@ -0,0 +1,327 @@
+#include "routing/router.h"
+
+#include <absl/container/flat_hash_set.h>
+#include <absl/random/uniform_real_distribution.h>
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace amaranthladder {
+
+namespace {
+
+bool is_usable(const upstream_record& record) {
+    return !record.is_leaving && !record.is_withdrawn;
+}
+
+bool can_serve(const upstream_record& record, const route& target, const request_facts& request) {
+    const bool serves_route =
+        record.routes.empty() || std::ranges::find(record.routes, target.name) != record.routes.end();
+    return serves_route && std::ranges::find(request.tried, record.id) == request.tried.end();
+}
+
+health_signal signal_of(attempt_outcome outcome) {
+    if (is_failure(outcome)) {
+        return health_signal::failure;
+    }
+    return outcome == attempt_outcome::answered ? health_signal::success : health_signal::none;
+}
+
+routing_decision refuse(const route& target, result_code code) {
+    routing_decision decision;
+    decision.route = target.name;
+    decision.service = target.service;
+    decision.refusal = code;
+    return decision;
+}
+
+} // namespace
+
+router::router(router_settings settings)
+    : m_settings(std::move(settings)), m_warm_up(m_settings.policy.warming), m_picker(m_settings.policy.picking),
+      m_state(std::make_shared<const intended_state>()) {}
+
+void router::set_configuration(std::shared_ptr<const intended_state> state) {
+    m_state = std::move(state);
+    m_routes = route_table(m_state);
+}
+
+void router::set_upstreams(const std::vector<upstream_record>& records, absl::Time now) {
+    absl::flat_hash_set<std::string> known_services;
+    for (const auto& [id, upstream] : m_upstreams) {
+        known_services.insert(upstream->record.service);
+        upstream->is_listed = false;
+    }
+    for (const upstream_record& record : records) {
+        take_record(record, known_services.contains(record.service), now);
+    }
+    absl::erase_if(m_upstreams,
+                   [](const auto& entry) { return !entry.second->is_listed && entry.second->in_flight == 0; });
+    rebuild_groups();
+}
+
+void router::set_share_overrides(share_overrides overrides) {
+    m_overrides = std::move(overrides);
+}
+
+route_match router::match(std::string_view method, std::string_view target) const {
+    return m_routes.match(method, target);
+}
+
+routing_decision router::choose(const route& target, const request_facts& request, absl::Time now,
+                                absl::BitGenRef rng) const {
+    if (request.deadline <= now) {
+        return refuse(target, result_code::deadline_expired);
+    }
+    const std::vector<weighed_version> versions = weighed_versions(target, request);
+    double total = 0;
+    for (const weighed_version& version : versions) {
+        total += version.weight;
+    }
+    if (total <= 0) {
+        return refuse(target, result_code::no_upstream);
+    }
+    double left = absl::uniform_real_distribution<double>(0, total)(rng);
+    auto version = versions.begin();
+    while (version + 1 != versions.end() && left >= version->weight) {
+        left -= version->weight;
+        ++version;
+    }
+    const candidate_set usable = candidates(*version->group, target, request, now);
+    std::vector<pick_candidate> weighed;
+    weighed.reserve(usable.upstreams.size());
+    for (const upstream_state* upstream : usable.upstreams) {
+        weighed.push_back(weigh(*upstream, now));
+    }
+    const pick_result picked = m_picker.pick(weighed, rng);
+    const upstream_state& chosen = *usable.upstreams[picked.chosen];
+    routing_decision decision = refuse(target, result_code::ok);
+    decision.version = *version->name;
+    decision.upstream_id = chosen.record.id;
+    decision.owner = chosen.record.owner;
+    decision.address = chosen.record.address;
+    decision.reason = usable.reason == choice_reason::none ? picked.reason : usable.reason;
+    decision.candidate_count = static_cast<int>(usable.upstreams.size());
+    decision.chosen = view(chosen, weighed[picked.chosen], now);
+    if (picked.compared) {
+        decision.compared = view(*usable.upstreams[*picked.compared], weighed[*picked.compared], now);
+    }
+    return decision;
+}
+
+void router::on_started(const std::string& upstream_id, absl::Time now) {
+    const auto found = m_upstreams.find(upstream_id);
+    if (found == m_upstreams.end()) {
+        return;
+    }
+    ++found->second->in_flight;
+    if (ejector* health = health_of(*found->second)) {
+        health->on_probe_started(upstream_id, now);
+    }
+}
+
+void router::on_finished(const std::string& upstream_id, attempt_outcome outcome, absl::Duration latency,
+                         std::optional<double> load, absl::Time now) {
+    const auto found = m_upstreams.find(upstream_id);
+    if (found == m_upstreams.end()) {
+        return;
+    }
+    upstream_state& upstream = *found->second;
+    upstream.in_flight = std::max(upstream.in_flight - 1, 0);
+    if (load && std::isfinite(*load)) {
+        upstream.hint = std::clamp(*load, 0.0, m_settings.policy.max_hint);
+        upstream.hint_time = now;
+        upstream.in_flight_at_hint = upstream.in_flight;
+    }
+    learn(upstream, outcome, latency, now);
+    if (!upstream.is_listed && upstream.in_flight == 0) {
+        m_upstreams.erase(found);
+    }
+}
+
+int router::in_flight(const std::string& upstream_id) const {
+    const auto found = m_upstreams.find(upstream_id);
+    return found == m_upstreams.end() ? 0 : found->second->in_flight;
+}
+
+void router::take_record(const upstream_record& record, bool service_is_known, absl::Time now) {
+    auto& slot = m_upstreams[record.id];
+    const bool is_new = slot == nullptr;
+    if (is_new) {
+        slot = std::make_unique<upstream_state>();
+    }
+    if (is_new || record.incarnation != slot->record.incarnation) {
+        if (ejector* health = is_new ? nullptr : health_of(*slot)) {
+            health->reset(record.id);
+        }
+        const int in_flight = slot->in_flight;
+        *slot = upstream_state();
+        slot->in_flight = in_flight;
+        slot->latency = latency_average(m_settings.policy.averaging);
+        slot->warming_since = service_is_known ? now : absl::InfinitePast();
+    }
+    slot->record = record;
+    slot->is_listed = true;
+}
+
+void router::rebuild_groups() {
+    for (auto& [service, group] : m_services) {
+        for (auto& [version, members] : group) {
+            members.upstreams.clear();
+        }
+    }
+    for (const auto& [id, upstream] : m_upstreams) {
+        if (upstream->is_listed && is_usable(upstream->record)) {
+            m_services[upstream->record.service][upstream->record.version].upstreams.push_back(upstream.get());
+        }
+    }
+    for (auto& [service, group] : m_services) {
+        std::erase_if(group, [](const auto& entry) { return entry.second.upstreams.empty(); });
+        for (auto& [version, members] : group) {
+            // The order of the hash table differs between runs; decisions must not.
+            std::ranges::sort(members.upstreams, {}, [](const upstream_state* one) { return one->record.id; });
+            std::vector<std::string> ids;
+            for (const upstream_state* one : members.upstreams) {
+                ids.push_back(one->record.id);
+            }
+            if (!members.health) {
+                members.health = std::make_unique<ejector>(m_settings.policy.ejecting);
+            }
+            members.health->set_members(ids);
+        }
+    }
+    absl::erase_if(m_services, [](const auto& entry) { return entry.second.empty(); });
+}
+
+std::vector<router::weighed_version> router::weighed_versions(const route& target, const request_facts& request) const {
+    std::vector<weighed_version> versions;
+    const auto found = m_services.find(target.service);
+    if (found == m_services.end()) {
+        return versions;
+    }
+    for (const auto& [version, group] : found->second) {
+        const bool is_served = std::ranges::any_of(
+            group.upstreams, [&](const upstream_state* one) { return can_serve(one->record, target, request); });
+        const double weight = is_served ? configured_weight(target.service, version, group) : 0;
+        if (weight > 0) {
+            versions.push_back({&version, &group, weight});
+        }
+    }
+    return versions;
+}
+
+double router::configured_weight(const std::string& service, const std::string& version,
+                                 const version_group& group) const {
+    if (const auto moved = m_overrides.find(service); moved != m_overrides.end()) {
+        const auto found = moved->second.find(version);
+        return found == moved->second.end() ? 0 : found->second;
+    }
+    if (const auto shared = m_state->shares.find(service); shared != m_state->shares.end()) {
+        const auto found = shared->second.weight_by_version.find(version);
+        return found == shared->second.weight_by_version.end() ? 0 : found->second;
+    }
+    double slots = 0;
+    for (const upstream_state* upstream : group.upstreams) {
+        slots += std::max(upstream->record.slots, 1);
+    }
+    return slots;
+}
+
+router::candidate_set router::candidates(const version_group& group, const route& target, const request_facts& request,
+                                         absl::Time now) const {
+    candidate_set preferred{{}, choice_reason::none};
+    std::vector<upstream_state*> penalised;
+    std::vector<upstream_state*> ejected;
+    for (upstream_state* upstream : group.upstreams) {
+        if (!can_serve(upstream->record, target, request)) {
+            continue;
+        }
+        const availability state = group.health->state(upstream->record.id, request.is_idempotent, now);
+        if (state == availability::probe && request.tried.empty()) {
+            return {{upstream}, choice_reason::probe};
+        }
+        if (state != availability::active) {
+            ejected.push_back(upstream);
+        } else if (now < upstream->penalised_until) {
+            penalised.push_back(upstream);
+        } else {
+            preferred.upstreams.push_back(upstream);
+        }
+    }
+    if (!preferred.upstreams.empty()) {
+        return preferred;
+    }
+    return {penalised.empty() ? std::move(ejected) : std::move(penalised), choice_reason::ejection_ignored};
+}
+
+pick_candidate router::weigh(const upstream_state& upstream, absl::Time now) const {
+    const double slots = std::max(upstream.record.slots, 1);
+    pick_candidate weighed;
+    weighed.weight = slots * m_warm_up.weight(upstream.warming_since, now);
+    weighed.load = estimated_load(upstream, now);
+    // One microsecond keeps the load in the comparison while no latency is known.
+    const double latency = std::max(absl::ToDoubleSeconds(upstream.latency.value(now)), 1e-6);
+    weighed.cost = latency * (1 + m_settings.policy.load_weight * weighed.load);
+    weighed.is_local = upstream.record.data_center == m_settings.data_center;
+    return weighed;
+}
+
+double router::estimated_load(const upstream_state& upstream, absl::Time now) const {
+    const double slots = std::max(upstream.record.slots, 1);
+    const double own = upstream.in_flight / slots;
+    if (!upstream.hint) {
+        return own;
+    }
+    const double trust = std::exp(-absl::FDivDuration(now - upstream.hint_time, m_settings.policy.hint_decay));
+    const double reported = *upstream.hint + (upstream.in_flight - upstream.in_flight_at_hint) / slots;
+    // A report never makes an upstream look less busy than the entry's own requests there.
+    return std::max(own, trust * reported + (1 - trust) * own);
+}
+
+candidate_view router::view(const upstream_state& upstream, const pick_candidate& weighed, absl::Time now) const {
+    return {upstream.record.id, weighed.cost, upstream.in_flight, upstream.latency.value(now)};
+}
+
+void router::learn(upstream_state& upstream, attempt_outcome outcome, absl::Duration latency, absl::Time now) {
+    const router_policy& policy = m_settings.policy;
+    if (ejector* health = health_of(upstream)) {
+        if (health->on_result(upstream.record.id, signal_of(outcome), now)) {
+            upstream.warming_since = now;
+        }
+    }
+    absl::Duration penalty;
+    switch (outcome) {
+    case attempt_outcome::answered:
+    case attempt_outcome::sent_no_answer:
+        upstream.latency.observe(latency, now);
+        break;
+    case attempt_outcome::refused_load:
+        penalty = policy.refusal_penalty;
+        break;
+    case attempt_outcome::connect_failed:
+        penalty = policy.connect_penalty;
+        break;
+    case attempt_outcome::refused_leaving:
+        penalty = policy.leaving_penalty;
+        break;
+    case attempt_outcome::answered_error: // May be quick; a quick error must not make an upstream attractive.
+    case attempt_outcome::answer_broken:
+    case attempt_outcome::cancelled:
+        break;
+    }
+    if (penalty > absl::ZeroDuration()) {
+        upstream.penalised_until = std::max(upstream.penalised_until, now + penalty);
+    }
+}
+
+ejector* router::health_of(const upstream_state& upstream) {
+    const auto service = m_services.find(upstream.record.service);
+    if (service == m_services.end()) {
+        return nullptr;
+    }
+    const auto version = service->second.find(upstream.record.version);
+    return version == service->second.end() ? nullptr : version->second.health.get();
+}
+
+} // namespace amaranthladder
--- /dev/null
+++ b/src/routing/router.h
@@ -0,0 +1,148 @@
+#pragma once
+
+#include "config/intended_state.h"
+#include "peers/upstream_record.h"
+#include "routing/attempt_outcome.h"
+#include "routing/ejector.h"
+#include "routing/latency_average.h"
+#include "routing/picker.h"
+#include "routing/route_table.h"
+#include "routing/routing_decision.h"
+#include "routing/warm_up.h"
+
+#include <absl/container/flat_hash_map.h>
+#include <absl/random/bit_gen_ref.h>
+#include <absl/time/time.h>
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace amaranthladder {
+
+/// Shares that a move sets for the versions of a service, by service and version; relative weights of at least 0.
+using share_overrides = std::map<std::string, std::map<std::string, double>>;
+
+/// Constants of router; docs/routing.md gives the reasons.
+struct router_policy {
+    picker_policy picking;
+    ejector_policy ejecting;
+    warm_up_policy warming;
+    latency_average_policy averaging;
+    double load_weight = 3;                                   ///< Cost of a full upstream over an idle one, less 1.
+    double max_hint = 2;                                      ///< Larger reported loads count as this.
+    absl::Duration hint_decay = absl::Milliseconds(500);      ///< Age at which a reported load counts 1/e.
+    absl::Duration refusal_penalty = absl::Milliseconds(25);  ///< After a refusal for load.
+    absl::Duration connect_penalty = absl::Milliseconds(250); ///< After a failed connection.
+    absl::Duration leaving_penalty = absl::Seconds(5);        ///< After a refusal because it leaves.
+};
+
+/// Who the entry is.
+struct router_settings {
+    std::string data_center;
+    router_policy policy = {};
+};
+
+/// What the router needs to know of a request.
+struct request_facts {
+    bool is_idempotent = false;
+    absl::Time deadline = absl::InfiniteFuture();
+    std::vector<std::string> tried = {}; ///< Ids of upstreams that earlier attempts of the request went to.
+};
+
+/// Chooses an upstream for each request at its entry.
+///
+/// A decision names only upstreams of the list given last that are neither leaving nor withdrawn.
+class router {
+public:
+    explicit router(router_settings settings);
+
+    /// Replaces routes and shares.
+    void set_configuration(std::shared_ptr<const intended_state> state);
+
+    /// Replaces the list of upstreams. Upstreams that first appear beside known ones of the same service, and those
+    /// with a new incarnation, are ramped up.
+    void set_upstreams(const std::vector<upstream_record>& records, absl::Time now);
+
+    /// Replaces the shares set by moves; they take precedence over the configuration's.
+    void set_share_overrides(share_overrides overrides);
+
+    /// @copydoc route_table::match
+    route_match match(std::string_view method, std::string_view target) const;
+
+    /// @param target the route, from match.
+    /// @param request the request.
+    /// @param now the time.
+    /// @param rng source of randomness.
+    /// @return the chosen upstream, or the refusal no_upstream or deadline_expired. Call on_started if it is used.
+    routing_decision choose(const route& target, const request_facts& request, absl::Time now,
+                            absl::BitGenRef rng) const;
+
+    /// Notes that a request is being sent to an upstream. Each call is followed by one of on_finished.
+    void on_started(const std::string& upstream_id, absl::Time now);
+
+    /// Notes the end of an attempt.
+    /// @param upstream_id as in the decision.
+    /// @param outcome how it ended.
+    /// @param latency from on_started to the first byte of the answer, or to the failure.
+    /// @param load the load that the owner reported with the answer, in requests per slot.
+    /// @param now the time.
+    void on_finished(const std::string& upstream_id, attempt_outcome outcome, absl::Duration latency,
+                     std::optional<double> load, absl::Time now);
+
+    /// @return this entry's requests at an upstream.
+    int in_flight(const std::string& upstream_id) const;
+
+private:
+    struct upstream_state {
+        upstream_record record;
+        bool is_listed = false;
+        int in_flight = 0;
+        latency_average latency;
+        std::optional<double> hint;
+        absl::Time hint_time;
+        int in_flight_at_hint = 0;
+        absl::Time penalised_until = absl::InfinitePast();
+        absl::Time warming_since = absl::InfinitePast();
+    };
+    struct version_group {
+        std::vector<upstream_state*> upstreams; ///< Only usable ones.
+        std::unique_ptr<ejector> health;
+    };
+    using service_group = std::map<std::string, version_group>;
+    struct weighed_version {
+        const std::string* name;
+        const version_group* group;
+        double weight;
+    };
+    struct candidate_set {
+        std::vector<upstream_state*> upstreams;
+        choice_reason reason; ///< none: let the picker decide.
+    };
+
+    void take_record(const upstream_record& record, bool service_is_known, absl::Time now);
+    void rebuild_groups();
+    std::vector<weighed_version> weighed_versions(const route& target, const request_facts& request) const;
+    double configured_weight(const std::string& service, const std::string& version, const version_group& group) const;
+    candidate_set candidates(const version_group& group, const route& target, const request_facts& request,
+                             absl::Time now) const;
+    pick_candidate weigh(const upstream_state& upstream, absl::Time now) const;
+    double estimated_load(const upstream_state& upstream, absl::Time now) const;
+    candidate_view view(const upstream_state& upstream, const pick_candidate& weighed, absl::Time now) const;
+    void learn(upstream_state& upstream, attempt_outcome outcome, absl::Duration latency, absl::Time now);
+    ejector* health_of(const upstream_state& upstream);
+
+    router_settings m_settings;
+    warm_up m_warm_up;
+    picker m_picker;
+    std::shared_ptr<const intended_state> m_state;
+    route_table m_routes;
+    share_overrides m_overrides;
+    absl::flat_hash_map<std::string, std::unique_ptr<upstream_state>> m_upstreams;
+    absl::flat_hash_map<std::string, service_group> m_services;
+};
+
+} // namespace amaranthladder
--- /dev/null
+++ b/src/routing/routing_decision.cpp
@@ -0,0 +1,48 @@
+#include "routing/routing_decision.h"
+
+#include <fmt/format.h>
+
+namespace amaranthladder {
+
+std::string_view name(choice_reason value) {
+    switch (value) {
+    case choice_reason::none:
+        return "none";
+    case choice_reason::only_candidate:
+        return "only-candidate";
+    case choice_reason::lower_cost:
+        return "lower-cost";
+    case choice_reason::spilled_over:
+        return "spilled-over";
+    case choice_reason::probe:
+        return "probe";
+    case choice_reason::ejection_ignored:
+        return "ejection-ignored";
+    }
+    return "unknown";
+}
+
+namespace {
+
+std::string candidate_text(std::string_view key, const std::optional<candidate_view>& view) {
+    if (!view) {
+        return {};
+    }
+    return fmt::format(" {}={} {}_cost={:.6f} {}_in_flight={} {}_latency_ms={:.3f}", key, view->id, key, view->cost,
+                       key, view->in_flight, key, absl::ToDoubleMilliseconds(view->latency));
+}
+
+} // namespace
+
+std::string to_log_line(const routing_decision& decision) {
+    if (decision.is_refused()) {
+        return fmt::format("route={} service={} candidates={} refused={} code={}", decision.route, decision.service,
+                           decision.candidate_count, name(decision.refusal), static_cast<int>(decision.refusal));
+    }
+    return fmt::format("route={} service={} version={} candidates={} reason={} owner={}{}{}", decision.route,
+                       decision.service, decision.version, decision.candidate_count, name(decision.reason),
+                       to_string(decision.owner), candidate_text("chosen", decision.chosen),
+                       candidate_text("compared", decision.compared));
+}
+
+} // namespace amaranthladder
--- /dev/null
+++ b/src/routing/slot_limiter.cpp
@@ -0,0 +1,153 @@
+#include "routing/slot_limiter.h"
+
+#include "common/error.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace amaranthladder {
+
+slot_limiter::slot_limiter(int slots, int queue_limit, slot_limiter_policy policy)
+    : m_policy(policy), m_slots(std::max(slots, 1)), m_queue_limit(std::max(queue_limit, 0)) {}
+
+admission slot_limiter::offer(request_id id, absl::Time deadline, absl::Time now) {
+    if (is_known(id)) {
+        throw error(result_code::internal_error, "a request was offered twice to a slot limiter");
+    }
+    if (m_is_leaving) {
+        return {admission::verdict::refused, result_code::upstream_leaving};
+    }
+    if (deadline <= now) {
+        return {admission::verdict::refused, result_code::deadline_expired};
+    }
+    if (running() < m_slots && m_queue.empty()) {
+        m_running.push_back({id, now});
+        return {admission::verdict::run, result_code::ok};
+    }
+    if (m_policy.drops_hopeless && now + expected_wait(deadline) + m_service_time > deadline) {
+        return {admission::verdict::refused, result_code::queue_deadline};
+    }
+    if (queued() >= m_queue_limit) {
+        return {admission::verdict::refused, result_code::queue_full};
+    }
+    m_queue.push_back({id, deadline});
+    return {admission::verdict::queued, result_code::ok};
+}
+
+slot_change slot_limiter::finish(request_id id, absl::Time now) {
+    const auto found = std::ranges::find(m_running, id, &running_request::id);
+    if (found == m_running.end()) {
+        return {};
+    }
+    learn_service_time(now - found->started);
+    m_running.erase(found);
+    return fill_slots(now);
+}
+
+std::vector<request_id> slot_limiter::expire(absl::Time now) {
+    std::vector<request_id> dropped;
+    std::erase_if(m_queue, [&](const waiting_request& waiting) {
+        if (!is_hopeless(waiting, now)) {
+            return false;
+        }
+        dropped.push_back(waiting.id);
+        return true;
+    });
+    return dropped;
+}
+
+cancel_result slot_limiter::cancel(request_id id) {
+    if (std::ranges::find(m_running, id, &running_request::id) != m_running.end()) {
+        return cancel_result::running;
+    }
+    return std::erase_if(m_queue, [&](const waiting_request& waiting) { return waiting.id == id; }) > 0
+               ? cancel_result::queued
+               : cancel_result::unknown;
+}
+
+void slot_limiter::set_leaving() {
+    m_is_leaving = true;
+}
+
+void slot_limiter::clear_leaving() {
+    m_is_leaving = false;
+}
+
+slot_change slot_limiter::set_limits(int slots, int queue_limit, absl::Time now) {
+    m_slots = std::max(slots, 1);
+    m_queue_limit = std::max(queue_limit, 0);
+    return fill_slots(now);
+}
+
+std::optional<absl::Time> slot_limiter::next_expiry() const {
+    if (m_queue.empty()) {
+        return std::nullopt;
+    }
+    const auto earliest = std::ranges::min_element(m_queue, {}, &waiting_request::deadline);
+    return m_policy.drops_hopeless ? earliest->deadline - m_service_time : earliest->deadline;
+}
+
+bool slot_limiter::is_drained() const {
+    return m_is_leaving && m_running.empty() && m_queue.empty();
+}
+
+double slot_limiter::load() const {
+    return static_cast<double>(running() + queued()) / m_slots;
+}
+
+bool slot_limiter::is_hopeless(const waiting_request& waiting, absl::Time now) const {
+    return m_policy.drops_hopeless ? now + m_service_time >= waiting.deadline : now >= waiting.deadline;
+}
+
+absl::Duration slot_limiter::expected_wait(absl::Time deadline) const {
+    // Only the requests that would be started before the new one delay it.
+    std::ptrdiff_t ahead = queued();
+    if (m_policy.order == queue_order::last_in) {
+        ahead = 0;
+    } else if (m_policy.order == queue_order::earliest_deadline) {
+        ahead = std::ranges::count_if(m_queue, [&](const waiting_request& w) { return w.deadline <= deadline; });
+    }
+    return m_service_time * static_cast<double>(ahead + 1) / m_slots;
+}
+
+slot_change slot_limiter::fill_slots(absl::Time now) {
+    slot_change change;
+    while (running() < m_slots && !m_queue.empty()) {
+        const auto position = m_queue.begin() + static_cast<std::ptrdiff_t>(next_position());
+        const waiting_request next = *position;
+        m_queue.erase(position);
+        if (is_hopeless(next, now)) {
+            change.dropped.push_back(next.id);
+        } else {
+            m_running.push_back({next.id, now});
+            change.run.push_back(next.id);
+        }
+    }
+    return change;
+}
+
+std::size_t slot_limiter::next_position() const {
+    switch (m_policy.order) {
+    case queue_order::last_in:
+        return m_queue.size() - 1;
+    case queue_order::earliest_deadline:
+        return static_cast<std::size_t>(std::ranges::min_element(m_queue, {}, &waiting_request::deadline) -
+                                        m_queue.begin());
+    case queue_order::first_in:
+        break;
+    }
+    return 0;
+}
+
+bool slot_limiter::is_known(request_id id) const {
+    return std::ranges::find(m_running, id, &running_request::id) != m_running.end() ||
+           std::ranges::find(m_queue, id, &waiting_request::id) != m_queue.end();
+}
+
+void slot_limiter::learn_service_time(absl::Duration sample) {
+    m_service_time = m_service_time == absl::ZeroDuration()
+                         ? sample
+                         : m_service_time + (sample - m_service_time) * m_policy.service_time_weight;
+}
+
+} // namespace amaranthladder
--- /dev/null
+++ b/src/routing/slot_limiter.h
@@ -0,0 +1,146 @@
+#pragma once
+
+#include "common/result_code.h"
+
+#include <absl/time/time.h>
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <vector>
+
+namespace amaranthladder {
+
+/// Number of a request, unique among the requests at one limiter.
+using request_id = std::uint64_t;
+
+/// Order in which waiting requests are started.
+enum class queue_order {
+    first_in,          ///< Oldest first.
+    last_in,           ///< Newest first.
+    earliest_deadline, ///< The request whose deadline is nearest first.
+};
+
+/// Constants of slot_limiter; docs/routing.md gives the reasons.
+struct slot_limiter_policy {
+    queue_order order = queue_order::earliest_deadline;
+    double service_time_weight = 0.05; ///< Weight of one new service time in the running average.
+    bool drops_hopeless = true;        ///< False: only requests whose deadline has passed are dropped. For comparisons.
+};
+
+/// Answer of slot_limiter::offer.
+struct admission {
+    enum class verdict { run, queued, refused };
+
+    verdict result = verdict::refused;
+    result_code refusal = result_code::ok; ///< queue_full, queue_deadline, deadline_expired or upstream_leaving.
+};
+
+/// What the caller of the limiter must do after an event.
+struct slot_change {
+    std::vector<request_id> run;     ///< Start these now; each holds a slot until finish.
+    std::vector<request_id> dropped; ///< Refuse these with result_code::queue_deadline; they were not run.
+};
+
+/// Where a cancelled request was.
+enum class cancel_result {
+    unknown, ///< It is neither queued nor running.
+    queued,  ///< It was removed from the queue and has not run.
+    running, ///< It holds its slot until finish is called.
+};
+
+/// Limits the requests that run at one upstream to its slots and holds a short queue of requests that can still meet
+/// their deadlines.
+///
+/// Each offered request ends in exactly one of: run (then finish), refused, dropped, or cancelled while queued.
+class slot_limiter {
+public:
+    /// @param slots requests that the upstream runs at once, at least 1.
+    /// @param queue_limit requests that may wait, at least 0.
+    /// @param policy the constants.
+    slot_limiter(int slots, int queue_limit, slot_limiter_policy policy = {});
+
+    /// Decides about a new request.
+    /// @param id must not be queued or running here.
+    /// @param deadline when the caller stops waiting.
+    /// @param now the time.
+    /// @return run, queued or refused with a "not run" code.
+    /// @throws error with result_code::internal_error if @p id is queued or running.
+    admission offer(request_id id, absl::Time deadline, absl::Time now);
+
+    /// Frees the slot of a request and fills free slots from the queue. An unknown @p id frees nothing.
+    slot_change finish(request_id id, absl::Time now);
+
+    /// Drops waiting requests that can no longer meet their deadlines.
+    std::vector<request_id> expire(absl::Time now);
+
+    /// Removes a waiting request.
+    cancel_result cancel(request_id id);
+
+    /// Refuses new work from now on. Queued requests are still served.
+    void set_leaving();
+
+    /// Accepts new work again, after the upstream was announced anew.
+    void clear_leaving();
+
+    /// Changes the limits. Running requests are not interrupted: fewer slots take effect as requests finish.
+    /// @return requests that may run now.
+    slot_change set_limits(int slots, int queue_limit, absl::Time now);
+
+    /// @return when expire would next drop a request, or nothing if the queue is empty.
+    std::optional<absl::Time> next_expiry() const;
+
+    /// @return true if the upstream is leaving and neither runs nor queues a request.
+    bool is_drained() const;
+
+    bool is_leaving() const {
+        return m_is_leaving;
+    }
+
+    int running() const {
+        return static_cast<int>(m_running.size());
+    }
+
+    int queued() const {
+        return static_cast<int>(m_queue.size());
+    }
+
+    int slots() const {
+        return m_slots;
+    }
+
+    /// @return running and queued requests over slots, the load that the owner reports on answers.
+    double load() const;
+
+    /// @return the running average of service times; zero before the first one.
+    absl::Duration service_time() const {
+        return m_service_time;
+    }
+
+private:
+    struct waiting_request {
+        request_id id;
+        absl::Time deadline;
+    };
+    struct running_request {
+        request_id id;
+        absl::Time started;
+    };
+
+    bool is_hopeless(const waiting_request& waiting, absl::Time now) const;
+    absl::Duration expected_wait(absl::Time deadline) const;
+    slot_change fill_slots(absl::Time now);
+    std::size_t next_position() const;
+    bool is_known(request_id id) const;
+    void learn_service_time(absl::Duration sample);
+
+    slot_limiter_policy m_policy;
+    int m_slots;
+    int m_queue_limit;
+    bool m_is_leaving = false;
+    std::vector<running_request> m_running; // Slots are few, so a scan is faster than a tree.
+    std::vector<waiting_request> m_queue;   // In order of arrival.
+    absl::Duration m_service_time;
+};
+
+} // namespace amaranthladder
