--- /dev/null
+++ b/src/config/private/row_codec.cpp
@@ -0,0 +1,327 @@
+#include "config/private/row_codec.h"
+
+#include "common/error.h"
+
+#include <boost/json.hpp>
+#include <fmt/format.h>
+#include <openssl/evp.h>
+
+#include <array>
+#include <limits>
+
+namespace amaranthladder {
+
+namespace json = boost::json;
+
+namespace {
+
+constexpr std::size_t scratch_bytes = 16'384;
+// The end of the year 9999, the last one that RFC 3339 can express.
+constexpr std::int64_t latest_milliseconds = 253'402'300'799'999;
+
+error malformed(const std::string& detail) {
+    return {result_code::snapshot_malformed, detail};
+}
+
+json::string_view view(const std::string& text) {
+    return {text.data(), text.size()};
+}
+
+std::string text_of(const json::value& element) {
+    const json::string* text = element.if_string();
+    if (text == nullptr) {
+        throw malformed("a row has another element than the expected text");
+    }
+    return {text->data(), text->size()};
+}
+
+service read_service(row_reader& row) {
+    service result;
+    result.name = row.text();
+    result.timeout = row.duration();
+    result.queue_limit = static_cast<int>(row.integer(0, std::numeric_limits<int>::max()));
+    result.origin = row.origin();
+    return result;
+}
+
+route read_route(row_reader& row) {
+    route result;
+    result.name = row.text();
+    result.service = row.text();
+    result.path_prefix = row.text();
+    const json::array* methods = row.next().if_array();
+    if (methods == nullptr) {
+        throw malformed("a route row has no list of methods");
+    }
+    for (const json::value& method : *methods) {
+        result.methods.push_back(text_of(method));
+    }
+    result.is_idempotent = row.boolean();
+    result.timeout = row.duration();
+    result.origin = row.origin();
+    return result;
+}
+
+share read_share(row_reader& row) {
+    share result;
+    result.service = row.text();
+    const json::object* weights = row.next().if_object();
+    if (weights == nullptr) {
+        throw malformed("a share row has no weights");
+    }
+    for (const auto& [version, weight] : *weights) {
+        if (!weight.is_int64() || weight.get_int64() < 0 || weight.get_int64() > std::numeric_limits<int>::max()) {
+            throw malformed("a share row has a weight that is not a number");
+        }
+        result.weight_by_version.emplace(std::string(version.data(), version.size()),
+                                         static_cast<int>(weight.get_int64()));
+    }
+    result.origin = row.origin();
+    return result;
+}
+
+move read_move(row_reader& row) {
+    move result;
+    result.name = row.text();
+    result.service = row.text();
+    result.from_version = row.text();
+    result.to_version = row.text();
+    result.deadline = row.time();
+    result.introduced_in = row.unsigned_integer();
+    result.origin = row.origin();
+    return result;
+}
+
+} // namespace
+
+std::int64_t to_milliseconds(absl::Time value) {
+    return absl::ToUnixMillis(value);
+}
+
+std::string sha256_hex(std::string_view bytes) {
+    std::array<unsigned char, EVP_MAX_MD_SIZE> digest{};
+    unsigned int size = 0;
+    if (EVP_Digest(bytes.data(), bytes.size(), digest.data(), &size, EVP_sha256(), nullptr) != 1) {
+        throw error(result_code::internal_error, "SHA-256 is not available");
+    }
+    std::string result;
+    result.reserve(std::size_t{size} * 2);
+    for (unsigned int i = 0; i < size; ++i) {
+        fmt::format_to(std::back_inserter(result), "{:02x}", digest[i]);
+    }
+    return result;
+}
+
+struct row_writer::scratch {
+    std::string& out;
+    json::serializer serializer;
+    std::array<unsigned char, scratch_bytes> buffer;
+    std::array<char, 4096> chunk;
+};
+
+row_writer::row_writer(std::string& out) : m_scratch(new scratch{out, {}, {}, {}}) {}
+
+row_writer::~row_writer() = default;
+
+void row_writer::write(const json::array& row) {
+    m_scratch->serializer.reset(&row);
+    while (!m_scratch->serializer.done()) {
+        const json::string_view part = m_scratch->serializer.read(m_scratch->chunk.data(), m_scratch->chunk.size());
+        m_scratch->out.append(part.data(), part.size());
+    }
+    m_scratch->out.push_back('\n');
+}
+
+void row_writer::write(const service& value) {
+    json::monotonic_resource memory(m_scratch->buffer.data(), m_scratch->buffer.size());
+    write(json::array({"service", view(value.name), absl::ToInt64Milliseconds(value.timeout), value.queue_limit,
+                       view(value.origin.file), value.origin.line},
+                      &memory));
+}
+
+void row_writer::write(const route& value) {
+    json::monotonic_resource memory(m_scratch->buffer.data(), m_scratch->buffer.size());
+    json::array methods(&memory);
+    for (const std::string& method : value.methods) {
+        methods.emplace_back(view(method));
+    }
+    json::array row({"route", view(value.name), view(value.service), view(value.path_prefix)}, &memory);
+    row.emplace_back(std::move(methods));
+    row.emplace_back(value.is_idempotent);
+    row.emplace_back(absl::ToInt64Milliseconds(value.timeout));
+    row.emplace_back(view(value.origin.file));
+    row.emplace_back(value.origin.line);
+    write(row);
+}
+
+void row_writer::write(const share& value) {
+    json::monotonic_resource memory(m_scratch->buffer.data(), m_scratch->buffer.size());
+    json::object weights(&memory);
+    for (const auto& [version, weight] : value.weight_by_version) {
+        weights.emplace(view(version), weight);
+    }
+    json::array row({"share", view(value.service)}, &memory);
+    row.emplace_back(std::move(weights));
+    row.emplace_back(view(value.origin.file));
+    row.emplace_back(value.origin.line);
+    write(row);
+}
+
+void row_writer::write(const move& value) {
+    json::monotonic_resource memory(m_scratch->buffer.data(), m_scratch->buffer.size());
+    write(
+        json::array({"move", view(value.name), view(value.service), view(value.from_version), view(value.to_version),
+                     to_milliseconds(value.deadline), value.introduced_in, view(value.origin.file), value.origin.line},
+                    &memory));
+}
+
+void row_writer::write(const intended_state& state) {
+    for (const auto& [name, value] : state.services) {
+        write(value);
+    }
+    for (const auto& [name, value] : state.routes) {
+        write(value);
+    }
+    for (const auto& [name, value] : state.shares) {
+        write(value);
+    }
+    for (const auto& [name, value] : state.moves) {
+        write(value);
+    }
+}
+
+row_reader::row_reader(const json::array& row) : m_row(row) {}
+
+const json::value& row_reader::next() {
+    if (m_next >= m_row.size()) {
+        throw malformed("a row has too few elements");
+    }
+    return m_row[m_next++];
+}
+
+std::string row_reader::text() {
+    return text_of(next());
+}
+
+std::int64_t row_reader::integer(std::int64_t low, std::int64_t high) {
+    const json::value& element = next();
+    if (!element.is_int64() || element.get_int64() < low || element.get_int64() > high) {
+        throw malformed(fmt::format("a row has another element than a number from {} to {}", low, high));
+    }
+    return element.get_int64();
+}
+
+std::uint64_t row_reader::unsigned_integer() {
+    const json::value& element = next();
+    if (element.is_uint64()) {
+        return element.get_uint64();
+    }
+    if (!element.is_int64() || element.get_int64() < 0) {
+        throw malformed("a row has another element than a number of at least 0");
+    }
+    return static_cast<std::uint64_t>(element.get_int64());
+}
+
+bool row_reader::boolean() {
+    const json::value& element = next();
+    if (!element.is_bool()) {
+        throw malformed("a row has another element than true or false");
+    }
+    return element.get_bool();
+}
+
+absl::Time row_reader::time() {
+    return absl::FromUnixMillis(integer(0, latest_milliseconds));
+}
+
+absl::Duration row_reader::duration() {
+    return absl::Milliseconds(integer(0, std::numeric_limits<int>::max()));
+}
+
+source_line row_reader::origin() {
+    source_line result;
+    result.file = text();
+    result.line = static_cast<int>(integer(0, std::numeric_limits<int>::max()));
+    return result;
+}
+
+void row_reader::finish() const {
+    if (m_next != m_row.size()) {
+        throw malformed("a row has too many elements");
+    }
+}
+
+struct row_parser::scratch {
+    json::parser parser{json::storage_ptr(), parse_options()};
+    std::array<unsigned char, scratch_bytes> buffer{};
+    json::monotonic_resource memory{buffer.data(), buffer.size()};
+    json::value row;
+
+    static json::parse_options parse_options() {
+        json::parse_options result;
+        result.max_depth = 3;
+        return result;
+    }
+};
+
+row_parser::row_parser(std::string_view bytes) : m_rest(bytes), m_scratch(std::make_unique<scratch>()) {
+    if (bytes.size() > max_encoded_bytes) {
+        throw malformed(fmt::format("{} bytes exceed the limit of {}", bytes.size(), max_encoded_bytes));
+    }
+    if (!bytes.ends_with('\n')) {
+        throw malformed("the last line is incomplete");
+    }
+}
+
+row_parser::~row_parser() = default;
+
+const json::array& row_parser::next() {
+    const std::size_t size = m_rest.find('\n');
+    if (size == std::string_view::npos || size > max_row_bytes || ++m_row_count > max_rows + 1) {
+        throw malformed(fmt::format("no row, a row over {} bytes or over {} rows", max_row_bytes, max_rows));
+    }
+    m_scratch->row = nullptr;
+    m_scratch->memory.release();
+    m_scratch->parser.reset(&m_scratch->memory);
+    json::error_code failure;
+    m_scratch->parser.write(m_rest.data(), size, failure);
+    if (failure) {
+        throw malformed(fmt::format("row {}: {}", m_row_count, failure.message()));
+    }
+    json::value parsed = m_scratch->parser.release();
+    m_rest.remove_prefix(size + 1);
+    if (!parsed.is_array()) {
+        throw malformed(fmt::format("row {} is not a list", m_row_count));
+    }
+    // A value keeps its memory resource for life, so the holder is constructed anew for each row.
+    m_scratch->row.~value();
+    ::new (&m_scratch->row) json::value(std::move(parsed));
+    return m_scratch->row.get_array();
+}
+
+void read_section(const json::array& row, intended_state& target) {
+    row_reader reader(row);
+    const std::string kind = reader.text();
+    if (kind == "service") {
+        service value = read_service(reader);
+        std::string key = value.name;
+        target.services.insert_or_assign(std::move(key), std::move(value));
+    } else if (kind == "route") {
+        route value = read_route(reader);
+        std::string key = value.name;
+        target.routes.insert_or_assign(std::move(key), std::move(value));
+    } else if (kind == "share") {
+        share value = read_share(reader);
+        std::string key = value.service;
+        target.shares.insert_or_assign(std::move(key), std::move(value));
+    } else if (kind == "move") {
+        move value = read_move(reader);
+        std::string key = value.name;
+        target.moves.insert_or_assign(std::move(key), std::move(value));
+    } else {
+        throw malformed("a row is of an unknown kind");
+    }
+    reader.finish();
+}
+
+} // namespace amaranthladder
--- /dev/null
+++ b/src/config/private/row_codec.h
@@ -0,0 +1,111 @@
+#pragma once
+
+#include "config/intended_state.h"
+
+#include <boost/json/fwd.hpp>
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace amaranthladder {
+
+/// Snapshots and deltas are text: one JSON array per line, the first element names the kind of the row. Rows with a
+/// fixed order of elements take less than half the bytes of objects with named members.
+///
+/// Rows: `["service",name,timeout_ms,queue_limit,file,line]`,
+/// `["route",name,service,path_prefix,[methods],idempotent,timeout_ms,file,line]`,
+/// `["share",service,{version:weight},file,line]` and
+/// `["move",name,service,from,to,deadline_ms,introduced_in,file,line]`, with the deadline in Unix milliseconds.
+
+/// Limit of an encoded snapshot and of an encoded delta.
+inline constexpr std::size_t max_encoded_bytes = std::size_t{16} * 1024 * 1024;
+/// Limit of one row. The longest valid row is a route with all methods or a share of 64 versions.
+inline constexpr std::size_t max_row_bytes = std::size_t{64} * 1024;
+/// Limit of the sections in a snapshot; bounds the memory that a decoder takes. The target size needs about 8,000.
+inline constexpr std::size_t max_rows = 50'000;
+
+/// Appends rows to a text.
+class row_writer {
+public:
+    /// @param out receives the rows; must outlive the writer.
+    explicit row_writer(std::string& out);
+    ~row_writer();
+    row_writer(const row_writer&) = delete;
+    row_writer& operator=(const row_writer&) = delete;
+
+    void write(const service& value);
+    void write(const route& value);
+    void write(const share& value);
+    void write(const move& value);
+    /// Writes each section of @p state: services, routes, shares and moves, each in the order of their names.
+    void write(const intended_state& state);
+    /// Writes a row of another kind.
+    void write(const boost::json::array& row);
+
+private:
+    struct scratch;
+    std::unique_ptr<scratch> m_scratch;
+};
+
+/// Takes the elements of one parsed row in their order. Every function throws error with
+/// result_code::snapshot_malformed if the next element is missing or has another type or range.
+class row_reader {
+public:
+    /// @param row must outlive the reader.
+    explicit row_reader(const boost::json::array& row);
+
+    std::string text();
+    std::int64_t integer(std::int64_t low, std::int64_t high);
+    std::uint64_t unsigned_integer();
+    bool boolean();
+    absl::Time time();
+    absl::Duration duration();
+    source_line origin();
+    const boost::json::value& next();
+    /// Checks that the row has no further element.
+    void finish() const;
+
+private:
+    const boost::json::array& m_row;
+    std::size_t m_next = 0;
+};
+
+/// Splits an encoded text into rows and parses them one by one, so that memory stays bounded.
+class row_parser {
+public:
+    /// @param bytes the text; must outlive the parser.
+    /// @throws error with result_code::snapshot_malformed if it is too large or does not end with a line end.
+    explicit row_parser(std::string_view bytes);
+    ~row_parser();
+    row_parser(const row_parser&) = delete;
+    row_parser& operator=(const row_parser&) = delete;
+
+    /// @return true if all rows have been taken.
+    bool at_end() const {
+        return m_rest.empty();
+    }
+
+    /// @return the next row, valid until the next call.
+    /// @throws error with result_code::snapshot_malformed if there is none or it is not a JSON array.
+    const boost::json::array& next();
+
+private:
+    struct scratch;
+    std::string_view m_rest;
+    std::unique_ptr<scratch> m_scratch;
+    std::size_t m_row_count = 0;
+};
+
+/// Adds the section in @p row to @p target, replacing one with the same name.
+/// @throws error with result_code::snapshot_malformed if @p row is no section.
+void read_section(const boost::json::array& row, intended_state& target);
+
+/// @return @p value as Unix milliseconds.
+std::int64_t to_milliseconds(absl::Time value);
+
+/// @return the SHA-256 of @p bytes as 64 lower-case hexadecimal digits.
+std::string sha256_hex(std::string_view bytes);
+
+} // namespace amaranthladder
