Read, merge and validate configuration folders

An operator learns of all faults of a folder at once, each with file, line, key and code, and one fault keeps the whole folder from being published. inih reports only the first unreadable line, cuts section names at 49 bytes and by default splits lines at 200 bytes and joins indented ones; the reader therefore recognizes section lines and unread lines on its own, uses the heap buffer and turns continuation and trailing comments off. A trailing comment was ruled out because a value may contain ';'.

A move may not stand beside a fixed weight of its target version: the share would expose callers to a version that is not proven yet.

--- /dev/null
+++ b/src/config/ini_reader.cpp
@@ -0,0 +1,205 @@
+#include "config/ini_reader.h"
+
+#include <boost/algorithm/string/trim.hpp>
+#include <fmt/format.h>
+#include <ini.h>
+
+#include <algorithm>
+#include <cstring>
+#include <exception>
+#include <set>
+
+namespace amaranthladder {
+
+namespace {
+
+// inih stores a line with its line end and a NUL.
+constexpr int max_buffer_bytes = static_cast<int>(ini_reader::max_line_bytes) + 3;
+constexpr std::string_view byte_order_mark = "\xEF\xBB\xBF";
+
+/// Sets inih's options, which are variables of the whole process. No other code in these programs uses inih.
+void configure_inih() {
+    [[maybe_unused]] static const bool is_configured = [] {
+        ini_allow_multiline = false;
+        ini_allow_bom = false;
+        ini_allow_inline_comments = false;
+        ini_allow_no_value = false;
+        ini_stop_on_first_error = false;
+        // The buffer on the stack has a fixed size of 200 bytes; longer lines would be split without a report.
+        ini_use_stack = false;
+        ini_allow_realloc = false;
+        ini_max_line = max_buffer_bytes;
+        ini_initial_alloc = max_buffer_bytes;
+        return true;
+    }();
+}
+
+bool is_control_character(char letter) {
+    const auto code = static_cast<unsigned char>(letter);
+    return (code < 0x20 && letter != '\t') || code == 0x7f;
+}
+
+/// One run over a file. Feeds lines to inih and receives its values. inih reports only the first line that it cannot
+/// read and cuts section names at 49 bytes, so the run recognizes unread lines and section names on its own.
+class ini_run {
+public:
+    ini_run(const ini_codes& codes, const std::string& file, std::string_view text,
+            std::vector<config_problem>& problems)
+        : m_codes(codes), m_rest(text), m_problems(problems) {
+        m_document.file = file;
+    }
+
+    ini_document read() {
+        if (m_rest.size() > ini_reader::max_file_bytes) {
+            add_problem(m_codes.too_large, "", fmt::format("over {} bytes in one file", ini_reader::max_file_bytes));
+            return std::move(m_document);
+        }
+        if (m_rest.starts_with(byte_order_mark)) {
+            m_rest.remove_prefix(byte_order_mark.size());
+        }
+        configure_inih();
+        const int result = ini_parse_stream(&ini_run::read_line, this, &ini_run::take_value, this);
+        if (m_failure != nullptr) {
+            std::rethrow_exception(m_failure);
+        }
+        if (result < 0) {
+            throw error(result_code::internal_error, fmt::format("{}: inih returned {}", m_document.file, result));
+        }
+        return std::move(m_document);
+    }
+
+private:
+    // Exceptions must not pass through inih's C code; they are kept until it returns.
+    static char* read_line(char* buffer, int size, void* stream) {
+        auto& run = *static_cast<ini_run*>(stream);
+        try {
+            return run.next_line(buffer, static_cast<std::size_t>(std::max(size, 0)));
+        } catch (...) {
+            run.m_failure = std::current_exception();
+            return nullptr;
+        }
+    }
+
+    static int take_value(void* user, const char* /*section*/, const char* key, const char* value) {
+        auto& run = *static_cast<ini_run*>(user);
+        try {
+            run.add_value(key, value);
+        } catch (...) {
+            run.m_failure = std::current_exception();
+        }
+        return 1;
+    }
+
+    char* next_line(char* buffer, std::size_t size) {
+        if (m_is_value_expected) {
+            m_is_value_expected = false;
+            add_problem(m_codes.syntax, "", "neither [SECTION] nor KEY = VALUE");
+        }
+        if (m_rest.empty() || m_failure != nullptr) {
+            return nullptr;
+        }
+        ++m_line;
+        const std::size_t end = std::min(m_rest.find('\n'), m_rest.size());
+        std::string_view line = m_rest.substr(0, end);
+        m_rest.remove_prefix(std::min(end + 1, m_rest.size()));
+        if (line.ends_with('\r')) {
+            line.remove_suffix(1);
+        }
+        if (line.size() + 2 > size || !is_usable(line)) {
+            line = {};
+        }
+        std::memcpy(buffer, line.data(), line.size());
+        buffer[line.size()] = '\n';
+        buffer[line.size() + 1] = '\0';
+        return buffer;
+    }
+
+    /// @return true if inih shall see @p line. Reports the problem otherwise.
+    bool is_usable(std::string_view line) {
+        if (line.size() > ini_reader::max_line_bytes) {
+            add_problem(m_codes.too_large, "", fmt::format("over {} bytes in one line", ini_reader::max_line_bytes));
+            return false;
+        }
+        if (std::ranges::any_of(line, is_control_character)) {
+            add_problem(m_codes.syntax, "", "control character");
+            return false;
+        }
+        const std::string trimmed = boost::algorithm::trim_copy(std::string(line));
+        if (trimmed.empty() || trimmed.front() == ';' || trimmed.front() == '#') {
+            return true;
+        }
+        if (trimmed.front() == '[') {
+            start_section(trimmed);
+            return false;
+        }
+        const std::size_t separator = trimmed.find_first_of("=:");
+        if (separator == 0 || (separator != std::string::npos && trimmed[separator] == ':')) {
+            add_problem(m_codes.syntax, "", "neither [SECTION] nor KEY = VALUE");
+            return false;
+        }
+        m_is_value_expected = true;
+        return true;
+    }
+
+    void start_section(const std::string& line) {
+        m_is_in_section = false;
+        m_is_skipping = true;
+        m_keys.clear();
+        if (line.back() != ']' || line.find(']') + 1 != line.size()) {
+            add_problem(m_codes.syntax, "", "a section line must end with its one ']'");
+            return;
+        }
+        std::string name = boost::algorithm::trim_copy(line.substr(1, line.size() - 2));
+        if (!m_section_names.insert(name).second) {
+            add_problem(m_codes.duplicate, "", fmt::format("section [{}] stands twice in this file", name));
+            return;
+        }
+        m_is_skipping = false;
+        m_is_in_section = true;
+        m_document.sections.push_back({std::move(name), m_line, {}});
+    }
+
+    void add_value(const std::string& key, const std::string& value) {
+        m_is_value_expected = false;
+        if (m_is_skipping) {
+            return;
+        }
+        if (!m_is_in_section) {
+            add_problem(m_codes.syntax, key, "a value before the first section");
+            return;
+        }
+        if (!m_keys.insert(key).second) {
+            add_problem(m_codes.duplicate, key, "stands twice in this section");
+            return;
+        }
+        m_document.sections.back().values.push_back({key, value, m_line});
+    }
+
+    void add_problem(result_code code, const std::string& key, const std::string& text) {
+        const std::string section = m_is_in_section ? m_document.sections.back().name : "";
+        m_problems.push_back({code, m_document.file, m_line, section, key, text});
+    }
+
+    const ini_codes& m_codes;
+    std::string_view m_rest;
+    std::vector<config_problem>& m_problems;
+    ini_document m_document;
+    std::set<std::string> m_section_names;
+    std::set<std::string> m_keys;
+    std::exception_ptr m_failure;
+    int m_line = 0;
+    bool m_is_in_section = false;
+    bool m_is_skipping = false;       ///< The section line was unreadable.
+    bool m_is_value_expected = false; ///< inih has not yet returned the value of the last line.
+};
+
+} // namespace
+
+ini_reader::ini_reader(const ini_codes& codes) : m_codes(codes) {}
+
+ini_document ini_reader::read(const std::string& file, std::string_view text,
+                              std::vector<config_problem>& problems) const {
+    return ini_run(m_codes, file, text, problems).read();
+}
+
+} // namespace amaranthladder
--- /dev/null
+++ b/src/config/private/name_rules.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include <span>
+#include <string_view>
+
+namespace amaranthladder {
+
+/// What a name of a section or version must look like, for messages.
+inline constexpr std::string_view name_rule =
+    "a name has 1 to 64 letters, digits and -_. and starts with a letter or digit";
+
+/// @return true if @p name follows name_rule. Such a name needs no escaping in URLs, JSON, metrics and log lines.
+bool is_valid_name(std::string_view name);
+
+/// @return true if @p name has letters, digits and -_. and at most 128 characters.
+bool is_valid_file_name(std::string_view name);
+
+/// What a path prefix must look like, for messages.
+inline constexpr std::string_view path_rule =
+    "a path starts with '/', has no empty, '.' or '..' segment, no final '/' (except for '/' alone), no '%', '?', '#' "
+    "or space, and at most 512 characters";
+
+/// @return true if @p path follows path_rule. Every set of paths then has exactly one prefix that denotes it.
+bool is_valid_path(std::string_view path);
+
+/// @return the HTTP methods that a route may name.
+std::span<const std::string_view> route_methods();
+
+} // namespace amaranthladder
--- /dev/null
+++ b/src/config/state_builder.cpp
@@ -0,0 +1,237 @@
+#include "config/state_builder.h"
+
+#include "config/config_table.h"
+#include "config/validator.h"
+
+#include <boost/algorithm/string/classification.hpp>
+#include <boost/algorithm/string/split.hpp>
+#include <boost/algorithm/string/trim.hpp>
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <charconv>
+#include <set>
+#include <utility>
+
+namespace amaranthladder {
+
+namespace {
+
+/// Reads the values of one section and reports those that are missing or cannot be read.
+class section_reader {
+public:
+    section_reader(const merged_section& section, std::vector<config_problem>& problems)
+        : m_section(section), m_problems(problems) {}
+
+    void check_keys() const {
+        for (const auto& [key, value] : m_section.values) {
+            if (find_config_key(m_section.kind, key) == nullptr) {
+                add(result_code::config_unknown_key, key, value.origin,
+                    fmt::format("[{}] has no such key", m_section.kind));
+            }
+        }
+        for (const config_key& row : config_keys()) {
+            if (row.section == m_section.kind && row.is_required && row.key != any_version &&
+                !m_section.values.contains(std::string(row.key))) {
+                add(result_code::config_missing_key, std::string(row.key), m_section.origin,
+                    fmt::format("required ({})", name(row.type)));
+            }
+        }
+    }
+
+    std::string text(const std::string& key) const {
+        const merged_value* value = find(key);
+        return value == nullptr ? "" : value->text;
+    }
+
+    int integer(const std::string& key, int default_value) const {
+        const merged_value* value = find(key);
+        if (value == nullptr) {
+            return default_value;
+        }
+        int result = 0;
+        const char* const end = value->text.data() + value->text.size();
+        const auto [parsed_end, failure] = std::from_chars(value->text.data(), end, result);
+        if (failure == std::errc::result_out_of_range && parsed_end == end) {
+            add_range(key, *value);
+            return default_value;
+        }
+        if (failure != std::errc{} || parsed_end != end) {
+            add(result_code::config_bad_value, key, value->origin, fmt::format("'{}' is not an integer", value->text));
+            return default_value;
+        }
+        return result;
+    }
+
+    absl::Duration milliseconds(const std::string& key) const {
+        const int value = integer(key, 0);
+        // Zero stands for "not given" in the state, so a written 0 would pass unseen.
+        if (value == 0 && find(key) != nullptr && find(key)->text.find_first_not_of('0') == std::string::npos) {
+            add_range(key, *find(key));
+        }
+        return absl::Milliseconds(value);
+    }
+
+    bool boolean(const std::string& key) const {
+        const merged_value* value = find(key);
+        if (value != nullptr && value->text != "yes" && value->text != "no") {
+            add(result_code::config_bad_value, key, value->origin,
+                fmt::format("'{}' is neither 'yes' nor 'no'", value->text));
+        }
+        return value != nullptr && value->text == "yes";
+    }
+
+    std::vector<std::string> list(const std::string& key) const {
+        const merged_value* value = find(key);
+        std::vector<std::string> result;
+        if (value == nullptr) {
+            return result;
+        }
+        boost::algorithm::split(result, value->text, boost::algorithm::is_any_of(","));
+        for (std::string& item : result) {
+            boost::algorithm::trim(item);
+        }
+        std::ranges::sort(result);
+        return result;
+    }
+
+    absl::Time time(const std::string& key) const {
+        const merged_value* value = find(key);
+        absl::Time result = absl::UnixEpoch();
+        std::string failure;
+        if (value == nullptr) {
+            return result;
+        }
+        // absl::ParseTime also takes spaces, other lengths of the year and "infinite-future".
+        const bool has_form = value->text.size() >= 20 && value->text[4] == '-' && value->text[10] == 'T' &&
+                              value->text.find_first_not_of("0123456789-:.TZ+") == std::string::npos;
+        if (!has_form || !absl::ParseTime(absl::RFC3339_full, value->text, &result, &failure)) {
+            add(result_code::config_bad_value, key, value->origin,
+                fmt::format("'{}' is not an RFC 3339 time such as 2031-05-17T06:00:00Z", value->text));
+        }
+        // Snapshots keep milliseconds; a finer time would differ from its published form and start a new move.
+        return absl::FromUnixMillis(absl::ToUnixMillis(result));
+    }
+
+private:
+    const merged_value* find(const std::string& key) const {
+        const auto found = m_section.values.find(key);
+        return found == m_section.values.end() ? nullptr : &found->second;
+    }
+
+    void add_range(const std::string& key, const merged_value& value) const {
+        const config_key* row = find_config_key(m_section.kind, key);
+        add(result_code::config_out_of_range, key, value.origin,
+            fmt::format("{} is not in {} to {}", value.text, row->low, row->high));
+    }
+
+    void add(result_code code, const std::string& key, const source_line& origin, const std::string& text) const {
+        m_problems.push_back(
+            {code, origin.file, origin.line, fmt::format("{} {}", m_section.kind, m_section.name), key, text});
+    }
+
+    const merged_section& m_section;
+    std::vector<config_problem>& m_problems;
+};
+
+source_line find_line(const merged_folder& folder, const std::string& section, const std::string& key,
+                      const source_line& origin) {
+    const auto found = folder.find(section);
+    if (found == folder.end()) {
+        return origin;
+    }
+    const auto value = found->second.values.find(key);
+    return value == found->second.values.end() ? origin : value->second.origin;
+}
+
+} // namespace
+
+state_builder::state_builder(const merged_folder& folder, std::vector<config_problem>& problems)
+    : m_folder(folder), m_problems(problems) {}
+
+intended_state state_builder::build() {
+    m_state = {};
+    for (const auto& [text, section] : m_folder) {
+        section_reader(section, m_problems).check_keys();
+        if (section.kind == "service") {
+            read_service(section);
+        } else if (section.kind == "route") {
+            read_route(section);
+        } else if (section.kind == "share") {
+            read_share(section);
+        } else {
+            read_move(section);
+        }
+    }
+    return std::move(m_state);
+}
+
+void state_builder::read_service(const merged_section& section) {
+    constexpr int default_queue_limit = 16;
+    const section_reader reader(section, m_problems);
+    service value;
+    value.name = section.name;
+    value.timeout = reader.milliseconds("timeout_ms");
+    value.queue_limit = reader.integer("queue_limit", default_queue_limit);
+    value.origin = section.origin;
+    m_state.services.emplace(section.name, std::move(value));
+}
+
+void state_builder::read_route(const merged_section& section) {
+    const section_reader reader(section, m_problems);
+    route value;
+    value.name = section.name;
+    value.service = reader.text("service");
+    value.path_prefix = reader.text("path_prefix");
+    value.methods = reader.list("methods");
+    value.is_idempotent = reader.boolean("idempotent");
+    value.timeout = reader.milliseconds("timeout_ms");
+    value.origin = section.origin;
+    m_state.routes.emplace(section.name, std::move(value));
+}
+
+void state_builder::read_share(const merged_section& section) {
+    const section_reader reader(section, m_problems);
+    share value;
+    value.service = section.name;
+    for (const auto& [version, text] : section.values) {
+        value.weight_by_version.emplace(version, reader.integer(version, 1));
+    }
+    value.origin = section.origin;
+    m_state.shares.emplace(section.name, std::move(value));
+}
+
+void state_builder::read_move(const merged_section& section) {
+    const section_reader reader(section, m_problems);
+    move value;
+    value.name = section.name;
+    value.service = reader.text("service");
+    value.from_version = reader.text("from");
+    value.to_version = reader.text("to");
+    value.deadline = reader.time("deadline");
+    value.origin = section.origin;
+    m_state.moves.emplace(section.name, std::move(value));
+}
+
+intended_state state_builder::build_valid(const std::vector<config_file>& files) {
+    std::vector<config_problem> problems;
+    const merged_folder folder = folder_merger::merge(files, problems);
+    intended_state result = state_builder(folder, problems).build();
+    std::set<std::pair<std::string, std::string>> reported;
+    for (const config_problem& problem : problems) {
+        reported.emplace(problem.section, problem.key);
+    }
+    const auto line_of = [&](const std::string& section, const std::string& key, const source_line& origin) {
+        return find_line(folder, section, key, origin);
+    };
+    // A value that was reported has a stand-in, on which the validator's finding would be a consequence.
+    for (config_problem& problem : validator::check(result, line_of)) {
+        if (!reported.contains({problem.section, problem.key})) {
+            problems.push_back(std::move(problem));
+        }
+    }
+    throw_if_any(std::move(problems));
+    return result;
+}
+
+} // namespace amaranthladder
--- /dev/null
+++ b/src/config/state_builder.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include "config/config_problem.h"
+#include "config/folder_merger.h"
+#include "config/intended_state.h"
+
+#include <vector>
+
+namespace amaranthladder {
+
+/// Reads the values of merged sections. Ranges, names and references are left to the validator.
+class state_builder {
+public:
+    /// @param folder the merged sections; must outlive the builder.
+    /// @param problems receives unknown keys, missing keys and values that cannot be read.
+    state_builder(const merged_folder& folder, std::vector<config_problem>& problems);
+
+    /// @return the state, with a stand-in for each value that was reported.
+    intended_state build();
+
+    /// Merges, reads and validates the files of a folder.
+    /// @param files the files, see folder_merger::load.
+    /// @return the intended state; its moves are not stamped, see stamp_moves.
+    /// @throws config_error_list with all problems of all files.
+    static intended_state build_valid(const std::vector<config_file>& files);
+
+private:
+    void read_service(const merged_section& section);
+    void read_route(const merged_section& section);
+    void read_share(const merged_section& section);
+    void read_move(const merged_section& section);
+
+    const merged_folder& m_folder;
+    std::vector<config_problem>& m_problems;
+    intended_state m_state;
+};
+
+} // namespace amaranthladder
--- /dev/null
+++ b/src/config/validator.cpp
@@ -0,0 +1,213 @@
+#include "config/validator.h"
+
+#include "config/config_table.h"
+#include "config/private/name_rules.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+
+namespace amaranthladder {
+
+namespace {
+
+constexpr std::size_t max_versions_per_share = 64;
+constexpr absl::Time earliest_deadline = absl::FromUnixSeconds(946'684'800);   // 2000-01-01
+constexpr absl::Time latest_deadline = absl::FromUnixSeconds(253'402'300'799); // 9999-12-31
+
+/// One check of one state.
+class state_check {
+public:
+    state_check(const intended_state& state, const validator::line_finder& find_line)
+        : m_state(state), m_find_line(find_line) {}
+
+    std::vector<config_problem> run() {
+        for (const auto& [name, value] : m_state.services) {
+            check_service(name, value);
+        }
+        for (const auto& [name, value] : m_state.routes) {
+            check_route(name, value);
+        }
+        check_ambiguous_routes();
+        for (const auto& [name, value] : m_state.shares) {
+            check_share(name, value);
+        }
+        for (const auto& [name, value] : m_state.moves) {
+            check_move(name, value);
+        }
+        check_moves_of_one_service();
+        return std::move(m_problems);
+    }
+
+private:
+    void check_service(const std::string& name, const service& value) {
+        start("service", name, value.origin);
+        check_names(name, value.name);
+        check_range("timeout_ms", absl::ToInt64Milliseconds(value.timeout));
+        check_range("queue_limit", value.queue_limit);
+    }
+
+    void check_route(const std::string& name, const route& value) {
+        start("route", name, value.origin);
+        check_names(name, value.name);
+        check_service_reference("service", value.service);
+        if (!is_valid_path(value.path_prefix)) {
+            add(result_code::config_bad_value, "path_prefix", path_rule);
+        }
+        const auto is_known = [](const std::string& method) {
+            return std::ranges::find(route_methods(), std::string_view(method)) != route_methods().end();
+        };
+        if (!std::ranges::all_of(value.methods, is_known) || !std::ranges::is_sorted(value.methods) ||
+            std::ranges::adjacent_find(value.methods) != value.methods.end()) {
+            add(result_code::config_bad_value, "methods",
+                fmt::format("must be a list of {}, each once", fmt::join(route_methods(), ", ")));
+        }
+        if (value.timeout != absl::ZeroDuration()) {
+            check_range("timeout_ms", absl::ToInt64Milliseconds(value.timeout));
+        }
+    }
+
+    static bool overlap(const route& left, const route& right) {
+        const auto is_in_right = [&](const std::string& method) {
+            return std::ranges::find(right.methods, method) != right.methods.end();
+        };
+        return left.methods.empty() || right.methods.empty() || std::ranges::any_of(left.methods, is_in_right);
+    }
+
+    void check_ambiguous_routes() {
+        std::map<std::string, std::vector<const route*>> by_prefix;
+        for (const auto& [name, value] : m_state.routes) {
+            std::vector<const route*>& others = by_prefix[value.path_prefix];
+            for (const route* other : others) {
+                if (overlap(*other, value)) {
+                    start("route", name, value.origin);
+                    add(result_code::config_ambiguous_route, "path_prefix",
+                        fmt::format("[route {}] ({}:{}) has the same prefix and a common method", other->name,
+                                    other->origin.file, other->origin.line));
+                    break;
+                }
+            }
+            others.push_back(&value);
+        }
+    }
+
+    void check_share(const std::string& name, const share& value) {
+        start("share", name, value.origin);
+        check_names(name, value.service);
+        check_service_reference("", value.service);
+        for (const auto& [version, weight] : value.weight_by_version) {
+            check_version(version, version);
+            check_range(version, weight);
+        }
+        if (value.weight_by_version.size() > max_versions_per_share) {
+            add(result_code::config_too_large, "", fmt::format("over {} versions", max_versions_per_share));
+        }
+        if (std::ranges::none_of(value.weight_by_version, [](const auto& item) { return item.second > 0; })) {
+            add(result_code::config_share_without_weight, "", "at least one version must have a weight above 0");
+        }
+    }
+
+    void check_move(const std::string& name, const move& value) {
+        start("move", name, value.origin);
+        check_names(name, value.name);
+        check_service_reference("service", value.service);
+        check_version("from", value.from_version);
+        check_version("to", value.to_version);
+        if (value.deadline < earliest_deadline || value.deadline > latest_deadline) {
+            add(result_code::config_out_of_range, "deadline", "must be in the years 2000 to 9999");
+        }
+        if (value.from_version == value.to_version) {
+            add(result_code::config_move_conflict, "to", "must differ from 'from'");
+            return;
+        }
+        const auto found = m_state.shares.find(value.service);
+        if (found == m_state.shares.end()) {
+            return;
+        }
+        const auto weight = [&](const std::string& version) {
+            const auto item = found->second.weight_by_version.find(version);
+            return item == found->second.weight_by_version.end() ? 0 : item->second;
+        };
+        // The move decides the new version's part; a fixed weight would expose callers to a version not yet proven.
+        if (weight(value.from_version) == 0 || weight(value.to_version) != 0) {
+            add(result_code::config_move_conflict, "service",
+                fmt::format("[share {}] ({}:{}) must give '{}' a weight above 0 and '{}' none", value.service,
+                            found->second.origin.file, found->second.origin.line, value.from_version,
+                            value.to_version));
+        }
+    }
+
+    void check_moves_of_one_service() {
+        std::map<std::string, const move*> first_by_service;
+        for (const auto& [name, value] : m_state.moves) {
+            const auto [first, is_first] = first_by_service.emplace(value.service, &value);
+            if (!is_first) {
+                start("move", name, value.origin);
+                add(result_code::config_move_conflict, "service",
+                    fmt::format("[move {}] ({}:{}) is a move of the same service", first->second->name,
+                                first->second->origin.file, first->second->origin.line));
+            }
+        }
+    }
+
+    void check_names(const std::string& key, const std::string& name) {
+        if (key != name || !is_valid_name(name)) {
+            add(result_code::config_bad_name, "", name_rule);
+        }
+        // The origin is part of what daemons exchange, and its file name is checked like any other text from outside.
+        if (!is_valid_file_name(m_origin->file) || m_origin->line < 0) {
+            add(result_code::config_bad_name, "", "the section's file has no valid name");
+        }
+    }
+
+    void check_version(std::string_view key, const std::string& version) {
+        if (!is_valid_name(version)) {
+            add(result_code::config_bad_name, key, name_rule);
+        }
+    }
+
+    void check_service_reference(std::string_view key, const std::string& service) {
+        if (!m_state.services.contains(service)) {
+            add(result_code::config_unknown_service, key, fmt::format("no section [service {}]", service));
+        }
+    }
+
+    void check_range(std::string_view key, std::int64_t value) {
+        const config_key* row = find_config_key(m_kind, key);
+        if (row != nullptr && (value < row->low || value > row->high)) {
+            add(result_code::config_out_of_range, key,
+                fmt::format("{} is not in {} to {}", value, row->low, row->high));
+        }
+    }
+
+    void start(std::string_view kind, const std::string& name, const source_line& origin) {
+        m_kind = kind;
+        m_section = fmt::format("{} {}", kind, name);
+        m_origin = &origin;
+    }
+
+    void add(result_code code, std::string_view key, std::string_view text) {
+        const std::string key_text(key);
+        const source_line place = m_find_line ? m_find_line(m_section, key_text, *m_origin) : *m_origin;
+        m_problems.push_back({code, place.file, place.line, m_section, key_text, std::string(text)});
+    }
+
+    const intended_state& m_state;
+    const validator::line_finder& m_find_line;
+    std::vector<config_problem> m_problems;
+    std::string_view m_kind;
+    std::string m_section;
+    const source_line* m_origin = nullptr;
+};
+
+} // namespace
+
+std::vector<config_problem> validator::check(const intended_state& state, const line_finder& find_line) {
+    return state_check(state, find_line).run();
+}
+
+void validator::require_valid(const intended_state& state) {
+    throw_if_any(check(state));
+}
+
+} // namespace amaranthladder
