Add the store's stand-in with settable faults

The daemon and the tool need a store to run against. A delay in a handler thread was preferred to a proxy in front: one program fewer, and counts stay exact.

--- /dev/null
+++ b/bench/store_stand_in_state.cpp
@@ -0,0 +1,177 @@
+#include "store_stand_in_state.h"
+
+#include <absl/time/clock.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace amaranthladder {
+
+store_stand_in_state::store_stand_in_state(clock now) : m_now(std::move(now)) {}
+
+store_result<versioned_value> store_stand_in_state::get(const std::string& key, absl::Duration deadline) {
+    const fate decided = begin_call(&store_call_counts::get, false, deadline);
+    if (decided != fate::proceed) {
+        return {store_outcome::unavailable, {}};
+    }
+    const absl::MutexLock lock(&m_mutex);
+    const auto found = m_values.find(key);
+    if (found == m_values.end()) {
+        return {store_outcome::absent, {}};
+    }
+    return {store_outcome::ok, found->second};
+}
+
+store_result<revision> store_stand_in_state::compare_and_swap(const std::string& key, revision expected,
+                                                              const std::string& value, absl::Duration deadline) {
+    const fate decided = begin_call(&store_call_counts::put, true, deadline);
+    if (decided == fate::refuse || decided == fate::lose_request || value.size() > max_value_bytes) {
+        return finish<revision>(decided, {});
+    }
+    const absl::MutexLock lock(&m_mutex);
+    const auto found = m_values.find(key);
+    const revision present = found == m_values.end() ? 0 : found->second.key_revision;
+    if (present != expected) {
+        return finish<revision>(decided, {store_outcome::conflict, {}});
+    }
+    m_values[key] = {value, ++m_last_number};
+    return finish<revision>(decided, {store_outcome::ok, m_last_number});
+}
+
+store_result<lease> store_stand_in_state::acquire_lease(const std::string& key, const std::string& holder,
+                                                        absl::Duration ttl, absl::Duration deadline) {
+    const fate decided = begin_call(&store_call_counts::acquire, true, deadline);
+    if (decided == fate::refuse || decided == fate::lose_request) {
+        return finish<lease>(decided, {});
+    }
+    const absl::MutexLock lock(&m_mutex);
+    lease_entry& entry = m_leases[key];
+    if (entry.id != 0 && entry.holder != holder && m_now() < entry.end) {
+        return finish<lease>(decided, {store_outcome::conflict, {}});
+    }
+    entry = {holder, ++m_last_number, lease_end(ttl)};
+    return finish<lease>(decided, {store_outcome::ok, lease{key, holder, entry.id, ttl}});
+}
+
+store_result<lease> store_stand_in_state::renew_lease(const lease& held, absl::Duration deadline) {
+    const fate decided = begin_call(&store_call_counts::renew, true, deadline);
+    if (decided == fate::refuse || decided == fate::lose_request) {
+        return finish<lease>(decided, {});
+    }
+    const absl::MutexLock lock(&m_mutex);
+    lease_entry* const entry = find_lease(held);
+    if (entry == nullptr) {
+        return finish<lease>(decided, {store_outcome::absent, {}});
+    }
+    entry->end = lease_end(held.ttl);
+    return finish<lease>(decided, {store_outcome::ok, held});
+}
+
+store_result<revision> store_stand_in_state::release_lease(const lease& held, absl::Duration deadline) {
+    const fate decided = begin_call(&store_call_counts::release, true, deadline);
+    if (decided == fate::refuse || decided == fate::lose_request) {
+        return finish<revision>(decided, {});
+    }
+    const absl::MutexLock lock(&m_mutex);
+    if (find_lease(held) == nullptr) {
+        return finish<revision>(decided, {store_outcome::absent, {}});
+    }
+    m_leases.erase(held.key);
+    return finish<revision>(decided, {store_outcome::ok, ++m_last_number});
+}
+
+store_result<versioned_value> store_stand_in_state::watch(const std::string& key, revision after,
+                                                          absl::Duration deadline) {
+    const absl::Time end = absl::Now() + deadline;
+    const fate decided = begin_call(&store_call_counts::watch, false, deadline);
+    if (decided != fate::proceed) {
+        return {store_outcome::unavailable, {}};
+    }
+    const absl::MutexLock lock(&m_mutex);
+    // An outage also ends the watches that wait already.
+    const auto is_over = [this, &key, after]() ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex) {
+        const auto found = m_values.find(key);
+        return m_is_closed || m_faults.is_down || (found != m_values.end() && found->second.key_revision > after);
+    };
+    if (!m_mutex.AwaitWithDeadline(absl::Condition(&is_over), end)) {
+        return {store_outcome::unchanged, {}};
+    }
+    if (m_is_closed || m_faults.is_down) {
+        return {store_outcome::unavailable, {}};
+    }
+    return {store_outcome::ok, m_values.at(key)};
+}
+
+void store_stand_in_state::set_faults(const store_faults& faults) {
+    const absl::MutexLock lock(&m_mutex);
+    m_faults = faults;
+}
+
+store_faults store_stand_in_state::faults() const {
+    const absl::MutexLock lock(&m_mutex);
+    return m_faults;
+}
+
+store_call_counts store_stand_in_state::counts() const {
+    const absl::MutexLock lock(&m_mutex);
+    return m_counts;
+}
+
+void store_stand_in_state::reset_counts() {
+    const absl::MutexLock lock(&m_mutex);
+    m_counts = {};
+}
+
+void store_stand_in_state::close() {
+    const absl::MutexLock lock(&m_mutex);
+    m_is_closed = true;
+}
+
+store_stand_in_state::fate store_stand_in_state::begin_call(std::uint64_t store_call_counts::*kind, bool is_write,
+                                                            absl::Duration deadline) {
+    absl::Duration delay;
+    fate decided = fate::proceed;
+    {
+        const absl::MutexLock lock(&m_mutex);
+        ++(m_counts.*kind);
+        delay = m_faults.delay;
+        if (m_faults.is_down) {
+            decided = fate::refuse;
+        } else if (is_write && m_faults.lose_requests > 0) {
+            --m_faults.lose_requests;
+            decided = fate::lose_request;
+        } else if (is_write && m_faults.lose_answers > 0) {
+            --m_faults.lose_answers;
+            decided = fate::lose_answer;
+        }
+    }
+    if (delay > absl::ZeroDuration()) {
+        absl::SleepFor(std::min(delay, deadline));
+        if (delay > deadline && decided == fate::proceed) {
+            decided = is_write ? fate::lose_answer : fate::refuse;
+        }
+    }
+    return decided;
+}
+
+template <typename Value>
+store_result<Value> store_stand_in_state::finish(fate decided, store_result<Value> result) const {
+    if (decided == fate::lose_request || decided == fate::lose_answer) {
+        return {store_outcome::unknown, {}};
+    }
+    return result;
+}
+
+absl::Time store_stand_in_state::lease_end(absl::Duration ttl) const {
+    return m_now() + ttl * m_faults.lease_lifetime_percent / 100;
+}
+
+store_stand_in_state::lease_entry* store_stand_in_state::find_lease(const lease& held) {
+    const auto found = m_leases.find(held.key);
+    if (found == m_leases.end() || found->second.id != held.id || m_now() >= found->second.end) {
+        return nullptr;
+    }
+    return &found->second;
+}
+
+} // namespace amaranthladder
--- /dev/null
+++ b/bench/store_stand_in_state.h
@@ -0,0 +1,92 @@
+#pragma once
+
+#include "store/key_value_store.h"
+
+#include <absl/base/thread_annotations.h>
+#include <absl/synchronization/mutex.h>
+#include <absl/time/time.h>
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <string>
+
+namespace amaranthladder {
+
+/// Faults that the store's stand-in shows on purpose.
+struct store_faults {
+    absl::Duration delay;             ///< Added to each call before it takes effect.
+    bool is_down = false;             ///< Refuses each call before it takes effect (HTTP: 503).
+    bool closes = false;              ///< While down, closes the connection in place of answering 503.
+    int lose_answers = 0;             ///< The next so many writes take effect, but their answers are lost.
+    int lose_requests = 0;            ///< The next so many writes are lost before they take effect, without an answer.
+    int lease_lifetime_percent = 100; ///< Leases end after this part of their lifetime.
+};
+
+/// Calls that the stand-in has received, by kind. A waiting watch counts as one call.
+struct store_call_counts {
+    std::uint64_t get = 0;
+    std::uint64_t put = 0;
+    std::uint64_t watch = 0;
+    std::uint64_t acquire = 0;
+    std::uint64_t renew = 0;
+    std::uint64_t release = 0;
+};
+
+/// The content, leases, faults and counts of the store's stand-in. Thread-safe; satisfies `key_value_store`.
+class store_stand_in_state {
+public:
+    using clock = std::function<absl::Time()>;
+
+    static constexpr std::size_t max_value_bytes = 1'000'000;
+
+    /// @param now the clock by which leases expire.
+    explicit store_stand_in_state(clock now = absl::Now);
+
+    store_result<versioned_value> get(const std::string& key, absl::Duration deadline);
+    store_result<revision> compare_and_swap(const std::string& key, revision expected, const std::string& value,
+                                            absl::Duration deadline);
+    store_result<lease> acquire_lease(const std::string& key, const std::string& holder, absl::Duration ttl,
+                                      absl::Duration deadline);
+    store_result<lease> renew_lease(const lease& held, absl::Duration deadline);
+    store_result<revision> release_lease(const lease& held, absl::Duration deadline);
+    store_result<versioned_value> watch(const std::string& key, revision after, absl::Duration deadline);
+
+    /// Replaces the faults in force.
+    void set_faults(const store_faults& faults);
+
+    store_faults faults() const;
+
+    store_call_counts counts() const;
+
+    /// Sets all counts to 0.
+    void reset_counts();
+
+    /// Ends all waiting watches and all later ones at once, so that a server can stop.
+    void close();
+
+private:
+    struct lease_entry {
+        std::string holder;
+        std::uint64_t id = 0;
+        absl::Time end;
+    };
+
+    enum class fate { proceed, refuse, lose_request, lose_answer };
+
+    fate begin_call(std::uint64_t store_call_counts::*kind, bool is_write, absl::Duration deadline);
+    template <typename Value> store_result<Value> finish(fate decided, store_result<Value> result) const;
+    absl::Time lease_end(absl::Duration ttl) const ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
+    lease_entry* find_lease(const lease& held) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
+
+    const clock m_now;
+    mutable absl::Mutex m_mutex;
+    std::map<std::string, versioned_value> m_values ABSL_GUARDED_BY(m_mutex);
+    std::map<std::string, lease_entry> m_leases ABSL_GUARDED_BY(m_mutex);
+    std::uint64_t m_last_number ABSL_GUARDED_BY(m_mutex) = 0;
+    store_faults m_faults ABSL_GUARDED_BY(m_mutex);
+    store_call_counts m_counts ABSL_GUARDED_BY(m_mutex);
+    bool m_is_closed ABSL_GUARDED_BY(m_mutex) = false;
+};
+
+} // namespace amaranthladder
