--- a/bench/store_stand_in_state.h
+++ b/bench/store_stand_in_state.h
@@ -15,7 +15,7 @@
 
 /// Faults that the store's stand-in shows on purpose.
 struct store_faults {
-    absl::Duration delay;             ///< Added to each call before it takes effect.
+    absl::Duration delay{};           ///< Added to each call before it takes effect.
     bool is_down = false;             ///< Refuses each call before it takes effect (HTTP: 503).
     bool closes = false;              ///< While down, closes the connection in place of answering 503.
     int lose_answers = 0;             ///< The next so many writes take effect, but their answers are lost.
--- /dev/null
+++ b/src/store/http_store.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include "common/endpoint.h"
+#include "store/key_value_store.h"
+
+#include <absl/time/time.h>
+
+#include <memory>
+#include <string>
+
+namespace amaranthladder {
+
+class call_counter;
+
+/// The platform's store over HTTP, see docs/store.md. Satisfies `key_value_store`.
+///
+/// Thread-safe: each call uses a connection of its own, and idle connections are kept for later calls.
+class http_store {
+public:
+    /// @param address the store.
+    /// @param counter counts each call; outlives the store.
+    http_store(endpoint address, call_counter& counter);
+    ~http_store();
+    http_store(const http_store&) = delete;
+    http_store& operator=(const http_store&) = delete;
+
+    store_result<versioned_value> get(const std::string& key, absl::Duration deadline);
+    store_result<revision> compare_and_swap(const std::string& key, revision expected, const std::string& value,
+                                            absl::Duration deadline);
+    store_result<lease> acquire_lease(const std::string& key, const std::string& holder, absl::Duration ttl,
+                                      absl::Duration deadline);
+    store_result<lease> renew_lease(const lease& held, absl::Duration deadline);
+    store_result<revision> release_lease(const lease& held, absl::Duration deadline);
+    store_result<versioned_value> watch(const std::string& key, revision after, absl::Duration deadline);
+
+    /// Ends the calls in progress and makes all later calls end as unavailable, so that a program can stop.
+    void close();
+
+private:
+    class connections;
+    std::unique_ptr<connections> m_connections;
+};
+
+} // namespace amaranthladder
