--- /dev/null
+++ b/src/peers/opaque_record.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include <cstddef>
+#include <functional>
+#include <string>
+
+namespace amaranthladder {
+
+/// A record whose content only its own module understands, e.g. a move record.
+struct opaque_record {
+    std::string key;
+    std::string bytes;
+
+    friend bool operator==(const opaque_record&, const opaque_record&) = default;
+};
+
+constexpr std::size_t max_opaque_bytes = 64 * 1024;
+
+/// How the records of the opaque table are merged.
+struct opaque_rules {
+    /// The join of two states of one record. Must be commutative, associative and idempotent, or the daemons never
+    /// agree. A state that does not decode is to be ignored: return @p held.
+    std::function<std::string(const std::string& key, const std::string& held, const std::string& heard)> merge;
+
+    /// @return true if the record may be dropped and is not to be taken again, e.g. because its move is no longer part
+    ///         of the configuration. May be empty: nothing is dropped.
+    std::function<bool(const opaque_record& record)> is_obsolete;
+};
+
+} // namespace amaranthladder
--- /dev/null
+++ b/src/peers/peer_server.h
@@ -0,0 +1,92 @@
+#pragma once
+
+#include "peers/messages.h"
+#include "peers/opaque_record.h"
+#include "peers/peer_node.h"
+#include "peers/peer_settings.h"
+#include "peers/upstream_record.h"
+
+#include <array>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace amaranthladder {
+
+/// What peer_server needs from the daemon. Called from threads of peer_server without a lock held; each may call the
+/// public functions of peer_server, but not stop().
+struct peer_callbacks {
+    /// Serves a pull: @return the delta from @p held to the configuration in force, or the whole snapshot; empty if
+    /// nothing newer than @p held is in force. Opaque to the peers module.
+    std::function<std::string(const configuration_digest& held)> snapshot_bytes;
+
+    /// Applies pulled bytes. The daemon calls peer_server::set_configuration when the version is in force.
+    std::function<pull_outcome(const std::string& bytes)> apply_snapshot;
+
+    /// Told of changed members, upstream records and opaque records, in this order of the vectors. May be empty.
+    std::function<void(const node_output& changes)> on_change;
+};
+
+/// Bytes and messages sent and received, for the metrics endpoint.
+struct traffic_counter {
+    std::uint64_t sent_messages = 0;
+    std::uint64_t sent_bytes = 0;
+    std::uint64_t received_messages = 0;
+    std::uint64_t received_bytes = 0;
+};
+
+/// Counters of peer_server. Bytes are payload, without IP, UDP and TCP headers.
+struct peer_counters {
+    std::array<traffic_counter, message_kind_count> datagrams; ///< By message_kind.
+    traffic_counter pulls;                                     ///< RPC, both as client and as server.
+    traffic_counter repairs;                                   ///< RPC, both as client and as server.
+    drop_counters drops;
+    std::uint64_t failed_pulls = 0;
+    std::uint64_t failed_repairs = 0;
+};
+
+/// Runs a peer_node: a UDP socket with one thread, and a Thrift server and client for pulls and repairs on the same
+/// port over TCP. All public functions may be called from any thread.
+class peer_server {
+public:
+    /// @param settings the settings; port 0 takes a free port, see address().
+    /// @param rules how records of the opaque table are merged.
+    /// @param callbacks the daemon's functions.
+    /// @throws error with result_code::listen_failed if a socket cannot be opened.
+    peer_server(peer_settings settings, opaque_rules rules, peer_callbacks callbacks);
+    ~peer_server();
+
+    peer_server(const peer_server&) = delete;
+    peer_server& operator=(const peer_server&) = delete;
+
+    /// Starts the threads.
+    void start();
+
+    /// Leaves the mesh, sends the leave and ends the threads. Called once, or by the destructor without a leave.
+    void stop();
+
+    /// @return the address in use, with the port that was taken for port 0.
+    endpoint address() const;
+
+    upstream_record announce_upstream(const upstream_record& record);
+    void withdraw_upstream(const std::string& id);
+    bool put_opaque(const opaque_record& record);
+    void set_configuration(const configuration_digest& held);
+
+    std::vector<upstream_record> usable_upstreams(const std::string& service) const;
+    std::vector<upstream_record> upstreams() const;
+    std::vector<opaque_record> opaque_records() const;
+    std::vector<member> members() const;
+    std::vector<member> members(member_state state) const;
+    std::uint64_t newest_heard_version() const;
+    bool is_joined() const;
+    peer_counters counters() const;
+
+private:
+    class implementation;
+    std::unique_ptr<implementation> m_implementation;
+};
+
+} // namespace amaranthladder
--- /dev/null
+++ b/src/peers/peer_settings.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include "common/endpoint.h"
+
+#include <absl/time/time.h>
+
+#include <cstddef>
+#include <string>
+#include <vector>
+
+namespace amaranthladder {
+
+/// Settings of a daemon's exchange with its peers. The defaults are those of the byte budget in docs/peers.md.
+struct peer_settings {
+    std::string mesh;            ///< Messages of another mesh are dropped.
+    endpoint address;            ///< Address for messages between daemons, UDP and TCP.
+    endpoint http_address;       ///< Owner address in the upstream records of this daemon.
+    std::string data_center;     ///< Preferred for pulls.
+    std::vector<endpoint> seeds; ///< Peer addresses that a starting daemon contacts; its own is ignored.
+
+    absl::Duration probe_interval = absl::Seconds(1);
+    absl::Duration probe_timeout = absl::Milliseconds(300); ///< After this, the probe goes through helpers as well.
+    int probe_helpers = 3;
+    int dead_probe_every = 4;           ///< Every how many rounds a member thought dead is probed in addition.
+    double suspicion_multiplier = 4.0;  ///< Suspicion lasts this many probe intervals times log10(members + 9).
+    double transmission_multiplier = 3; ///< A change is sent this many times log2(members + 1).
+
+    /// Tombstones of withdrawn upstreams are kept this long.
+    absl::Duration tombstone_retention = absl::Hours(2);
+    /// Records of an owner that has been dead this long are dropped and refused. Must be under half of
+    /// tombstone_retention, so that no daemon still holds a withdrawn record after the others forgot its tombstone.
+    absl::Duration dead_owner_retention = absl::Minutes(30);
+    /// Dead members are forgotten after this time. Must be above dead_owner_retention.
+    absl::Duration dead_member_retention = absl::Hours(1);
+    /// A starting daemon withdraws its earlier run's upstream record unless it is announced again within this time.
+    absl::Duration announcement_grace = absl::Seconds(5);
+
+    absl::Duration join_retry_first = absl::Milliseconds(500);
+    absl::Duration join_retry_cap = absl::Seconds(15);
+
+    int notify_fan_out = 5; ///< Peers told at once of a new configuration version or a leaving upstream.
+    absl::Duration notify_interval = absl::Milliseconds(250); ///< Least time between two rounds of notifications.
+
+    int concurrent_pulls = 2;
+    absl::Duration pull_jitter = absl::Milliseconds(20);
+    absl::Duration pull_hedge = absl::Milliseconds(800); ///< A second pull starts when the first takes longer.
+    absl::Duration pull_backoff_first = absl::Milliseconds(200);
+    absl::Duration pull_backoff_cap = absl::Seconds(4);
+
+    /// Table roots differ most of the time while changes spread; repairs are rare enough to cost few bytes.
+    absl::Duration repair_interval = absl::Seconds(30);
+    absl::Duration join_repair_interval = absl::Seconds(1); ///< Until the first repair after a start succeeded.
+
+    std::size_t queued_changes = 4096; ///< Changes waiting to be sent; repair covers what does not fit.
+};
+
+} // namespace amaranthladder
