--- /dev/null
+++ b/src/moves/move_record.h
@@ -0,0 +1,161 @@
+#pragma once
+
+#include "common/result_code.h"
+
+#include <absl/time/time.h>
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <tuple>
+#include <variant>
+#include <vector>
+
+namespace amaranthladder {
+
+/// A move's declared text: editing a move gives it another introducing version, which is another identity.
+struct move_identity {
+    std::string name;
+    std::uint64_t introduced_in = 0; ///< Configuration version that introduced the text.
+
+    friend bool operator==(const move_identity&, const move_identity&) = default;
+    friend bool operator<(const move_identity& left, const move_identity& right) {
+        return std::tie(left.name, left.introduced_in) < std::tie(right.name, right.introduced_in);
+    }
+};
+
+/// How a move stands or ended. A merge never yields a lower value than either of its arguments.
+enum class move_verdict {
+    under_way,
+    replaced, ///< The text was edited or removed before the move ended.
+    done_late,
+    done,
+    rolled_back,
+};
+
+/// @return the stable name of @p verdict, as status, explain and reports write it.
+std::string_view name(move_verdict verdict);
+
+/// Counts of one version over the period on which a verdict rests.
+struct evidence_summary {
+    std::uint64_t calls = 0;
+    std::uint64_t failed = 0;
+    std::uint64_t refused = 0;
+    std::uint64_t median_us = 0; ///< Median latency in microseconds; 0 if unknown.
+
+    friend bool operator==(const evidence_summary&, const evidence_summary&) = default;
+    friend bool operator<(const evidence_summary& left, const evidence_summary& right) {
+        return std::tie(left.calls, left.failed, left.refused, left.median_us) <
+               std::tie(right.calls, right.failed, right.refused, right.median_us);
+    }
+};
+
+/// Why, when and by whom a move was rolled back.
+struct rollback_record {
+    absl::Time decided_at;
+    result_code reason = result_code::move_taken_back_failures;
+    std::string decided_by;          ///< Daemon id.
+    std::string route;               ///< Route with the deciding evidence; empty for all routes together.
+    int stage = 0;                   ///< Stage at the decision.
+    std::uint64_t exposed_calls = 0; ///< Calls that the new version had received, as far as the daemon knew.
+    evidence_summary new_version;
+    evidence_summary old_version;
+
+    friend bool operator==(const rollback_record&, const rollback_record&) = default;
+    friend bool operator<(const rollback_record& left, const rollback_record& right) {
+        const auto fields = [](const rollback_record& value) {
+            return std::tie(value.decided_at, value.reason, value.decided_by, value.route, value.stage,
+                            value.exposed_calls, value.new_version, value.old_version);
+        };
+        return fields(left) < fields(right);
+    }
+};
+
+/// The shared state of a move: a join of what all daemons have recorded.
+struct move_progress {
+    absl::Time deadline = absl::InfiniteFuture();
+    absl::Time started_at = absl::InfiniteFuture();   ///< Earliest time at which a daemon saw the move.
+    absl::Time completed_at = absl::InfiniteFuture(); ///< Earliest time at which the new version had the whole share.
+    int stage = 0;                                    ///< Index of a stage in move_policy.
+    bool is_replaced = false;
+    std::optional<rollback_record> rollback;
+
+    /// @return the verdict that follows from the fields.
+    move_verdict verdict() const;
+
+    friend bool operator==(const move_progress&, const move_progress&) = default;
+};
+
+/// Which of a move's two versions a count belongs to.
+enum class move_side { old_version, new_version };
+
+/// How a call ended at its owner.
+enum class call_outcome {
+    good,
+    failed,  ///< Run or started, without a usable answer: an error status, a timeout, a lost or cut answer.
+    refused, ///< Refused by the upstream or its queue.
+};
+
+/// Cumulative counts of one daemon for one route and one version of a move. The counts only grow while the daemon
+/// runs, so the record with the higher (incarnation, sequence) contains the other one and nothing is counted twice.
+struct move_evidence {
+    /// Latency classes: class i holds latencies below 250 microseconds times the square root of 2 to the power i.
+    static constexpr int latency_classes = 40;
+    static constexpr std::size_t max_id_length = 64;
+
+    std::string contributor; ///< Daemon id.
+    move_side side = move_side::old_version;
+    std::string route;
+    std::uint64_t incarnation = 0; ///< Grows with each start of the contributor.
+    std::uint64_t sequence = 0;
+    absl::Time counted_until; ///< By the contributor's clock; receivers only use differences.
+    bool is_present = true;   ///< False once the contributor has no upstream of this version any more.
+    bool is_urgent = false;   ///< The contributor sees signs of a fault; receivers send their evidence at once.
+    std::uint64_t good = 0;
+    std::uint64_t failed = 0;
+    std::uint64_t refused = 0;
+    std::vector<std::uint32_t> latency; ///< Calls by latency class, good answers only, without trailing zeros.
+
+    /// @return the class of a latency.
+    static int latency_class(absl::Duration latency);
+    /// @return the geometric middle of a class.
+    static absl::Duration class_middle(int latency_class);
+
+    friend bool operator==(const move_evidence&, const move_evidence&) = default;
+};
+
+/// One replicated record about a move: its progress, or one daemon's evidence.
+///
+/// Progress records concern every daemon. Evidence records concern only daemons beside upstreams of the service.
+struct move_record {
+    move_identity identity;
+    std::variant<move_progress, move_evidence> content;
+
+    /// @return the key under which records are merged.
+    std::string key() const;
+
+    /// @return true for records that should be sent without waiting for the next periodic message: verdicts and
+    /// evidence of a suspected fault.
+    bool is_urgent() const;
+
+    /// @return the record in the form that `decode` reads, at most max_encoded_size bytes.
+    /// @throws error with result_code::move_record_malformed if a name or list exceeds its bound.
+    std::string encode() const;
+
+    /// @param bytes an encoded record.
+    /// @return the record.
+    /// @throws error with result_code::move_record_malformed if @p bytes is not exactly one valid record.
+    static move_record decode(std::string_view bytes);
+
+    static constexpr std::size_t max_encoded_size = 512;
+
+    friend bool operator==(const move_record&, const move_record&) = default;
+};
+
+/// Joins two records with the same key; commutative, associative and idempotent.
+/// @return the least record that contains both.
+/// @throws error with result_code::internal_error if the keys differ.
+move_record merge(const move_record& left, const move_record& right);
+
+} // namespace amaranthladder
--- /dev/null
+++ b/src/tests/move_record_test.cpp
@@ -0,0 +1,209 @@
+#include "moves/move_record.h"
+
+#include "common/error.h"
+
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include <ostream>
+#include <random>
+
+using namespace amaranthladder;
+
+BOOST_AUTO_TEST_SUITE(move_record_test)
+
+namespace {
+
+/// Draws from few values, so that equal and comparable fields are frequent.
+class record_source {
+public:
+    explicit record_source(std::uint64_t seed) : m_random(seed) {}
+
+    std::uint64_t below(std::uint64_t bound) {
+        return m_random() % bound;
+    }
+
+    absl::Time time() {
+        return below(4) == 0 ? absl::InfiniteFuture() : absl::FromUnixSeconds(1'800'000'000 + std::int64_t(below(5)));
+    }
+
+    evidence_summary summary() {
+        return {below(3), below(3), below(3), below(3)};
+    }
+
+    move_record progress() {
+        move_progress value;
+        value.deadline = absl::FromUnixSeconds(1'800'000'002);
+        value.started_at = time();
+        value.completed_at = time();
+        value.stage = static_cast<int>(below(8));
+        value.is_replaced = below(3) == 0;
+        if (below(3) == 0) {
+            rollback_record rollback;
+            rollback.decided_at = time();
+            rollback.reason = below(2) == 0 ? result_code::move_taken_back_slow : result_code::move_taken_back_failures;
+            rollback.decided_by = std::string(1, static_cast<char>('a' + below(3)));
+            rollback.stage = static_cast<int>(below(3));
+            rollback.new_version = summary();
+            value.rollback = rollback;
+        }
+        return {{"kiln", 7}, value};
+    }
+
+    move_record evidence() {
+        move_evidence value;
+        value.contributor = "nord-1";
+        value.side = move_side::new_version;
+        value.route = "reserve";
+        value.incarnation = below(2);
+        value.sequence = below(4);
+        value.counted_until = time();
+        value.is_present = below(2) == 0;
+        value.is_urgent = below(2) == 0;
+        value.good = below(3);
+        value.failed = below(3);
+        value.latency.assign(below(4), 1);
+        return {{"kiln", 7}, value};
+    }
+
+    move_record any(bool is_progress) {
+        return is_progress ? progress() : evidence();
+    }
+
+private:
+    std::mt19937_64 m_random;
+};
+
+using join_function = move_record (*)(const move_record&, const move_record&);
+
+/// @return the number of laws of a join that @p join breaks in @p rounds draws.
+int broken_laws(join_function join, int rounds) {
+    record_source source(20261204);
+    int broken = 0;
+    for (int round = 0; round < rounds; ++round) {
+        const bool is_progress = round % 2 == 0;
+        const move_record a = source.any(is_progress);
+        const move_record b = source.any(is_progress);
+        const move_record c = source.any(is_progress);
+        const move_record both = join(a, b);
+        broken += join(b, a) == both ? 0 : 1;
+        broken += join(both, c) == join(a, join(b, c)) ? 0 : 1;
+        broken += join(both, b) == both && join(a, a) == a ? 0 : 1;
+        if (is_progress) {
+            const auto verdict_of = [](const move_record& record) {
+                return std::get<move_progress>(record.content).verdict();
+            };
+            broken += verdict_of(both) >= std::max(verdict_of(a), verdict_of(b)) ? 0 : 1;
+        }
+    }
+    return broken;
+}
+
+/// A merge as a table of "latest write wins" would do it: shown to break the laws, so that the check detects it.
+move_record last_write_wins(const move_record& /*left*/, const move_record& right) {
+    return right;
+}
+
+/// A merge that takes the rollback of its first argument when both have one.
+move_record first_rollback_wins(const move_record& left, const move_record& right) {
+    move_record result = merge(left, right);
+    if (auto* progress = std::get_if<move_progress>(&result.content)) {
+        const auto& first = std::get<move_progress>(left.content);
+        progress->rollback = first.rollback ? first.rollback : std::get<move_progress>(right.content).rollback;
+    }
+    return result;
+}
+
+} // namespace
+
+// Guards against daemons that end with different verdicts after hearing the same records in another order.
+BOOST_AUTO_TEST_CASE(merge_is_a_join) {
+    BOOST_TEST(broken_laws(merge, 60'000) == 0);
+    BOOST_TEST(broken_laws(last_write_wins, 1'000) > 0);
+    BOOST_TEST(broken_laws(first_rollback_wins, 1'000) > 0);
+}
+
+BOOST_AUTO_TEST_CASE(refuses_to_merge_different_keys) {
+    record_source source(1);
+    BOOST_CHECK_THROW(merge(source.progress(), source.evidence()), error);
+}
+
+// Guards against a record that changes on its way through gossip or the store.
+BOOST_AUTO_TEST_CASE(decodes_what_it_encodes) {
+    record_source source(2);
+    for (int round = 0; round < 2'000; ++round) {
+        const move_record record = source.any(round % 2 == 0);
+        BOOST_REQUIRE(move_record::decode(record.encode()) == record);
+    }
+}
+
+// Guards against records that do not fit beside a probe in a datagram of 1,200 bytes.
+BOOST_AUTO_TEST_CASE(is_small) {
+    const std::string id(move_evidence::max_id_length, 'x');
+    move_evidence evidence;
+    evidence.contributor = id;
+    evidence.route = id;
+    evidence.incarnation = 1'800'000'000'000;
+    evidence.sequence = 1'000'000;
+    evidence.counted_until = absl::FromUnixSeconds(1'800'000'000);
+    evidence.good = 100'000'000;
+    evidence.failed = evidence.refused = 100'000'000;
+    evidence.latency.assign(move_evidence::latency_classes, 10'000'000);
+    BOOST_TEST((move_record{{id, 1'000'000}, evidence}.encode().size()) < 400);
+
+    move_progress progress;
+    progress.deadline = progress.started_at = progress.completed_at = absl::FromUnixSeconds(1'800'000'000);
+    progress.rollback = rollback_record{progress.deadline,
+                                        result_code::move_taken_back_slow,
+                                        id,
+                                        id,
+                                        7,
+                                        100'000'000,
+                                        {100'000'000, 1'000'000, 1'000'000, 30'000'000},
+                                        {100'000'000, 1'000'000, 1'000'000, 30'000'000}};
+    BOOST_TEST((move_record{{id, 1'000'000}, progress}.encode().size()) < 400);
+}
+
+struct malformed_row {
+    const char* name;
+    std::string (*bytes)(const std::string& valid);
+
+    friend std::ostream& operator<<(std::ostream& out, const malformed_row& row) {
+        return out << row.name;
+    }
+};
+
+const malformed_row malformed_rows[] = {
+    {"empty", [](const std::string& /*valid*/) { return std::string(); }},
+    {"cut", [](const std::string& valid) { return valid.substr(0, valid.size() - 1); }},
+    {"bytes after the end", [](const std::string& valid) { return valid + 'x'; }},
+    {"other format version", [](const std::string& valid) { return "\x04" + valid.substr(1); }},
+    {"too large", [](const std::string& valid) { return valid + std::string(move_record::max_encoded_size, 'x'); }},
+    {"name longer than its bound",
+     [](const std::string& valid) { return valid.substr(0, 1) + "\x7f" + valid.substr(2); }},
+};
+
+BOOST_DATA_TEST_CASE(refuses_malformed_bytes, malformed_rows, row) {
+    record_source source(3);
+    const std::string bytes = row.bytes(source.evidence().encode());
+    BOOST_CHECK_EXCEPTION(move_record::decode(bytes), error,
+                          [](const error& problem) { return problem.code() == result_code::move_record_malformed; });
+}
+
+// Guards against a crash or an unbounded read on hostile datagrams.
+BOOST_AUTO_TEST_CASE(survives_altered_bytes) {
+    record_source source(4);
+    for (int round = 0; round < 20'000; ++round) {
+        std::string bytes = source.any(round % 2 == 0).encode();
+        bytes[source.below(bytes.size())] = static_cast<char>(source.below(256));
+        try {
+            const move_record record = move_record::decode(bytes);
+            BOOST_REQUIRE(move_record::decode(record.encode()) == record);
+        } catch (const error& problem) {
+            BOOST_REQUIRE(problem.code() == result_code::move_record_malformed);
+        }
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
