--- a/src/common/event_log.cpp
+++ b/src/common/event_log.cpp
@@ -5,6 +5,7 @@
 #include <fmt/format.h>
 #include <spdlog/async.h>
 #include <spdlog/async_logger.h>
+#include <spdlog/details/periodic_worker.h>
 #include <spdlog/sinks/basic_file_sink.h>
 #include <spdlog/sinks/stdout_sinks.h>
 
--- a/src/http/private/exchange.h
+++ b/src/http/private/exchange.h
@@ -31,7 +31,7 @@
     /// What the exchange sends and how long it may take.
     struct request {
         endpoint target;
-        http::request_header<>& head;
+        const http::request_header<>& head;
         request_body& body;
         bool is_idempotent = false;
         /// Sends a body beyond the prefix only after the target has answered 100 (Continue).
--- a/src/http/private/proxy_core.h
+++ b/src/http/private/proxy_core.h
@@ -26,8 +26,8 @@
     proxy_core(const proxy_options& proxy_settings, router_settings routing, retry_budget_policy budget_policy,
                const steady_clock& time, event_log& lines, std::function<void(const owned_call&)> report)
         : options(proxy_settings), clock(time), log(lines), report_call(std::move(report)),
-          pool(context, max_idle_connections_per_target), requests(std::move(routing)), budget(budget_policy),
-          relay(options) {}
+          requests(std::move(routing)), budget(budget_policy), relay(options),
+          pool(context, max_idle_connections_per_target) {}
 
     /// As many as requests that a daemon commonly has under way to one target.
     static constexpr std::size_t max_idle_connections_per_target = 128;
