Read the daemon's settings from a checked INI file

All problems of a file are reported at once with the allowed range. Request and peer addresses must not be the address of all interfaces, since other hosts are told them. Settings that contradict each other (a probe timeout as long as the interval, a lease shorter than a call) are refused at the start, because they show only under load otherwise.

--- a/src/config/folder_merger.cpp
+++ b/src/config/folder_merger.cpp
@@ -2,7 +2,7 @@
 
 #include "config/config_table.h"
 #include "config/ini_reader.h"
-#include "config/private/name_rules.h"
+#include "config/name_rules.h"
 
 #include <boost/algorithm/string/classification.hpp>
 #include <boost/algorithm/string/split.hpp>
--- a/src/config/ini_reader.cpp
+++ b/src/config/ini_reader.cpp
@@ -151,7 +151,7 @@
         }
         std::string name = boost::algorithm::trim_copy(line.substr(1, line.size() - 2));
         if (!m_section_names.insert(name).second) {
-            add_problem(m_codes.duplicate, "", fmt::format("section [{}] stands twice in this file", name));
+            m_problems.push_back({m_codes.duplicate, m_document.file, m_line, name, "", "stands twice in this file"});
             return;
         }
         m_is_skipping = false;
--- a/src/config/private/name_rules.cpp
+++ b/src/config/name_rules.cpp
@@ -1,4 +1,4 @@
-#include "config/private/name_rules.h"
+#include "config/name_rules.h"
 
 #include <absl/strings/ascii.h>
 
--- a/src/config/validator.cpp
+++ b/src/config/validator.cpp
@@ -1,7 +1,7 @@
 #include "config/validator.h"
 
 #include "config/config_table.h"
-#include "config/private/name_rules.h"
+#include "config/name_rules.h"
 
 #include <fmt/format.h>
 
--- /dev/null
+++ b/src/settings/daemon_settings.h
@@ -0,0 +1,103 @@
+#pragma once
+
+#include "common/endpoint.h"
+
+#include <absl/time/time.h>
+
+#include <cstddef>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace amaranthladder {
+
+class settings_values;
+
+/// The daemon's settings. docs/settings.md describes each; a section of the file is a member here.
+struct daemon_settings {
+    struct daemon_section {
+        std::string mesh;
+        std::string region;
+        std::string data_center;
+        std::string worker;
+
+        friend bool operator==(const daemon_section&, const daemon_section&) = default;
+    };
+    struct listen_section {
+        endpoint requests;
+        endpoint control;
+        endpoint peers;
+
+        friend bool operator==(const listen_section&, const listen_section&) = default;
+    };
+    struct store_section {
+        endpoint address;
+        absl::Duration call_timeout;
+        absl::Duration lease;
+        absl::Duration watch;
+
+        friend bool operator==(const store_section&, const store_section&) = default;
+    };
+    struct peers_section {
+        std::vector<endpoint> seeds;
+        absl::Duration probe_interval;
+        absl::Duration probe_timeout;
+        absl::Duration suspicion;
+        absl::Duration tombstone;
+        std::size_t gossip_bytes = 0;
+
+        friend bool operator==(const peers_section&, const peers_section&) = default;
+    };
+    struct requests_section {
+        int max_connections = 0;
+        std::size_t max_header_bytes = 0;
+        std::size_t body_buffer_bytes = 0;
+        absl::Duration connect_timeout;
+        absl::Duration first_byte_timeout;
+        absl::Duration idle_connection;
+        absl::Duration default_timeout;
+        int retry_budget_percent = 0;
+        int queue_limit = 0;
+        absl::Duration warm_up;
+        absl::Duration announcement_timeout;
+        absl::Duration drain_timeout;
+
+        friend bool operator==(const requests_section&, const requests_section&) = default;
+    };
+    struct log_section {
+        std::string level;
+        std::string file; ///< Empty: the standard error stream.
+        std::size_t queue_lines = 0;
+
+        friend bool operator==(const log_section&, const log_section&) = default;
+    };
+
+    daemon_section daemon;
+    listen_section listen;
+    store_section store;
+    peers_section peers;
+    requests_section requests;
+    log_section log;
+
+    friend bool operator==(const daemon_settings&, const daemon_settings&) = default;
+};
+
+/// Reads the daemon's settings.
+/// @param path path of the file.
+/// @return the settings.
+/// @throws config_error_list with all problems: file_unreadable, those of settings_reader, and setting_conflict for
+/// settings that contradict each other.
+daemon_settings read_daemon_settings(const std::string& path);
+
+/// As read_daemon_settings(path), from a text.
+/// @param file name of the file, for messages.
+/// @param text its content.
+daemon_settings read_daemon_settings(const std::string& file, std::string_view text);
+
+/// The output of `--print-settings`.
+/// @param path path of the settings file, or empty for the defaults alone.
+/// @return every setting with its value, unit, range and description, in the form of the file.
+/// @throws config_error_list as read_daemon_settings.
+std::string print_daemon_settings(const std::string& path);
+
+} // namespace amaranthladder
--- /dev/null
+++ b/src/settings/settings_table.cpp
@@ -0,0 +1,120 @@
+#include "settings/settings_table.h"
+
+#include "settings/unit_text.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <array>
+
+namespace amaranthladder {
+
+namespace {
+
+constexpr std::int64_t second = 1'000; // milliseconds
+constexpr std::int64_t minute = 60 * second;
+constexpr std::int64_t hour = 60 * minute;
+constexpr std::int64_t kibibyte = 1'024; // bytes
+constexpr std::int64_t mebibyte = 1'024 * kibibyte;
+
+// Upstream calls stay under 1.1 times caller calls; at 9 percent, rounding and bursts still fit.
+constexpr std::int64_t max_retry_budget_percent = 9;
+// A datagram over 1,472 bytes is split on Ethernet, and the loss of one part loses it.
+constexpr std::int64_t max_gossip_bytes = 1'472;
+// Probe and digest alone take up to about 400 bytes.
+constexpr std::int64_t min_gossip_bytes = 512;
+
+// clang-format off
+constexpr auto daemon_table = std::to_array<setting_row>({
+    {"daemon", "mesh", setting_type::name, true, "", 0, 0, "Name of the mesh. Messages of other meshes are dropped."},
+    {"daemon", "region", setting_type::name, false, "default", 0, 0, "Region of the host."},
+    {"daemon", "data_center", setting_type::name, true, "", 0, 0, "Data centre of the host."},
+    {"daemon", "worker", setting_type::name, true, "", 0, 0, "Name of the host, unique in the mesh."},
+    {"listen", "requests", setting_type::reached_endpoint, true, "", 0, 0, "Address for callers and for other daemons' requests."},
+    {"listen", "control", setting_type::listen_endpoint, true, "", 0, 0, "Address for announcements, status and metrics."},
+    {"listen", "peers", setting_type::reached_endpoint, true, "", 0, 0, "Address for other daemons, UDP and TCP."},
+    {"store", "address", setting_type::endpoint, true, "", 0, 0, "Address of the platform's key-value store."},
+    {"store", "call_timeout", setting_type::duration, false, "500ms", 10, 10 * second, "Deadline of one store call other than a watch."},
+    {"store", "lease", setting_type::duration, false, "10s", 1 * second, 10 * minute, "Time to live of a lease without renewal."},
+    {"store", "watch", setting_type::duration, false, "20s", 1 * second, 10 * minute, "Deadline of one watch call."},
+    {"peers", "seeds", setting_type::endpoint_list, false, "", 0, 0, "Peer addresses that a daemon joins through. Empty: the join page in the store."},
+    {"peers", "probe_interval", setting_type::duration, false, "1s", 50, 1 * minute, "Time between two probes."},
+    {"peers", "probe_timeout", setting_type::duration, false, "300ms", 10, 30 * second, "Wait for an answer before indirect probes are sent."},
+    {"peers", "suspicion", setting_type::duration, false, "4s", 100, 10 * minute, "Time from suspicion until a member counts as dead."},
+    {"peers", "tombstone", setting_type::duration, false, "10m", 1 * minute, 24 * hour, "Time for which records of dead members and upstreams are kept."},
+    {"peers", "gossip_bytes", setting_type::size, false, "1200B", min_gossip_bytes, max_gossip_bytes, "Largest datagram."},
+    {"requests", "max_connections", setting_type::integer, false, "2000", 1, 100'000, "Connections accepted on the request port."},
+    {"requests", "max_header_bytes", setting_type::size, false, "64KiB", 1 * kibibyte, 1 * mebibyte, "Largest header block of a request or an answer."},
+    {"requests", "body_buffer_bytes", setting_type::size, false, "64KiB", 1 * kibibyte, 16 * mebibyte, "Buffer of each direction of a body."},
+    {"requests", "connect_timeout", setting_type::duration, false, "250ms", 10, 30 * second, "Limit for opening a connection to a daemon or an upstream."},
+    {"requests", "first_byte_timeout", setting_type::duration, false, "5s", 10, 1 * hour, "Limit for the first byte of an answer."},
+    {"requests", "idle_connection", setting_type::duration, false, "1s", 0, 1 * hour, "Idle time after which a pooled connection carries no non-idempotent request."},
+    {"requests", "default_timeout", setting_type::duration, false, "15s", 10, 1 * hour, "Deadline of a request when neither the caller nor its route or service gives one."},
+    {"requests", "retry_budget_percent", setting_type::integer, false, "8", 0, max_retry_budget_percent, "Retries allowed for each 100 recent requests."},
+    {"requests", "queue_limit", setting_type::integer, false, "16", 0, 10'000, "Requests that may wait at the upstream when its service gives no limit."},
+    {"requests", "warm_up", setting_type::duration, false, "10s", 0, 10 * minute, "Time over which a new upstream is brought to its full share."},
+    {"requests", "announcement_timeout", setting_type::duration, false, "3s", 500, 1 * minute, "Silence after which an upstream is withdrawn."},
+    {"requests", "drain_timeout", setting_type::duration, false, "60s", 0, 1 * hour, "Limit for requests in flight at a shutdown."},
+    {"log", "level", setting_type::log_level, false, "info", 0, 0, "Least severe level that is logged."},
+    {"log", "file", setting_type::text, false, "", 0, 0, "File of the log. Empty: the standard error stream."},
+    {"log", "queue_lines", setting_type::integer, false, "8192", 16, 1'048'576, "Lines that wait for the log's thread; when full, the oldest are dropped."},
+});
+
+constexpr auto level_names = std::to_array<std::string_view>({"trace", "debug", "info", "warn", "error", "off"});
+// clang-format on
+
+std::string range_text(const setting_row& row) {
+    switch (row.type) {
+    case setting_type::duration:
+        return fmt::format("{} to {}", duration_text(absl::Milliseconds(row.low)),
+                           duration_text(absl::Milliseconds(row.high)));
+    case setting_type::size:
+        return fmt::format("{} to {}", size_text(row.low), size_text(row.high));
+    default:
+        return fmt::format("{} to {}", row.low, row.high);
+    }
+}
+
+} // namespace
+
+settings_table daemon_settings_table() {
+    return daemon_table;
+}
+
+const setting_row* find_setting(settings_table table, std::string_view section, std::string_view key) {
+    const auto found =
+        std::ranges::find_if(table, [&](const setting_row& row) { return row.section == section && row.key == key; });
+    return found == table.end() ? nullptr : &*found;
+}
+
+std::string allowed_text(const setting_row& row) {
+    switch (row.type) {
+    case setting_type::name:
+        return "a name of 1 to 64 letters, digits and -_.";
+    case setting_type::text:
+        return "text, may be empty";
+    case setting_type::log_level:
+        return fmt::format("{}", fmt::join(level_names, ", "));
+    case setting_type::endpoint:
+        return "IP:PORT";
+    case setting_type::listen_endpoint:
+        return "IP:PORT, port 0 for a free one";
+    case setting_type::reached_endpoint:
+        return "IP:PORT with an IP that other hosts can reach, port 0 for a free one";
+    case setting_type::endpoint_list:
+        return "IP:PORT, IP:PORT, ...; may be empty";
+    case setting_type::duration:
+        return fmt::format("duration (ms, s, m, h), {}", range_text(row));
+    case setting_type::size:
+        return fmt::format("size (B, KiB, MiB), {}", range_text(row));
+    case setting_type::integer:
+        return fmt::format("integer, {}", range_text(row));
+    }
+    return "";
+}
+
+std::span<const std::string_view> log_levels() {
+    return level_names;
+}
+
+} // namespace amaranthladder
--- /dev/null
+++ b/src/settings/settings_table.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include <cstdint>
+#include <span>
+#include <string>
+#include <string_view>
+
+namespace amaranthladder {
+
+/// The form of a setting's value.
+enum class setting_type {
+    name,             ///< As name_rule says.
+    text,             ///< Any text, may be empty.
+    log_level,        ///< A level of the log.
+    endpoint,         ///< IP:PORT of another process; the port is not 0.
+    listen_endpoint,  ///< IP:PORT to listen on; port 0 takes a free one.
+    reached_endpoint, ///< As listen_endpoint, but not the address of all interfaces, since other hosts are told it.
+    endpoint_list,    ///< Endpoints separated by commas, may be empty.
+    duration,         ///< With a unit; range in milliseconds.
+    size,             ///< With a unit; range in bytes.
+    integer,
+};
+
+/// One setting. The reader, `--print-settings` and docs/settings.md use these rows.
+struct setting_row {
+    std::string_view section;
+    std::string_view key;
+    setting_type type;
+    bool is_required;
+    std::string_view default_text; ///< In the form of the file.
+    std::int64_t low;              ///< In the unit of the type; 0 for types without a range.
+    std::int64_t high;
+    std::string_view description;
+};
+
+/// The settings of a program, grouped by section.
+using settings_table = std::span<const setting_row>;
+
+/// @return the settings of the daemon.
+settings_table daemon_settings_table();
+
+/// @return the row of a setting, or nullptr.
+const setting_row* find_setting(settings_table table, std::string_view section, std::string_view key);
+
+/// @return what a value of @p row may be, with its range and unit, for people.
+std::string allowed_text(const setting_row& row);
+
+/// @return the levels of the log, from the most detailed.
+std::span<const std::string_view> log_levels();
+
+} // namespace amaranthladder
--- /dev/null
+++ b/src/tests/settings_reader_test.cpp
@@ -0,0 +1,207 @@
+#include "settings/settings_reader.h"
+
+#include "settings/daemon_settings.h"
+#include "settings/unit_text.h"
+
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+#include <fmt/format.h>
+
+#include <ostream>
+
+using namespace amaranthladder;
+
+BOOST_AUTO_TEST_SUITE(settings_reader_test)
+
+const std::string required = "[daemon]\n"                  // 1
+                             "mesh = litoral\n"            // 2
+                             "data_center = rosario-a\n"   // 3
+                             "worker = tienda-1\n"         // 4
+                             "[listen]\n"                  // 5
+                             "requests = 127.0.0.1:8001\n" // 6
+                             "control = 0.0.0.0:8002\n"    // 7
+                             "peers = 127.0.0.1:8003\n"    // 8
+                             "[store]\n"                   // 9
+                             "address = 127.0.0.1:8004\n"; // 10
+
+/// Problems as `LINE CODE SECTION.KEY` lines.
+std::string problems_of(const std::string& text) {
+    try {
+        read_daemon_settings("d.ini", text);
+    } catch (const config_error_list& list) {
+        std::string result;
+        for (const config_problem& problem : list.problems()) {
+            BOOST_TEST(problem.file == "d.ini");
+            result +=
+                fmt::format("{} {} {}.{};", problem.line, static_cast<int>(problem.code), problem.section, problem.key);
+        }
+        return result;
+    }
+    return "";
+}
+
+struct text_row {
+    const char* name;
+    std::string more; ///< Follows the required settings, which end in [store].
+    std::string expected;
+
+    friend std::ostream& operator<<(std::ostream& out, const text_row& row) {
+        return out << row.name;
+    }
+};
+
+const text_row text_rows[] = {
+    {"required settings alone", "", ""},
+    {"lowest and highest value", "[requests]\nmax_connections=1\nretry_budget_percent=9\n", ""},
+    {"unknown section", "[stores]\nx=1\n", "11 1001 stores.;"},
+    {"unknown key", "colour = red\n", "11 1001 store.colour;"},
+    {"key twice", "address = 127.0.0.1:1\n", "11 1003 store.address;"},
+    {"section twice", "[store]\n", "11 1003 store.;"},
+    {"no value", "lease\n", "11 1007 store.;"},
+    {"unit missing", "lease = 10\n", "11 1005 store.lease;"},
+    {"unit of a size for a duration", "lease = 10KiB\n", "11 1005 store.lease;"},
+    {"unit of a duration for a size", "[peers]\ngossip_bytes = 1s\n", "12 1005 peers.gossip_bytes;"},
+    {"space before the unit", "lease = 10 s\n", "11 1005 store.lease;"},
+    {"unit in upper case", "lease = 10S\n", "11 1005 store.lease;"},
+    {"fraction", "lease = 1.5s\n", "11 1005 store.lease;"},
+    {"no number", "lease = long\n", "11 1004 store.lease;"},
+    {"empty duration", "lease =\n", "11 1004 store.lease;"},
+    {"duration too short", "call_timeout = 9ms\n", "11 1006 store.call_timeout;"},
+    {"duration too long", "call_timeout = 1h\n", "11 1006 store.call_timeout;"},
+    {"negative duration", "call_timeout = -1s\n", "11 1006 store.call_timeout;"},
+    {"duration beyond every type", "call_timeout = 99999999999999999999s\n", "11 1006 store.call_timeout;"},
+    {"product beyond every type", "call_timeout = 9223372036854775807h\n", "11 1006 store.call_timeout;"},
+    {"integer with a unit", "[requests]\nmax_connections = 5B\n", "12 1004 requests.max_connections;"},
+    {"integer too large", "[requests]\nretry_budget_percent = 10\n", "12 1006 requests.retry_budget_percent;"},
+    {"bad name", "[requests]\n[log]\nlevel = loud\n", "13 1004 log.level;"},
+    {"host name in place of an IP number", "[peers]\nseeds = localhost:1\n", "12 1004 peers.seeds;"},
+    {"list with an empty item", "[peers]\nseeds = 127.0.0.1:1,,127.0.0.1:2\n", "12 1004 peers.seeds;"},
+    {"seed with port 0", "[peers]\nseeds = 127.0.0.1:0\n", "12 1006 peers.seeds;"},
+    {"probe timeout as long as the interval", "[peers]\nprobe_timeout = 1s\n", "0 1010 peers.probe_timeout;"},
+    {"suspicion shorter than a probe", "[peers]\nsuspicion = 1s\n", "0 1010 peers.suspicion;"},
+    {"lease shorter than a call", "call_timeout=10s\nlease=10s\n", "0 1010 store.call_timeout;"},
+    {"several", "x=1\nlease=1\n[peers]\nseeds=a\n", "11 1001 store.x;12 1005 store.lease;14 1004 peers.seeds;"},
+};
+
+// Guards against a daemon that starts with a misread or ignored setting.
+BOOST_DATA_TEST_CASE(reports_every_problem_of_a_file, text_rows, row) {
+    BOOST_TEST(problems_of(required + row.more) == row.expected);
+}
+
+BOOST_AUTO_TEST_CASE(reports_missing_settings) {
+    BOOST_TEST(problems_of("") == "0 1002 daemon.mesh;0 1002 daemon.data_center;0 1002 daemon.worker;"
+                                  "0 1002 listen.requests;0 1002 listen.control;0 1002 listen.peers;"
+                                  "0 1002 store.address;");
+}
+
+struct listen_row {
+    const char* name;
+    const char* requests;
+    const char* control;
+    const char* expected;
+
+    friend std::ostream& operator<<(std::ostream& out, const listen_row& row) {
+        return out << row.name;
+    }
+};
+
+const listen_row listen_rows[] = {
+    {"free ports", "127.0.0.1:0", "127.0.0.1:0", ""},
+    {"IPv6", "[::1]:80", "[::]:81", ""},
+    {"the same port", "127.0.0.1:80", "127.0.0.1:80", "0 1010 listen.control;"},
+    {"all interfaces", "0.0.0.0:80", "127.0.0.1:81", "2 1004 listen.requests;"},
+    {"all interfaces in IPv6", "[0:0::0]:80", "127.0.0.1:81", "2 1004 listen.requests;"},
+};
+
+// Guards against a daemon that tells its peers an address that no other host can reach.
+BOOST_DATA_TEST_CASE(checks_listening_addresses, listen_rows, row) {
+    const std::string text =
+        fmt::format("[listen]\nrequests={}\ncontrol={}\npeers=127.0.0.1:9\n[daemon]\nmesh=m\ndata_center=d\nworker=w\n"
+                    "[store]\naddress=127.0.0.1:1\n",
+                    row.requests, row.control);
+    BOOST_TEST(problems_of(text) == row.expected);
+}
+
+// Guards against a message that does not say where the fault is and what is allowed.
+BOOST_AUTO_TEST_CASE(message_names_place_and_range) {
+    BOOST_CHECK_EXCEPTION(read_daemon_settings("d.ini", required + "lease = 1ms\n"), error, [](const error& problem) {
+        return std::string(problem.what())
+            .ends_with("\nd.ini:11: 1006 setting-out-of-range: [store] lease: '1ms'; "
+                       "allowed: duration (ms, s, m, h), 1s to 10m");
+    });
+}
+
+std::string other_value(const setting_row& row) {
+    switch (row.type) {
+    case setting_type::duration:
+        return duration_text(parse_duration(row.default_text) + absl::Milliseconds(1));
+    case setting_type::size:
+        return size_text(parse_size(row.default_text) + 1);
+    case setting_type::integer:
+        return fmt::format("{}", parse_integer(row.default_text) - 1);
+    case setting_type::log_level:
+        return "warn";
+    case setting_type::name:
+    case setting_type::text:
+        return "other";
+    default:
+        return "127.0.0.1:9";
+    }
+}
+
+std::string text_with(const setting_row& changed) {
+    std::string result;
+    for (const setting_row& row : daemon_settings_table()) {
+        if (result.find(fmt::format("[{}]\n", row.section)) == std::string::npos) {
+            result += fmt::format("[{}]\n", row.section);
+        }
+        const bool is_changed = &row == &changed;
+        if (row.is_required && !is_changed) {
+            result += fmt::format("{} = {}\n", row.key,
+                                  row.type == setting_type::name ? "n" : fmt::format("127.0.0.1:{}", row.key.size()));
+        } else if (is_changed) {
+            result += fmt::format("{} = {}\n", row.key, other_value(row));
+        }
+    }
+    return result;
+}
+
+// Guards against a row of the table that is checked and documented but does not reach the daemon.
+BOOST_AUTO_TEST_CASE(every_setting_reaches_the_struct) {
+    const setting_row none{};
+    const daemon_settings defaults = read_daemon_settings("d.ini", text_with(none));
+    for (const setting_row& row : daemon_settings_table()) {
+        BOOST_TEST_CONTEXT(row.section << "." << row.key) {
+            const std::string text = text_with(row);
+            BOOST_CHECK(!(read_daemon_settings("d.ini", text) == defaults));
+        }
+    }
+}
+
+// Guards against defaults that the reader itself refuses, and against printed settings that cannot be used as a file.
+BOOST_AUTO_TEST_CASE(printed_settings_can_be_read_again) {
+    const settings_reader reader(daemon_settings_table());
+    const std::string text = required + "lease = 7s\n[log]\nfile = a;b # c\n";
+    const std::string printed = reader.read("d.ini", text).print();
+    BOOST_TEST(reader.read("p.ini", printed).print() == printed);
+    BOOST_CHECK(read_daemon_settings("p.ini", printed) == read_daemon_settings("d.ini", text));
+    BOOST_TEST(printed.find("\nlease = 7s\n") != std::string::npos);
+    BOOST_TEST(print_daemon_settings("").find("\n# mesh = ...\n") != std::string::npos);
+}
+
+BOOST_AUTO_TEST_CASE(durations_and_sizes_use_the_largest_unit) {
+    for (const std::string text : {"0ms", "1ms", "1500ms", "3s", "90s", "2m", "25h"}) {
+        BOOST_TEST(duration_text(parse_duration(text)) == text);
+    }
+    for (const std::string text : {"0B", "1200B", "64KiB", "16MiB", "1024MiB"}) {
+        BOOST_TEST(size_text(parse_size(text)) == text);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(absent_file_is_reported) {
+    BOOST_CHECK_EXCEPTION(read_daemon_settings("no/such/file.ini"), config_error_list,
+                          [](const error& problem) { return problem.code() == result_code::file_unreadable; });
+}
+
+BOOST_AUTO_TEST_SUITE_END()
