Publish configurations by compare-and-swap on one head key

Two operators may publish at once and any answer may be lost, so a publish writes its pieces first and then the head with its publish id. After a lost answer the head is read back; a history of 32 publish ids in the head shows an operator its own publish even after others have published on top. If the head is still the base, the same compare-and-swap is sent again: its expected revision lets at most one of the two take effect. Pieces carry their version in their name, so a piece that the head of that version does not name can never be named again; this makes collecting safe without locks. Sharing pieces between versions was ruled out, since every version's first bytes differ and a shared piece could be collected while another operator reuses it.

--- /dev/null
+++ b/src/store/head_reader.h
@@ -0,0 +1,106 @@
+#pragma once
+
+#include "common/error.h"
+#include "store/config_head.h"
+#include "store/key_value_store.h"
+
+#include <absl/time/clock.h>
+#include <absl/time/time.h>
+
+#include <cstddef>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace amaranthladder {
+
+/// A head with the bytes that it names.
+struct config_content {
+    config_head head;
+    std::string bytes;
+};
+
+/// @param bytes the joined pieces of @p head.
+/// @throws error with result_code::snapshot_hash_mismatch if @p bytes have another hash than the head states.
+void check_content(const config_head& head, std::string_view bytes);
+
+/// Reads the configuration in force from a store.
+template <key_value_store Store> class head_reader {
+public:
+    /// Larger than the largest snapshot; bounds the memory that a damaged head can claim.
+    static constexpr std::size_t max_content_bytes = 17'000'000;
+
+    /// @param store the platform's store; outlives the reader.
+    explicit head_reader(Store& store) : m_store(store) {}
+
+    /// Reads the head and its pieces. A piece that was collected between the two reads leads to one new attempt.
+    /// @param deadline longest time of all calls together.
+    /// @return the content, or nothing if nothing has been published.
+    /// @throws error with store_unavailable, store_bad_answer, store_key_absent (a piece is missing) or
+    /// snapshot_hash_mismatch.
+    std::optional<config_content> read(absl::Duration deadline) {
+        const absl::Time end = absl::Now() + deadline;
+        for (bool is_last_attempt : {false, true}) {
+            auto head = read_head(end);
+            if (!head) {
+                return std::nullopt;
+            }
+            if (auto bytes = read_pieces(*head, end)) {
+                return config_content{std::move(*head), std::move(*bytes)};
+            }
+            if (is_last_attempt) {
+                break;
+            }
+        }
+        throw error(result_code::store_key_absent, "the head names a piece that the store does not have");
+    }
+
+    /// Reads the pieces of a head, as a watch returned it.
+    /// @param head the head.
+    /// @param end when to give up.
+    /// @return the bytes, or nothing if a piece is missing because a newer head has replaced this one.
+    /// @throws error with store_unavailable, store_bad_answer or snapshot_hash_mismatch.
+    std::optional<std::string> read_pieces(const config_head& head, absl::Time end) {
+        std::string bytes;
+        for (const std::string& name : head.pieces) {
+            const auto piece = m_store.get(config_piece_key(name), time_left(end));
+            // A collected piece is empty; content is never empty.
+            if (piece.outcome == store_outcome::absent || (piece.is_ok() && piece.value->value.empty())) {
+                return std::nullopt;
+            }
+            if (!piece.is_ok()) {
+                throw error(result_code::store_unavailable, name);
+            }
+            bytes += piece.value->value;
+            if (bytes.size() > max_content_bytes) {
+                throw error(result_code::store_bad_answer, "the pieces exceed the largest snapshot");
+            }
+        }
+        check_content(head, bytes);
+        return bytes;
+    }
+
+private:
+    std::optional<config_head> read_head(absl::Time end) {
+        const auto found = m_store.get(config_head_key, time_left(end));
+        if (found.outcome == store_outcome::absent) {
+            return std::nullopt;
+        }
+        if (!found.is_ok()) {
+            throw error(result_code::store_unavailable, config_head_key);
+        }
+        return config_head::parse(found.value->value);
+    }
+
+    static absl::Duration time_left(absl::Time end) {
+        const absl::Duration left = end - absl::Now();
+        if (left <= absl::ZeroDuration()) {
+            throw error(result_code::store_unavailable, "the deadline passed");
+        }
+        return left;
+    }
+
+    Store& m_store;
+};
+
+} // namespace amaranthladder
--- /dev/null
+++ b/src/store/private/piece_hash.cpp
@@ -0,0 +1,17 @@
+#include "store/private/piece_hash.h"
+
+#include <fmt/format.h>
+#include <fmt/ranges.h>
+#include <openssl/sha.h>
+
+#include <array>
+
+namespace amaranthladder {
+
+std::string piece_hash(std::string_view bytes) {
+    std::array<unsigned char, SHA256_DIGEST_LENGTH> digest{};
+    SHA256(reinterpret_cast<const unsigned char*>(bytes.data()), bytes.size(), digest.data());
+    return fmt::format("{:02x}", fmt::join(digest, ""));
+}
+
+} // namespace amaranthladder
--- /dev/null
+++ b/src/store/publish_run.h
@@ -0,0 +1,145 @@
+#pragma once
+
+#include "common/backoff.h"
+#include "common/result_code.h"
+#include "store/config_head.h"
+#include "store/key_value_store.h"
+
+#include <absl/random/bit_gen_ref.h>
+#include <absl/time/time.h>
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace amaranthladder {
+
+/// What an operator publishes. The base is version - 1: the version that the operator has seen.
+struct publish_request {
+    std::uint64_t version = 0;
+    std::string hash; ///< SHA-256 of @ref bytes, 64 lower-case hexadecimal digits.
+    std::string bytes;
+    std::string publish_id; ///< Unique to this attempt.
+    absl::Time publish_time;
+    std::string operator_name;
+};
+
+/// How a publish ended.
+struct publish_result {
+    /// `ok`; `publish_raced`: another operator published this version, nothing was overwritten; `publish_unresolved`:
+    /// the answer was lost and the deadline passed; `store_unavailable`: surely not published; `store_conflict`: the
+    /// store's version is older than the base; `store_bad_answer`: the head cannot be read.
+    result_code code = result_code::store_unavailable;
+    std::uint64_t store_version = 0; ///< Version in force in the store, as last read; 0 if not read.
+    std::string store_publish_id;
+    std::string store_operator;
+};
+
+/// One call that a publish needs next, or a pause before it.
+struct store_step {
+    enum class action { get, compare_and_swap, pause };
+    action kind = action::get;
+    std::string key;
+    revision expected = 0;
+    std::string value;
+    absl::Duration delay; ///< Length of a pause.
+};
+
+/// The result of a step's call.
+struct store_reply {
+    store_outcome outcome = store_outcome::unavailable;
+    std::string value;         ///< Of a get.
+    revision key_revision = 0; ///< Of the value read or written.
+};
+
+/// Sizes that bound what a publish writes.
+struct publish_limits {
+    std::size_t piece_bytes = 900'000; ///< Below the store's limit of 1 MB a value.
+    /// Names in the index. When it is full, the oldest names are dropped and their pieces remain in the store; this
+    /// takes about that many publishes that crashed before they reached the head, without one that succeeds.
+    std::size_t index_names = 512;
+    std::size_t collected_pieces = 64; ///< Pieces collected after one publish.
+};
+
+/// The decisions of one publish, without I/O: next() names a step, on_reply() takes its result.
+///
+/// Order: read the head; name the pieces in the index; write the pieces; compare-and-swap the head; collect pieces that
+/// no head can name any more. After a lost answer the head is read back and searched for the publish id. If the head
+/// is still the base, the same compare-and-swap, with the same expected revision, is sent again: at most one of the
+/// two can take effect.
+class publish_run {
+public:
+    /// @param request what to publish.
+    /// @param end when the publish gives up.
+    /// @param limits sizes.
+    publish_run(publish_request request, absl::Time end, const publish_limits& limits = {});
+
+    /// @param now the present time.
+    /// @param random source of the jitter of pauses.
+    /// @return the next step, or nothing when the publish has ended.
+    std::optional<store_step> next(absl::Time now, absl::BitGenRef random);
+
+    /// Takes the result of the last step that was a call; a pause has none.
+    void on_reply(const store_reply& reply);
+
+    /// @return how the publish ended; valid after next() has returned nothing.
+    const publish_result& result() const {
+        return m_result;
+    }
+
+private:
+    enum class phase {
+        read_head,
+        read_index,
+        write_index,
+        write_piece,
+        check_piece,
+        write_head,
+        read_garbage,
+        clear_garbage,
+        trim_index,
+        finished,
+    };
+
+    std::optional<store_step> step_of_phase() const;
+    void on_head(const store_reply& reply);
+    void on_index_read(const store_reply& reply);
+    void on_index_written(const store_reply& reply);
+    void on_piece_written(const store_reply& reply);
+    void on_piece_checked(const store_reply& reply);
+    void on_head_written(const store_reply& reply);
+    void on_garbage_read(const store_reply& reply);
+    void on_garbage_cleared(const store_reply& reply);
+    void compare_with_head(const config_head& head);
+    void next_piece();
+    void start_collecting();
+    void next_garbage();
+    void finish(result_code code);
+    void give_up();
+    void retry(phase next_phase);
+    std::string index_text() const;
+    std::string head_text() const;
+
+    publish_request m_request;
+    absl::Time m_end;
+    publish_limits m_limits;
+    backoff m_backoff;
+    publish_result m_result;
+    phase m_phase = phase::read_head;
+    bool m_is_pause_due = false;
+    bool m_are_pieces_written = false;
+    bool m_may_be_published = false; ///< A compare-and-swap of the head has had an unknown outcome.
+    std::vector<std::string> m_piece_names;
+    std::size_t m_piece = 0;
+    std::optional<config_head> m_base;
+    revision m_head_revision = 0;
+    std::vector<std::string> m_index;
+    revision m_index_revision = 0;
+    std::vector<std::string> m_garbage;
+    std::size_t m_garbage_position = 0;
+    revision m_garbage_revision = 0;
+};
+
+} // namespace amaranthladder
--- /dev/null
+++ b/src/tests/publisher_test.cpp
@@ -0,0 +1,278 @@
+#include "store/publisher.h"
+
+#include "../../bench/store_stand_in.h"
+#include "fakes/stepped_store.h"
+#include "store/call_counter.h"
+#include "store/head_reader.h"
+#include "store/http_store.h"
+#include "store/private/piece_hash.h"
+
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include <functional>
+#include <random>
+#include <set>
+
+using namespace amaranthladder;
+
+namespace {
+
+/// Calls of a publish of version 3 over versions 1 and 2, in their order.
+enum call_number { get_head, get_index, put_index, put_piece, put_head, get_garbage, put_garbage, trim_index };
+
+/// Decides the fate of a call by its number; called before the call.
+using fault_plan = std::function<step_fault(int)>;
+
+/// Drives one publish to its end, with virtual time that only pauses advance.
+result_code drive(stepped_store& store, publish_request request, const fault_plan& plan) {
+    std::mt19937_64 random(1);
+    absl::Time now = absl::UnixEpoch();
+    const std::string publish_id = request.publish_id;
+    publish_run run(std::move(request), now + absl::Seconds(20));
+    int number = 0;
+    while (const auto step = run.next(now, random)) {
+        if (step->kind == store_step::action::pause) {
+            now += step->delay;
+        } else {
+            run.on_reply(store.call(*step, plan(number++)));
+        }
+    }
+    store.check_result(publish_id, run.result().code);
+    return run.result().code;
+}
+
+result_code drive(stepped_store& store, const std::string& operator_name, const fault_plan& plan) {
+    return drive(store, store.edit(operator_name, operator_name + std::to_string(store.version() + 1)), plan);
+}
+
+step_fault no_fault(int) {
+    return step_fault::none;
+}
+
+void publish_two_versions(stepped_store& store) {
+    BOOST_REQUIRE((drive(store, "x", no_fault) == result_code::ok));
+    BOOST_REQUIRE((drive(store, "y", no_fault) == result_code::ok));
+}
+
+/// One call fails once, or it and all later ones.
+struct fault_row {
+    const char* name;
+    call_number call;
+    step_fault fault;
+    bool is_lasting;
+    result_code code;
+    bool is_published;
+
+    friend std::ostream& operator<<(std::ostream& out, const fault_row& row) {
+        return out << row.name;
+    }
+};
+
+constexpr auto ok = result_code::ok;
+constexpr auto unavailable = result_code::store_unavailable;
+constexpr auto unresolved = result_code::publish_unresolved;
+
+const fault_row fault_rows[] = {
+    {"read of the head refused", get_head, step_fault::unavailable, false, ok, true},
+    {"read of the index refused", get_index, step_fault::unavailable, false, ok, true},
+    {"write of the index refused", put_index, step_fault::unavailable, false, ok, true},
+    {"write of the index lost before", put_index, step_fault::lost_before, false, ok, true},
+    {"write of the index lost after", put_index, step_fault::lost_after, false, ok, true},
+    {"write of the index delayed", put_index, step_fault::delayed, false, ok, true},
+    {"write of a piece refused", put_piece, step_fault::unavailable, false, ok, true},
+    {"write of a piece lost before", put_piece, step_fault::lost_before, false, ok, true},
+    {"write of a piece lost after", put_piece, step_fault::lost_after, false, ok, true},
+    {"write of a piece delayed", put_piece, step_fault::delayed, false, ok, true},
+    {"write of the head refused", put_head, step_fault::unavailable, false, ok, true},
+    {"write of the head lost before", put_head, step_fault::lost_before, false, ok, true},
+    {"write of the head lost after", put_head, step_fault::lost_after, false, ok, true},
+    {"write of the head delayed", put_head, step_fault::delayed, false, ok, true},
+    {"read of garbage refused", get_garbage, step_fault::unavailable, false, ok, true},
+    {"write of garbage refused", put_garbage, step_fault::unavailable, false, ok, true},
+    {"write of garbage lost before", put_garbage, step_fault::lost_before, false, ok, true},
+    {"write of garbage lost after", put_garbage, step_fault::lost_after, false, ok, true},
+    {"write of garbage delayed", put_garbage, step_fault::delayed, false, ok, true},
+    {"trim of the index refused", trim_index, step_fault::unavailable, false, ok, true},
+    {"trim of the index lost after", trim_index, step_fault::lost_after, false, ok, true},
+    {"trim of the index delayed", trim_index, step_fault::delayed, false, ok, true},
+    {"down from the read of the head", get_head, step_fault::unavailable, true, unavailable, false},
+    {"down from the read of the index", get_index, step_fault::unavailable, true, unavailable, false},
+    {"down from the write of the index", put_index, step_fault::unavailable, true, unavailable, false},
+    {"down from the write of a piece", put_piece, step_fault::unavailable, true, unavailable, false},
+    {"down from the write of the head", put_head, step_fault::unavailable, true, unavailable, false},
+    {"down from the read of garbage", get_garbage, step_fault::unavailable, true, ok, true},
+    {"down from the write of garbage", put_garbage, step_fault::unavailable, true, ok, true},
+    {"down from the trim of the index", trim_index, step_fault::unavailable, true, ok, true},
+    {"slow from the read of the head", get_head, step_fault::delayed, true, unavailable, false},
+    {"slow from the write of the index", put_index, step_fault::delayed, true, unavailable, false},
+    {"slow from the write of a piece", put_piece, step_fault::delayed, true, unavailable, false},
+    {"slow from the write of the head", put_head, step_fault::delayed, true, unresolved, true},
+    {"no answers from the write of a piece", put_piece, step_fault::lost_after, true, unavailable, false},
+    {"no answers from the write of the head", put_head, step_fault::lost_after, true, unresolved, true},
+    {"requests lost from the write of the head", put_head, step_fault::lost_before, true, unresolved, false},
+    {"no answers from the write of garbage", put_garbage, step_fault::lost_after, true, ok, true},
+};
+
+/// Another operator publishes just before a call, which may also fail.
+struct race_row {
+    const char* name;
+    call_number call;
+    step_fault fault;
+    result_code code;
+
+    friend std::ostream& operator<<(std::ostream& out, const race_row& row) {
+        return out << row.name;
+    }
+};
+
+constexpr auto raced = result_code::publish_raced;
+
+const race_row race_rows[] = {
+    {"before the read of the head", get_head, step_fault::none, raced},
+    {"before the read of the index", get_index, step_fault::none, raced},
+    {"before the write of the index", put_index, step_fault::none, raced},
+    {"before the write of a piece", put_piece, step_fault::none, raced},
+    {"before the write of the head", put_head, step_fault::none, raced},
+    {"before the read of garbage", get_garbage, step_fault::none, ok},
+    {"before the write of garbage", put_garbage, step_fault::none, ok},
+    {"before the trim of the index", trim_index, step_fault::none, ok},
+    {"before the read of the head, refused", get_head, step_fault::unavailable, raced},
+    {"before the write of the index, lost after", put_index, step_fault::lost_after, raced},
+    {"before the write of a piece, lost before", put_piece, step_fault::lost_before, raced},
+    {"before the write of a piece, lost after", put_piece, step_fault::lost_after, raced},
+    {"before the write of a piece, delayed", put_piece, step_fault::delayed, raced},
+    {"before the write of the head, refused", put_head, step_fault::unavailable, raced},
+    {"before the write of the head, lost before", put_head, step_fault::lost_before, raced},
+    {"before the write of the head, lost after", put_head, step_fault::lost_after, raced},
+    {"before the write of the head, delayed", put_head, step_fault::delayed, raced},
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(publisher_test)
+
+// Guards, at each call of a publish, against a publish that is reported otherwise than it ended.
+BOOST_DATA_TEST_CASE(fault_table, fault_rows, row) {
+    stepped_store store;
+    publish_two_versions(store);
+    const auto plan = [&row](int number) {
+        return number == row.call || (row.is_lasting && number > row.call) ? row.fault : step_fault::none;
+    };
+    BOOST_TEST(name(drive(store, "a", plan)) == name(row.code));
+    while (store.delayed_count() > 0) {
+        store.apply_delayed(0);
+    }
+    BOOST_TEST(store.was_published("a3") == row.is_published);
+    BOOST_TEST(store.violation() == "");
+    // The next operator is not hindered by what the failed publish left behind.
+    BOOST_TEST((drive(store, "b", no_fault) == ok));
+    BOOST_TEST(store.violation() == "");
+}
+
+// Guards, at each interleaving of two operators, against one overwriting the other.
+BOOST_DATA_TEST_CASE(race_table, race_rows, row) {
+    stepped_store store;
+    publish_two_versions(store);
+    const auto plan = [&store, &row](int number) {
+        if (number != row.call) {
+            return step_fault::none;
+        }
+        BOOST_TEST((drive(store, "b", no_fault) == ok));
+        return row.fault;
+    };
+    BOOST_TEST(name(drive(store, "a", plan)) == name(row.code));
+    while (store.delayed_count() > 0) {
+        store.apply_delayed(0);
+    }
+    BOOST_TEST(store.was_published("a3") == (row.code == ok));
+    BOOST_TEST(store.version() == (row.code == ok ? 4U : 3U));
+    BOOST_TEST(store.violation() == "");
+}
+
+// Guards against an accepted edit reported as raced because others published before its lost answer was resolved.
+BOOST_AUTO_TEST_CASE(lost_answer_is_resolved_after_others_published) {
+    for (int others : {1, 5, 31, 40}) {
+        stepped_store store;
+        publish_two_versions(store);
+        const auto plan = [&store, others](int number) {
+            if (number == put_head + 1) {
+                for (int other = 0; other < others; ++other) {
+                    BOOST_TEST((drive(store, "b", no_fault) == ok));
+                }
+            }
+            return number == put_head ? step_fault::lost_after : step_fault::none;
+        };
+        // Beyond the history of the head the outcome cannot be known, and says so.
+        BOOST_TEST(name(drive(store, "a", plan)) == name(others < 32 ? ok : unresolved));
+        BOOST_TEST(store.violation() == "");
+    }
+}
+
+// Guards against pieces that stay in the store for ever.
+BOOST_AUTO_TEST_CASE(old_pieces_are_collected) {
+    stepped_store store;
+    for (int number = 0; number < 200; ++number) {
+        const auto crash = [number](int call) {
+            return number % 3 == 0 && call >= put_head ? step_fault::unavailable : step_fault::none;
+        };
+        drive(store, number % 2 == 0 ? "a" : "b", crash);
+    }
+    BOOST_TEST(store.version() > 100U);
+    BOOST_TEST(store.stored_pieces() <= 4U);
+    BOOST_TEST(store.violation() == "");
+}
+
+// Guards against a base that the store has never had, as after a loss of the store's data.
+BOOST_AUTO_TEST_CASE(base_newer_than_the_store) {
+    stepped_store store;
+    publish_two_versions(store);
+    publish_request request = store.edit("a", "a-new");
+    request.version = 9;
+    BOOST_TEST((drive(store, request, no_fault) == result_code::store_conflict));
+    stepped_store empty;
+    BOOST_TEST((drive(empty, request, no_fault) == result_code::store_conflict));
+}
+
+// Guards against overwriting a head that this program cannot read.
+BOOST_AUTO_TEST_CASE(damaged_head_is_left_alone) {
+    for (const std::string text : {"", "{}", "[1]", R"({"version": -1})", "nonsense"}) {
+        stepped_store store;
+        store.state().compare_and_swap(config_head_key, 0, text, absl::Seconds(1));
+        BOOST_TEST((drive(store, "a", no_fault) == result_code::store_bad_answer));
+        BOOST_TEST(store.state().get(config_head_key, absl::Seconds(1)).value->value == text);
+    }
+}
+
+// Guards against pieces over the store's limit and against bytes that come back changed, over HTTP.
+BOOST_AUTO_TEST_CASE(large_content_round_trip) {
+    store_stand_in_state state;
+    const store_stand_in server(state, {"127.0.0.1", 0}, 4);
+    call_counter counter;
+    http_store store(server.address(), counter);
+    head_reader reader(store);
+    BOOST_TEST(!reader.read(absl::Seconds(10)).has_value());
+    std::mt19937_64 random(3);
+    publish_request request;
+    request.version = 1;
+    request.bytes.resize(2'500'000);
+    for (char& byte : request.bytes) {
+        byte = static_cast<char>(random());
+    }
+    request.hash = piece_hash(request.bytes);
+    request.publish_id = "p1";
+    state.set_faults({.lose_answers = 3});
+    BOOST_REQUIRE((publisher(store).publish(request, absl::Seconds(30), random).code == ok));
+    const auto content = reader.read(absl::Seconds(10));
+    BOOST_REQUIRE(content.has_value());
+    BOOST_TEST(content->head.pieces.size() == 3U);
+    BOOST_TEST((content->bytes == request.bytes));
+    // A head with another hash than its content must not be accepted.
+    config_head damaged = content->head;
+    damaged.hash[0] = damaged.hash[0] == '0' ? '1' : '0';
+    BOOST_CHECK_EXCEPTION(reader.read_pieces(damaged, absl::Now() + absl::Seconds(10)), error,
+                          [](const error& problem) { return problem.code() == result_code::snapshot_hash_mismatch; });
+}
+
+BOOST_AUTO_TEST_SUITE_END()
