--- /dev/null
+++ b/src/daemon/announced_upstreams.h
@@ -0,0 +1,61 @@
+#pragma once
+
+#include "common/state_chart.h"
+#include "daemon/upstream_announcement.h"
+#include "peers/upstream_record.h"
+
+#include <absl/time/time.h>
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace amaranthladder {
+
+/// The upstreams beside this daemon, as they announce themselves. Pure: time is an argument.
+///
+/// charts/upstream.ini gives the states. An upstream that is silent for the timeout is gone.
+class announced_upstreams {
+public:
+    /// An upstream beside this daemon.
+    struct entry {
+        upstream_announcement announced;
+        std::string state; ///< State of charts/upstream.ini.
+        absl::Time last_heard;
+    };
+
+    /// @param data_center written into the records.
+    /// @param timeout silence after which an upstream is gone.
+    announced_upstreams(std::string data_center, absl::Duration timeout);
+
+    /// Takes an announcement.
+    /// @return true if it changes the record that other daemons need.
+    /// @throws error with result_code::announcement_conflict if another upstream holds the same address.
+    bool announce(const upstream_announcement& announced, absl::Time now);
+
+    /// @return ids of upstreams that were silent for too long; they are forgotten.
+    std::vector<std::string> expire(absl::Time now);
+
+    /// From now on every record says that the upstream is leaving, whatever it announces: the daemon shuts down.
+    void set_all_leaving();
+
+    /// @return the record of an upstream, without owner, incarnation and sequence.
+    /// @throws std::out_of_range for an unknown id.
+    upstream_record record(const std::string& id) const;
+
+    const std::map<std::string, entry>& entries() const {
+        return m_entries;
+    }
+
+private:
+    void require_free_address(const upstream_announcement& announced) const;
+    void step(entry& changed, const std::string& event) const;
+
+    state_chart m_chart;
+    std::string m_data_center;
+    absl::Duration m_timeout;
+    bool m_are_all_leaving = false;
+    std::map<std::string, entry> m_entries;
+};
+
+} // namespace amaranthladder
--- /dev/null
+++ b/src/daemon/upstream_announcement.cpp
@@ -0,0 +1,130 @@
+#include "daemon/upstream_announcement.h"
+
+#include "common/error.h"
+#include "config/name_rules.h"
+
+#include <boost/json.hpp>
+#include <fmt/format.h>
+
+#include <cmath>
+
+namespace amaranthladder {
+
+namespace {
+
+constexpr int max_slots = 10'000;
+constexpr std::size_t max_routes = 1'000;
+constexpr std::size_t max_json_depth = 4;
+
+[[noreturn]] void fail(std::string_view key, std::string_view rule) {
+    throw error(result_code::announcement_malformed, fmt::format("{}: {}", key, rule));
+}
+
+std::string read_name(const boost::json::object& body, std::string_view key) {
+    const auto* value = body.if_contains({key.data(), key.size()});
+    if (value == nullptr || !value->is_string()) {
+        fail(key, name_rule);
+    }
+    std::string text(value->as_string());
+    if (!is_valid_name(text)) {
+        fail(key, name_rule);
+    }
+    return text;
+}
+
+endpoint read_address(const boost::json::object& body) {
+    const auto* value = body.if_contains("address");
+    if (value == nullptr || !value->is_string()) {
+        fail("address", "must be ADDRESS:PORT");
+    }
+    const auto& text = value->as_string();
+    endpoint address;
+    try {
+        address = parse_endpoint({text.data(), text.size()});
+    } catch (const error& problem) {
+        fail("address", problem.what());
+    }
+    if (address.port == 0) {
+        fail("address", "the port must not be 0");
+    }
+    return address;
+}
+
+int read_slots(const boost::json::object& body) {
+    const auto* value = body.if_contains("slots");
+    if (value == nullptr || !value->is_int64() || value->as_int64() < 1 || value->as_int64() > max_slots) {
+        fail("slots", fmt::format("must be an integer from 1 to {}", max_slots));
+    }
+    return static_cast<int>(value->as_int64());
+}
+
+std::vector<std::string> read_routes(const boost::json::object& body) {
+    std::vector<std::string> routes;
+    const auto* value = body.if_contains("routes");
+    if (value == nullptr) {
+        return routes;
+    }
+    if (!value->is_array() || value->as_array().size() > max_routes) {
+        fail("routes", fmt::format("must be a list of at most {} names", max_routes));
+    }
+    for (const auto& entry : value->as_array()) {
+        if (!entry.is_string() || !is_valid_name(std::string(entry.as_string()))) {
+            fail("routes", name_rule);
+        }
+        routes.emplace_back(entry.as_string());
+    }
+    return routes;
+}
+
+double read_load(const boost::json::object& body) {
+    const auto* value = body.if_contains("load");
+    if (value == nullptr) {
+        return 0;
+    }
+    boost::json::error_code failure;
+    const double load = value->to_number<double>(failure);
+    if (failure || !std::isfinite(load) || load < 0) {
+        fail("load", "must be a number of at least 0");
+    }
+    return load;
+}
+
+bool read_leaving(const boost::json::object& body) {
+    const auto* value = body.if_contains("leaving");
+    if (value == nullptr) {
+        return false;
+    }
+    if (!value->is_bool()) {
+        fail("leaving", "must be true or false");
+    }
+    return value->as_bool();
+}
+
+} // namespace
+
+upstream_announcement parse_announcement(std::string_view json) {
+    if (json.size() > max_announcement_bytes) {
+        throw error(result_code::message_too_large,
+                    fmt::format("an announcement has at most {} bytes", max_announcement_bytes));
+    }
+    boost::json::error_code failure;
+    boost::json::parse_options options;
+    options.max_depth = max_json_depth;
+    const auto parsed = boost::json::parse({json.data(), json.size()}, failure, {}, options);
+    if (failure || !parsed.is_object()) {
+        throw error(result_code::announcement_malformed, "the body is not a JSON object");
+    }
+    const auto& body = parsed.as_object();
+    upstream_announcement result;
+    result.id = read_name(body, "id");
+    result.service = read_name(body, "service");
+    result.version = read_name(body, "version");
+    result.address = read_address(body);
+    result.slots = read_slots(body);
+    result.routes = read_routes(body);
+    result.load = read_load(body);
+    result.is_leaving = read_leaving(body);
+    return result;
+}
+
+} // namespace amaranthladder
--- /dev/null
+++ b/src/daemon/upstream_announcement.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include "common/endpoint.h"
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace amaranthladder {
+
+/// What an upstream says of itself to the daemon beside it; docs/interfaces.md gives the shape.
+struct upstream_announcement {
+    std::string id;
+    std::string service;
+    std::string version;
+    endpoint address;
+    int slots = 1;                   ///< Requests the upstream runs at once, 1 to 10,000.
+    std::vector<std::string> routes; ///< Routes it can serve; empty: all of its service.
+    double load = 0;                 ///< A hint from 0 (idle) upwards; 1 is full.
+    bool is_leaving = false;
+
+    friend bool operator==(const upstream_announcement&, const upstream_announcement&) = default;
+};
+
+/// Largest body of an announcement.
+inline constexpr std::size_t max_announcement_bytes = 64 * 1024;
+
+/// @param json the body of `PUT /v1/upstream`.
+/// @return the announcement.
+/// @throws error with result_code::announcement_malformed naming the key that is missing or wrong.
+upstream_announcement parse_announcement(std::string_view json);
+
+} // namespace amaranthladder
