--- a/src/routing/ejector.cpp
+++ b/src/routing/ejector.cpp
@@ -42,7 +42,7 @@
     }
     count(subject, signal, now);
     forgive(subject, now);
-    if (signal == health_signal::failure && has_room() && should_eject(id, subject, now)) {
+    if (signal == health_signal::failure && has_room() && should_eject(id, subject)) {
         eject(subject, now);
         ++m_ejected;
     }
@@ -107,17 +107,19 @@
     return false;
 }
 
-bool ejector::should_eject(const std::string& id, const member& subject, absl::Time now) const {
+bool ejector::should_eject(const std::string& id, const member& subject) const {
     const double others = others_success(id);
-    if (others < m_policy.least_others_success) {
-        return false;
-    }
-    if (subject.failures_in_row >= m_policy.consecutive_failures) {
+    if (subject.failures_in_row >= m_policy.consecutive_failures && is_unlikely_run(subject.failures_in_row, others)) {
         return true;
     }
     const double requests = subject.successes + subject.failures;
-    return now >= subject.counted && requests >= m_policy.least_requests &&
-           subject.successes / requests < others - m_policy.success_margin;
+    const double chance = m_policy.chance_deviations * std::sqrt(others * (1 - others) / std::max(requests, 1.0));
+    return requests >= m_policy.least_requests &&
+           subject.successes / requests < others - std::max(m_policy.success_margin, chance);
+}
+
+bool ejector::is_unlikely_run(int failures, double success_rate) const {
+    return std::pow(1 - success_rate, failures) < m_policy.chance_of_run;
 }
 
 double ejector::others_success(const std::string& id) const {
--- a/src/routing/ejector.h
+++ b/src/routing/ejector.h
@@ -11,10 +11,11 @@
 
 /// Constants of ejector; docs/routing.md gives the reasons.
 struct ejector_policy {
-    int consecutive_failures = 5;                ///< Failures in a row that eject.
-    double least_requests = 20;                  ///< Recent requests below which the success rate says nothing.
-    double success_margin = 0.15;                ///< Distance to the others' success rate that ejects.
-    double least_others_success = 0.7;           ///< Below this success rate of the others, the fault is a common one.
+    int consecutive_failures = 5; ///< Failures in a row that eject.
+    double least_requests = 20;   ///< Recent requests below which the success rate says nothing.
+    double success_margin = 0.15; ///< Distance to the others' success rate that ejects.
+    double chance_deviations = 3; ///< The distance must also exceed so many standard deviations.
+    double chance_of_run = 1e-4;  ///< A run of failures that is likelier than this among the others does not eject.
     absl::Duration half_life = absl::Seconds(5); ///< Age at which a result counts half.
     double max_ejected_share = 0.5;              ///< Share of the group that may be ejected, rounded down.
     absl::Duration base_ejection = absl::Seconds(1);
@@ -84,8 +85,9 @@
 
     void count(member& subject, health_signal signal, absl::Time now) const;
     bool on_probe_result(member& subject, health_signal signal, absl::Time now);
-    bool should_eject(const std::string& id, const member& subject, absl::Time now) const;
+    bool should_eject(const std::string& id, const member& subject) const;
     double others_success(const std::string& id) const;
+    bool is_unlikely_run(int failures, double success_rate) const;
     bool has_room() const;
     void eject(member& subject, absl::Time now) const;
     void forgive(member& subject, absl::Time now) const;
--- a/src/routing/retry_policy.h
+++ b/src/routing/retry_policy.h
@@ -24,7 +24,7 @@
     bool route_is_idempotent = false; ///< The route was declared idempotent in the configuration.
     attempt_outcome outcome = attempt_outcome::sent_no_answer;
     bool body_is_replayable = true; ///< False: part of the request's body was consumed and not kept.
-    absl::Time deadline;
+    absl::Time deadline = absl::InfiniteFuture();
     int attempts = 1; ///< Attempts made so far, at least 1.
 };
 
--- a/src/routing/slot_limiter.cpp
+++ b/src/routing/slot_limiter.cpp
@@ -10,7 +10,7 @@
 slot_limiter::slot_limiter(int slots, int queue_limit, slot_limiter_policy policy)
     : m_policy(policy), m_slots(std::max(slots, 1)), m_queue_limit(std::max(queue_limit, 0)) {}
 
-admission slot_limiter::offer(request_id id, absl::Time deadline, absl::Time now) {
+admission slot_limiter::offer(request_id id, absl::Time deadline, absl::Time now, const std::string& kind) {
     if (is_known(id)) {
         throw error(result_code::internal_error, "a request was offered twice to a slot limiter");
     }
@@ -20,17 +20,18 @@
     if (deadline <= now) {
         return {admission::verdict::refused, result_code::deadline_expired};
     }
+    const waiting_request offered{id, deadline, kind_number(kind)};
     if (running() < m_slots && m_queue.empty()) {
-        m_running.push_back({id, now});
+        m_running.push_back({id, now, offered.kind});
         return {admission::verdict::run, result_code::ok};
     }
-    if (m_policy.drops_hopeless && now + expected_wait(deadline) + m_service_time > deadline) {
+    if (m_policy.drops_hopeless && now + expected_wait(deadline) >= latest_start(offered)) {
         return {admission::verdict::refused, result_code::queue_deadline};
     }
     if (queued() >= m_queue_limit) {
         return {admission::verdict::refused, result_code::queue_full};
     }
-    m_queue.push_back({id, deadline});
+    m_queue.push_back(offered);
     return {admission::verdict::queued, result_code::ok};
 }
 
@@ -39,7 +40,8 @@
     if (found == m_running.end()) {
         return {};
     }
-    learn_service_time(now - found->started);
+    learn(m_service_time, now - found->started);
+    learn(m_service_time_by_kind[found->kind], now - found->started);
     m_running.erase(found);
     return fill_slots(now);
 }
@@ -47,7 +49,7 @@
 std::vector<request_id> slot_limiter::expire(absl::Time now) {
     std::vector<request_id> dropped;
     std::erase_if(m_queue, [&](const waiting_request& waiting) {
-        if (!is_hopeless(waiting, now)) {
+        if (now < latest_start(waiting)) {
             return false;
         }
         dropped.push_back(waiting.id);
@@ -83,8 +85,11 @@
     if (m_queue.empty()) {
         return std::nullopt;
     }
-    const auto earliest = std::ranges::min_element(m_queue, {}, &waiting_request::deadline);
-    return m_policy.drops_hopeless ? earliest->deadline - m_service_time : earliest->deadline;
+    absl::Time earliest = absl::InfiniteFuture();
+    for (const waiting_request& waiting : m_queue) {
+        earliest = std::min(earliest, latest_start(waiting));
+    }
+    return earliest;
 }
 
 bool slot_limiter::is_drained() const {
@@ -95,8 +100,16 @@
     return static_cast<double>(running() + queued()) / m_slots;
 }
 
-bool slot_limiter::is_hopeless(const waiting_request& waiting, absl::Time now) const {
-    return m_policy.drops_hopeless ? now + m_service_time >= waiting.deadline : now >= waiting.deadline;
+absl::Time slot_limiter::latest_start(const waiting_request& waiting) const {
+    return m_policy.drops_hopeless ? waiting.deadline - m_service_time_by_kind[waiting.kind] : waiting.deadline;
+}
+
+std::size_t slot_limiter::kind_number(const std::string& kind) {
+    const auto [found, is_new] = m_kind_numbers.try_emplace(kind, m_service_time_by_kind.size());
+    if (is_new) {
+        m_service_time_by_kind.push_back(absl::ZeroDuration());
+    }
+    return found->second;
 }
 
 absl::Duration slot_limiter::expected_wait(absl::Time deadline) const {
@@ -116,10 +129,10 @@
         const auto position = m_queue.begin() + static_cast<std::ptrdiff_t>(next_position());
         const waiting_request next = *position;
         m_queue.erase(position);
-        if (is_hopeless(next, now)) {
+        if (now >= latest_start(next)) {
             change.dropped.push_back(next.id);
         } else {
-            m_running.push_back({next.id, now});
+            m_running.push_back({next.id, now, next.kind});
             change.run.push_back(next.id);
         }
     }
@@ -144,10 +157,8 @@
            std::ranges::find(m_queue, id, &waiting_request::id) != m_queue.end();
 }
 
-void slot_limiter::learn_service_time(absl::Duration sample) {
-    m_service_time = m_service_time == absl::ZeroDuration()
-                         ? sample
-                         : m_service_time + (sample - m_service_time) * m_policy.service_time_weight;
+void slot_limiter::learn(absl::Duration& average, absl::Duration sample) const {
+    average = average == absl::ZeroDuration() ? sample : average + (sample - average) * m_policy.service_time_weight;
 }
 
 } // namespace amaranthladder
--- a/src/routing/slot_limiter.h
+++ b/src/routing/slot_limiter.h
@@ -2,11 +2,13 @@
 
 #include "common/result_code.h"
 
+#include <absl/container/flat_hash_map.h>
 #include <absl/time/time.h>
 
 #include <cstddef>
 #include <cstdint>
 #include <optional>
+#include <string>
 #include <vector>
 
 namespace amaranthladder {
@@ -64,9 +66,10 @@
     /// @param id must not be queued or running here.
     /// @param deadline when the caller stops waiting.
     /// @param now the time.
+    /// @param kind requests of one kind, such as a route, take similar time at the upstream.
     /// @return run, queued or refused with a "not run" code.
     /// @throws error with result_code::internal_error if @p id is queued or running.
-    admission offer(request_id id, absl::Time deadline, absl::Time now);
+    admission offer(request_id id, absl::Time deadline, absl::Time now, const std::string& kind = {});
 
     /// Frees the slot of a request and fills free slots from the queue. An unknown @p id frees nothing.
     slot_change finish(request_id id, absl::Time now);
@@ -112,7 +115,7 @@
     /// @return running and queued requests over slots, the load that the owner reports on answers.
     double load() const;
 
-    /// @return the running average of service times; zero before the first one.
+    /// @return the running average of the service times of all requests; zero before the first one.
     absl::Duration service_time() const {
         return m_service_time;
     }
@@ -121,18 +124,21 @@
     struct waiting_request {
         request_id id;
         absl::Time deadline;
+        std::size_t kind;
     };
     struct running_request {
         request_id id;
         absl::Time started;
+        std::size_t kind;
     };
 
-    bool is_hopeless(const waiting_request& waiting, absl::Time now) const;
+    absl::Time latest_start(const waiting_request& waiting) const;
+    std::size_t kind_number(const std::string& kind);
     absl::Duration expected_wait(absl::Time deadline) const;
     slot_change fill_slots(absl::Time now);
     std::size_t next_position() const;
     bool is_known(request_id id) const;
-    void learn_service_time(absl::Duration sample);
+    void learn(absl::Duration& average, absl::Duration sample) const;
 
     slot_limiter_policy m_policy;
     int m_slots;
@@ -141,6 +147,8 @@
     std::vector<running_request> m_running; // Slots are few, so a scan is faster than a tree.
     std::vector<waiting_request> m_queue;   // In order of arrival.
     absl::Duration m_service_time;
+    absl::flat_hash_map<std::string, std::size_t> m_kind_numbers;
+    std::vector<absl::Duration> m_service_time_by_kind; ///< Zero before the first one of the kind.
 };
 
 } // namespace amaranthladder
