--- a/src/common/result_code.cpp
+++ b/src/common/result_code.cpp
@@ -87,6 +87,8 @@
     {result_code::move_held, "move-held", "The move is held: both versions show trouble.", 0, execution::not_applicable},
     {result_code::move_replaced, "move-replaced", "The move was replaced by a newer edit.", 0, execution::not_applicable},
     {result_code::move_unknown, "move-unknown", "No move has that name.", 404, execution::not_applicable},
+    {result_code::move_taken_back_absent, "move-taken-back-absent", "The move was taken back: at its deadline no upstream of the new version was announced.", 0, execution::not_applicable},
+    {result_code::move_taken_back_undecided, "move-taken-back-undecided", "The move was taken back: at its deadline signs of a fault were not cleared up.", 0, execution::not_applicable},
     {result_code::move_record_malformed, "move-record-malformed", "A move record does not decode.", 0, execution::not_applicable},
     {result_code::chart_syntax, "chart-syntax", "A state chart has a line that cannot be read.", 0, execution::not_applicable},
     {result_code::chart_unknown_state, "chart-unknown-state", "A state chart names a state that it does not declare.", 0, execution::not_applicable},
--- a/src/common/result_code.h
+++ b/src/common/result_code.h
@@ -102,6 +102,8 @@
     move_held = 1505,
     move_replaced = 1506,
     move_unknown = 1507,
+    move_taken_back_absent = 1508,
+    move_taken_back_undecided = 1509,
     move_record_malformed = 1510,
     chart_syntax = 1520,
     chart_unknown_state = 1521,
--- a/src/moves/move_engine.cpp
+++ b/src/moves/move_engine.cpp
@@ -1,124 +1,195 @@
 #include "moves/move_engine.h"
 
+#include "common/error.h"
 #include "common/state_chart.h"
+#include "moves/private/move_process.h"
 
 #include <algorithm>
-#include <set>
 #include <utility>
 
 namespace amaranthladder {
 
+namespace {
+
+/// A record of a move whose text this daemon's configuration does not have (yet, or any more).
+struct undeclared_record {
+    move_progress progress;
+    absl::Time merged_at;
+    bool is_changed = true;
+};
+
+} // namespace
+
 class move_engine::implementation {
 public:
-    implementation(std::string daemon_id, const move_policy& policy)
-        : m_daemon_id(std::move(daemon_id)), m_policy(policy) {}
+    implementation(std::string daemon_id, std::uint64_t incarnation, const move_policy& policy)
+        : m_daemon_id(std::move(daemon_id)), m_incarnation(incarnation), m_policy(policy),
+          m_chart(state_chart::embedded("move")) {
+        for (const char* state :
+             {"waiting", "trial", "growing", "suspended", "held", "watched", "finished", "rolled_back", "replaced"}) {
+            if (!m_chart.has_state(state)) {
+                throw error(result_code::chart_unknown_state, std::string("move: no state ") + state);
+            }
+        }
+    }
 
     void set_moves(const std::map<std::string, move>& moves, absl::Time now) {
-        m_moves = moves;
+        for (auto& [identity, process] : m_processes) {
+            const auto declared = moves.find(identity.name);
+            m_is_declared[identity] =
+                declared != moves.end() && declared->second.introduced_in == identity.introduced_in;
+            if (!m_is_declared[identity]) {
+                process.replace();
+            }
+        }
         for (const auto& [move_name, declared] : moves) {
             const move_identity identity{move_name, declared.introduced_in};
-            move_progress& progress = m_progress[identity];
-            progress.deadline = declared.deadline;
-            progress.started_at = std::min(progress.started_at, now);
+            if (m_processes.contains(identity)) {
+                continue;
+            }
+            move_process& process =
+                m_processes.try_emplace(identity, declared, m_chart, m_daemon_id, m_incarnation, m_policy, now)
+                    .first->second;
+            m_is_declared[identity] = true;
+            process.set_upstream(m_service, m_version);
+            const auto earlier = m_undeclared.find(identity);
+            if (earlier != m_undeclared.end()) {
+                process.merge(earlier->second.progress, now);
+                m_undeclared.erase(earlier);
+            }
         }
     }
 
-    bool merge_remote(const move_record& record) {
-        const auto* progress = std::get_if<move_progress>(&record.content);
-        if (progress == nullptr) {
-            return false;
+    void set_upstream(const std::string& service, const std::string& version) {
+        m_service = service;
+        m_version = version;
+        for (auto& [identity, process] : m_processes) {
+            process.set_upstream(service, version);
         }
-        move_record held{record.identity, m_progress[record.identity]};
-        const move_record joined = merge(held, record);
-        if (joined == held) {
-            return false;
+    }
+
+    void observe(const call_sample& sample) {
+        for (auto& [identity, process] : m_processes) {
+            process.observe(sample);
         }
-        m_progress[record.identity] = std::get<move_progress>(joined.content);
-        m_changed.insert(record.identity);
-        return true;
+    }
+
+    bool merge_remote(const move_record& record, absl::Time now) {
+        const auto found = m_processes.find(record.identity);
+        if (found != m_processes.end()) {
+            return std::visit([&](const auto& content) { return found->second.merge(content, now); }, record.content);
+        }
+        const auto* progress = std::get_if<move_progress>(&record.content);
+        // Evidence of an unknown move is dropped: its counters are cumulative, so the next row contains it.
+        return progress != nullptr && keep_undeclared(record.identity, *progress, now);
     }
 
     std::vector<move_record> tick(absl::Time now) {
-        for (const auto& [move_name, declared] : m_moves) {
-            const move_identity identity{move_name, declared.introduced_in};
-            move_progress& progress = m_progress[identity];
-            if (progress.rollback || progress.stage >= move_policy::completed_stage) {
-                continue;
-            }
-            const double passed =
-                absl::FDivDuration(now - progress.started_at, declared.deadline - progress.started_at);
-            const int stage = std::clamp(static_cast<int>(passed * 12), 0, move_policy::completed_stage);
-            if (stage > progress.stage) {
-                progress.stage = stage;
-                if (stage == move_policy::completed_stage) {
-                    progress.completed_at = now;
-                }
-                m_changed.insert(identity);
-            }
+        // After a pause of this process its evidence is old and other daemons may have decided: it listens first.
+        if (m_ticked_at != absl::InfinitePast() && now - m_ticked_at > m_policy.pause_detection) {
+            m_decides_from = now + m_policy.pause_grace;
         }
+        m_ticked_at = std::max(m_ticked_at, now);
         std::vector<move_record> changed;
-        for (const move_identity& identity : m_changed) {
-            changed.push_back({identity, m_progress[identity]});
+        for (auto& [identity, process] : m_processes) {
+            process.tick(now >= m_decides_from, now);
+            for (move_record& record : process.take_due(now)) {
+                changed.push_back(std::move(record));
+            }
         }
-        m_changed.clear();
+        for (auto& [identity, held] : m_undeclared) {
+            if (std::exchange(held.is_changed, false)) {
+                changed.push_back({identity, held.progress});
+            }
+        }
+        prune(now);
         return changed;
     }
 
     std::map<std::string, std::map<std::string, double>> share_override() const {
         std::map<std::string, std::map<std::string, double>> shares;
-        for (const auto& [move_name, declared] : m_moves) {
-            const move_progress& progress = m_progress.at({move_name, declared.introduced_in});
-            const double share =
-                progress.rollback ? 0.0 : move_policy::stage_shares.at(static_cast<std::size_t>(progress.stage));
-            shares[declared.service] = {{declared.from_version, 1.0 - share}, {declared.to_version, share}};
+        for (const auto& [identity, process] : m_processes) {
+            if (m_is_declared.at(identity)) {
+                const move& declared = process.declared();
+                shares[declared.service] = {{declared.from_version, 1 - process.share()},
+                                            {declared.to_version, process.share()}};
+            }
         }
         return shares;
     }
 
     bool refuses(std::string_view service, std::string_view version) const {
-        return std::ranges::any_of(m_moves, [&](const auto& entry) {
-            const move& declared = entry.second;
-            return declared.service == service && declared.to_version == version &&
-                   m_progress.at({declared.name, declared.introduced_in}).rollback;
+        return std::ranges::any_of(m_processes, [&](const auto& entry) {
+            const move& declared = entry.second.declared();
+            return m_is_declared.at(entry.first) && declared.service == service && declared.to_version == version &&
+                   entry.second.refuses_new_version();
         });
     }
 
     std::vector<move_record> records() const {
         std::vector<move_record> result;
-        for (const auto& [identity, progress] : m_progress) {
-            result.push_back({identity, progress});
+        for (const auto& [identity, process] : m_processes) {
+            for (move_record& record : process.records()) {
+                result.push_back(std::move(record));
+            }
+        }
+        for (const auto& [identity, held] : m_undeclared) {
+            result.push_back({identity, held.progress});
         }
         return result;
     }
 
-    std::vector<move_status> statuses() const {
+    std::vector<move_status> statuses(absl::Time now) const {
         std::vector<move_status> result;
-        for (const auto& [move_name, declared] : m_moves) {
-            const move_progress& progress = m_progress.at({move_name, declared.introduced_in});
-            move_status status;
-            status.identity = {move_name, declared.introduced_in};
-            status.service = declared.service;
-            status.from_version = declared.from_version;
-            status.to_version = declared.to_version;
-            status.stage = progress.stage;
-            status.started_at = progress.started_at;
-            status.deadline = declared.deadline;
-            status.verdict = progress.verdict();
-            result.push_back(std::move(status));
+        result.reserve(m_processes.size());
+        for (const auto& [identity, process] : m_processes) {
+            result.push_back(process.status(now));
         }
         return result;
     }
 
 private:
+    bool keep_undeclared(const move_identity& identity, const move_progress& progress, absl::Time now) {
+        const auto held = m_undeclared.find(identity);
+        if (held == m_undeclared.end()) {
+            if (m_undeclared.size() + m_processes.size() >= m_policy.max_records) {
+                return false;
+            }
+            m_undeclared.emplace(identity, undeclared_record{progress, now});
+            return true;
+        }
+        const move_record before{identity, held->second.progress};
+        const move_record joined = merge(before, {identity, progress});
+        if (joined == before) {
+            return false;
+        }
+        held->second = {std::get<move_progress>(joined.content), now};
+        return true;
+    }
+
+    void prune(absl::Time now) {
+        std::erase_if(m_undeclared,
+                      [&](const auto& entry) { return now - entry.second.merged_at > m_policy.keep_ended; });
+        std::erase_if(m_processes, [&](const auto& entry) {
+            return !m_is_declared.at(entry.first) && now - entry.second.final_since() > m_policy.keep_ended;
+        });
+    }
+
     std::string m_daemon_id;
+    std::uint64_t m_incarnation;
     move_policy m_policy;
-    std::map<std::string, move> m_moves;
-    std::map<move_identity, move_progress> m_progress;
-    std::set<move_identity> m_changed;
+    state_chart m_chart;
+    std::string m_service;
+    std::string m_version;
+    std::map<move_identity, move_process> m_processes;
+    std::map<move_identity, bool> m_is_declared;
+    std::map<move_identity, undeclared_record> m_undeclared;
+    absl::Time m_ticked_at = absl::InfinitePast();
+    absl::Time m_decides_from = absl::InfinitePast();
 };
 
-move_engine::move_engine(std::string daemon_id, std::uint64_t /*incarnation*/, const move_policy& policy)
-    : m_implementation(std::make_unique<implementation>(std::move(daemon_id), policy)) {}
+move_engine::move_engine(std::string daemon_id, std::uint64_t incarnation, const move_policy& policy)
+    : m_implementation(std::make_unique<implementation>(std::move(daemon_id), incarnation, policy)) {}
 
 move_engine::~move_engine() = default;
 
@@ -126,12 +197,16 @@
     m_implementation->set_moves(moves, now);
 }
 
-void move_engine::set_upstream(const std::string& /*service*/, const std::string& /*version*/, absl::Time /*now*/) {}
+void move_engine::set_upstream(const std::string& service, const std::string& version, absl::Time /*now*/) {
+    m_implementation->set_upstream(service, version);
+}
 
-void move_engine::observe(const call_sample& /*sample*/) {}
+void move_engine::observe(const call_sample& sample) {
+    m_implementation->observe(sample);
+}
 
-bool move_engine::merge_remote(const move_record& record, absl::Time /*now*/) {
-    return m_implementation->merge_remote(record);
+bool move_engine::merge_remote(const move_record& record, absl::Time now) {
+    return m_implementation->merge_remote(record, now);
 }
 
 std::vector<move_record> move_engine::tick(absl::Time now) {
@@ -150,17 +225,18 @@
     return m_implementation->records();
 }
 
-std::vector<move_status> move_engine::statuses(absl::Time /*now*/) const {
-    return m_implementation->statuses();
+std::vector<move_status> move_engine::statuses(absl::Time now) const {
+    return m_implementation->statuses(now);
 }
 
 std::optional<move_status> move_engine::status(std::string_view move_name, absl::Time now) const {
+    std::optional<move_status> result;
     for (move_status& candidate : statuses(now)) {
         if (candidate.identity.name == move_name) {
-            return std::move(candidate);
+            result = std::move(candidate); // Identities are ordered, so the newest text of the move comes last.
         }
     }
-    return std::nullopt;
+    return result;
 }
 
 } // namespace amaranthladder
--- /dev/null
+++ b/src/moves/private/evidence_table.h
@@ -0,0 +1,90 @@
+#pragma once
+
+#include "moves/move_policy.h"
+#include "moves/move_record.h"
+#include "moves/private/evidence_delta.h"
+
+#include <absl/time/time.h>
+
+#include <map>
+#include <string>
+#include <tuple>
+#include <vector>
+
+namespace amaranthladder {
+
+/// The evidence rows of one move: this daemon's own counts and the latest rows of other daemons.
+///
+/// Contributors' clocks may be wrong by seconds. A row carries the contributor's time; the least difference between
+/// arrival and that time is taken as the clock's offset, so that only differences of the contributor's clock are used.
+class evidence_table {
+public:
+    evidence_table(std::string daemon_id, std::uint64_t incarnation, const move_policy& policy);
+
+    /// Says whether this daemon has an upstream of a side.
+    void set_present(move_side side, bool is_present);
+
+    /// Counts a call of the upstream beside this daemon.
+    void count(move_side side, const std::string& route, call_outcome outcome, absl::Duration latency);
+
+    /// @return the calls counted by this daemon since the last call of this function.
+    std::vector<evidence_delta> take_own(absl::Time now);
+
+    /// Takes another daemon's row.
+    /// @param row the row.
+    /// @param now time of arrival.
+    /// @param delta set to the calls that the row adds.
+    /// @return true if the row was newer than the one held.
+    bool merge(const move_evidence& row, absl::Time now, evidence_delta& delta);
+
+    /// @param is_urgent true if there are signs of a fault: rows are due sooner and marked.
+    /// @param now present time.
+    /// @return own rows that are due for sending.
+    std::vector<move_evidence> take_due(bool is_urgent, absl::Time now);
+
+    /// @return all rows held.
+    std::vector<move_evidence> rows() const;
+
+    /// @return true if a daemon with an upstream of @p side sent a row recently, or this daemon has one.
+    bool has_fresh(move_side side, absl::Time now) const;
+
+    /// @return true if a daemon ever had an upstream of @p side.
+    bool has_seen(move_side side) const;
+
+    /// @return true if each daemon that had an upstream of @p side said that it has it no longer.
+    bool is_gone(move_side side) const;
+
+    /// @return number of other daemons with recent rows.
+    std::size_t contributors(absl::Time now) const;
+
+private:
+    struct contributor {
+        absl::Duration offset = absl::InfiniteDuration(); ///< Least arrival time minus the contributor's time.
+        absl::Time heard_at = absl::InfinitePast();
+        std::map<std::pair<move_side, std::string>, move_evidence> rows;
+
+        bool is_present(move_side side) const;
+        absl::Time last_counted(std::uint64_t incarnation) const;
+    };
+
+    struct own_row {
+        move_evidence total;
+        evidence_delta pending;
+        bool is_changed = true;
+        absl::Time sent_at = absl::InfinitePast();
+    };
+
+    own_row& own(move_side side, const std::string& route);
+    void prune(absl::Time now);
+
+    std::string m_daemon_id;
+    std::uint64_t m_incarnation;
+    move_policy m_policy;
+    std::map<std::pair<move_side, std::string>, own_row> m_own;
+    std::map<move_side, bool> m_is_present;
+    std::map<std::string, contributor> m_contributors;
+    absl::Time m_taken_at = absl::InfinitePast();
+    std::uint64_t m_sequence = 0;
+};
+
+} // namespace amaranthladder
--- /dev/null
+++ b/src/moves/private/failure_test.cpp
@@ -0,0 +1,60 @@
+#include "moves/private/failure_test.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace amaranthladder {
+
+namespace {
+
+// A refuted suspicion makes the next one this much harder, so that a noisy service does not stop its move for good.
+constexpr double log_step_after_refutation = 2;
+
+} // namespace
+
+void failure_test::add(double good, double bad, double base_rate, absl::Time until) {
+    if (good + bad <= 0) {
+        return;
+    }
+    m_calls += good + bad;
+    const double base = std::clamp(base_rate, 1e-4, 0.94);
+    const std::array<double, 3> rates{std::min(0.95, std::max(0.10, 3 * base)),
+                                      std::max(0.40, std::min(0.95, 2 * base)), 0.95};
+    for (std::size_t index = 0; index < rates.size(); ++index) {
+        alternative& candidate = m_alternatives[index];
+        const double gain = bad * std::log(rates[index] / base) + good * std::log((1 - rates[index]) / (1 - base));
+        const double before = candidate.log_ratio;
+        candidate.log_ratio = std::max(0.0, before + gain);
+        if (candidate.log_ratio <= 0) {
+            candidate = {};
+            continue;
+        }
+        if (before <= 0) {
+            candidate.start = until;
+        }
+        candidate.calls += good + bad;
+        candidate.bad += bad;
+    }
+}
+
+void failure_test::reset() {
+    m_alternatives = {};
+}
+
+double failure_test::evidence(double log_false_alarm) const {
+    // One chance per alternative, and one per call at which a run may have begun.
+    const double threshold =
+        log_false_alarm + std::log(3.0) + std::log1p(m_calls) + log_step_after_refutation * m_refuted;
+    return strongest().log_ratio / threshold;
+}
+
+double failure_test::run_rate() const {
+    const alternative& run = strongest();
+    return run.calls > 0 ? run.bad / run.calls : 0;
+}
+
+const failure_test::alternative& failure_test::strongest() const {
+    return *std::ranges::max_element(m_alternatives, {}, &alternative::log_ratio);
+}
+
+} // namespace amaranthladder
