--- /dev/null
+++ b/src/daemon/configuration_keeper.h
@@ -0,0 +1,70 @@
+#pragma once
+
+#include "common/result_code.h"
+#include "config/snapshot.h"
+#include "peers/distributor.h"
+#include "peers/messages.h"
+
+#include <absl/base/thread_annotations.h>
+#include <absl/synchronization/mutex.h>
+#include <absl/time/time.h>
+
+#include <deque>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace amaranthladder {
+
+class error;
+
+/// A version that this daemon did not apply.
+struct refused_version {
+    std::uint64_t version = 0;
+    result_code code = result_code::ok;
+    std::string detail;
+};
+
+/// Holds the configuration in force, applies newer versions and serves updates to peers. Thread-safe.
+///
+/// Versions are applied one after the other and never in descending order; the listener sees them in that order.
+class configuration_keeper {
+public:
+    using listener = std::function<void(const std::shared_ptr<const snapshot>& applied)>;
+
+    /// @param on_applied told of each applied version, from the thread that offered it.
+    explicit configuration_keeper(listener on_applied);
+
+    /// Applies an update of a peer: a delta or a whole snapshot.
+    pull_outcome offer_update(const std::string& bytes);
+
+    /// Applies canonical bytes, as the store holds them.
+    pull_outcome offer_whole(std::string_view bytes, std::string_view hash);
+
+    /// @param held what the peer holds.
+    /// @return the update from there, or empty bytes if nothing newer is in force.
+    std::string update_since(const configuration_digest& held) const;
+
+    /// @return the snapshot in force, or null before the first one.
+    std::shared_ptr<const snapshot> current() const;
+
+    /// @return the last version that was refused, if no newer one has been applied since.
+    std::optional<refused_version> last_refusal() const;
+
+private:
+    pull_outcome apply(const std::shared_ptr<const snapshot>& candidate);
+    pull_outcome refuse(std::uint64_t version, const error& problem);
+
+    /// Snapshots kept as bases of deltas; a peer that is further behind gets the whole.
+    static constexpr std::size_t kept_snapshots = 16;
+
+    listener m_on_applied;
+    absl::Mutex m_apply_mutex; ///< Held while a version is applied, so that the listener sees versions in order.
+    mutable absl::Mutex m_mutex;
+    std::deque<std::shared_ptr<const snapshot>> m_snapshots ABSL_GUARDED_BY(m_mutex); ///< The newest is the last.
+    std::optional<refused_version> m_refusal ABSL_GUARDED_BY(m_mutex);
+};
+
+} // namespace amaranthladder
--- /dev/null
+++ b/src/daemon/main/main.cpp
@@ -0,0 +1,109 @@
+#include "common/error.h"
+#include "daemon/mesh_daemon.h"
+#include "settings/daemon_settings.h"
+
+#include <boost/program_options.hpp>
+
+#include <atomic>
+#include <csignal>
+#include <iostream>
+#include <string>
+#include <thread>
+
+using namespace amaranthladder;
+namespace po = boost::program_options;
+
+namespace {
+
+// Exit codes; docs/operators.md lists them.
+constexpr int exit_ok = 0;
+constexpr int exit_bad_settings = 1;
+constexpr int exit_usage = 2;
+constexpr int exit_failed = 3;
+
+/// Drains at the first SIGTERM or SIGINT and stops at the second, until @p is_ended is set.
+void handle_signals(mesh_daemon& served, const sigset_t& signals, const std::atomic<bool>& is_ended) {
+    constexpr timespec poll_interval{0, 50'000'000};
+    bool is_draining = false;
+    while (!is_ended) {
+        if (sigtimedwait(&signals, nullptr, &poll_interval) < 0) {
+            continue;
+        }
+        if (is_draining) {
+            served.stop();
+        } else {
+            served.drain();
+            is_draining = true;
+        }
+    }
+}
+
+int serve(const daemon_settings& settings) {
+    sigset_t signals;
+    sigemptyset(&signals);
+    sigaddset(&signals, SIGTERM);
+    sigaddset(&signals, SIGINT);
+    // Blocked before any thread starts, so that only handle_signals takes them.
+    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+    std::signal(SIGPIPE, SIG_IGN);
+    mesh_daemon served(settings);
+    const daemon_addresses addresses = served.addresses();
+    std::cout << "requests=" << to_string(addresses.requests) << " control=" << to_string(addresses.control)
+              << " peers=" << to_string(addresses.peers) << std::endl;
+    std::atomic<bool> is_ended = false;
+    std::thread signal_thread([&] { handle_signals(served, signals, is_ended); });
+    served.run();
+    is_ended = true;
+    signal_thread.join();
+    return exit_ok;
+}
+
+int run(int argc, char** argv) {
+    po::options_description options("amaranthladderd: the daemon beside each upstream");
+    options.add_options()("help", "show this text and end")("version", "show the version and end")(
+        "settings", po::value<std::string>(), "settings file (INI)")("check", "check the settings file and end")(
+        "print-settings", "show all settings with values, units and ranges and end");
+    po::variables_map given;
+    po::store(po::parse_command_line(argc, argv, options), given);
+    po::notify(given);
+    const std::string path = given.contains("settings") ? given["settings"].as<std::string>() : "";
+    if (given.contains("help")) {
+        std::cout << options;
+        return exit_ok;
+    }
+    if (given.contains("version")) {
+        std::cout << "amaranthladderd " << AMARANTHLADDER_VERSION << '\n';
+        return exit_ok;
+    }
+    if (given.contains("print-settings")) {
+        std::cout << print_daemon_settings(path);
+        return exit_ok;
+    }
+    if (path.empty()) {
+        std::cerr << "--settings FILE is required\n" << options;
+        return exit_usage;
+    }
+    const daemon_settings settings = read_daemon_settings(path);
+    if (given.contains("check")) {
+        std::cout << path << ": ok\n";
+        return exit_ok;
+    }
+    return serve(settings);
+}
+
+} // namespace
+
+int main(int argc, char** argv) {
+    try {
+        return run(argc, argv);
+    } catch (const po::error& problem) {
+        std::cerr << problem.what() << '\n';
+        return exit_usage;
+    } catch (const error& problem) {
+        std::cerr << problem.what() << '\n';
+        return problem.code() == result_code::listen_failed ? exit_failed : exit_bad_settings;
+    } catch (const std::exception& problem) {
+        std::cerr << problem.what() << '\n';
+        return exit_failed;
+    }
+}
--- /dev/null
+++ b/src/daemon/mesh_daemon.cpp
@@ -0,0 +1,384 @@
+#include "daemon/mesh_daemon.h"
+
+#include "common/error.h"
+#include "common/event_log.h"
+#include "common/steady_clock.h"
+#include "daemon/announced_upstreams.h"
+#include "daemon/configuration_keeper.h"
+#include "daemon/control_server.h"
+#include "daemon/move_service.h"
+#include "daemon/status_text.h"
+#include "daemon/store_follower.h"
+#include "http/request_proxy.h"
+#include "peers/peer_server.h"
+
+#include <absl/synchronization/mutex.h>
+
+#include <fmt/format.h>
+
+#include <atomic>
+#include <functional>
+#include <iterator>
+#include <optional>
+#include <thread>
+#include <utility>
+
+namespace amaranthladder {
+
+namespace {
+
+/// Period of the control loop: expiry of announcements, moves, and lists for the router.
+constexpr absl::Duration control_interval = absl::Milliseconds(50);
+/// Time from the announcement that this daemon's upstreams leave until the data path stops accepting. Gossip reaches
+/// all daemons in about this time; until then they still send requests here.
+constexpr absl::Duration leave_notice = absl::Seconds(3);
+
+proxy_options make_proxy_options(const daemon_settings& settings) {
+    proxy_options options;
+    options.mesh = settings.daemon.mesh;
+    options.worker = settings.daemon.worker;
+    options.listen_address = settings.listen.requests;
+    options.max_connections = static_cast<std::size_t>(settings.requests.max_connections);
+    options.max_header_bytes = settings.requests.max_header_bytes;
+    options.body_buffer_bytes = settings.requests.body_buffer_bytes;
+    options.connect_timeout = settings.requests.connect_timeout;
+    options.first_byte_timeout = settings.requests.first_byte_timeout;
+    options.idle_connection = settings.requests.idle_connection;
+    options.default_timeout = settings.requests.default_timeout;
+    options.drain_timeout = settings.requests.drain_timeout;
+    return options;
+}
+
+router_settings make_router_settings(const daemon_settings& settings) {
+    router_settings result;
+    result.data_center = settings.daemon.data_center;
+    return result;
+}
+
+retry_budget_policy make_budget(const daemon_settings& settings) {
+    retry_budget_policy policy;
+    policy.service_share = settings.requests.retry_budget_percent / 100.0;
+    return policy;
+}
+
+peer_settings make_peer_settings(const daemon_settings& settings, const endpoint& http_address) {
+    peer_settings result;
+    result.mesh = settings.daemon.mesh;
+    result.address = settings.listen.peers;
+    result.http_address = http_address;
+    result.data_center = settings.daemon.data_center;
+    result.seeds = settings.peers.seeds;
+    result.probe_interval = settings.peers.probe_interval;
+    result.probe_timeout = settings.peers.probe_timeout;
+    return result;
+}
+
+std::string merge_move_records(const std::string& /*key*/, const std::string& held, const std::string& heard) {
+    try {
+        const move_record heard_record = move_record::decode(heard);
+        return held.empty() ? heard : merge(move_record::decode(held), heard_record).encode();
+    } catch (const error&) {
+        return held;
+    }
+}
+
+} // namespace
+
+class mesh_daemon::implementation {
+public:
+    explicit implementation(const daemon_settings& settings)
+        : m_settings(settings), m_log(make_log_options(settings)), m_started_at(m_clock.now()),
+          m_announced(settings.daemon.data_center, settings.requests.announcement_timeout),
+          m_moves(settings.daemon.worker, m_clock),
+          m_keeper([this](const std::shared_ptr<const snapshot>& applied) { on_applied(applied); }),
+          m_proxy(make_proxy_options(settings), make_router_settings(settings), make_budget(settings), m_clock, m_log,
+                  [this](const owned_call& call) { m_moves.observe(call); }),
+          m_peers(make_peer_settings(settings, m_proxy.address()), {merge_move_records, nullptr}, make_callbacks()) {
+        m_peers.start();
+        m_store = std::make_unique<store_follower>(settings.store, m_keeper, m_clock, m_log);
+        m_control = std::make_unique<control_server>(settings.listen.control, make_handlers());
+        m_control_loop = std::thread([this] { run_control_loop(); });
+        m_log.info(fmt::format("daemon-started mesh={} worker={} data_center={} requests={} control={} peers={}",
+                               settings.daemon.mesh, settings.daemon.worker, settings.daemon.data_center,
+                               to_string(m_proxy.address()), to_string(m_control->address()),
+                               to_string(m_peers.address())));
+    }
+
+    ~implementation() {
+        m_is_stopped = true;
+        m_control.reset();
+        m_control_loop.join();
+        m_store.reset();
+        m_peers.stop();
+    }
+
+    implementation(const implementation&) = delete;
+    implementation& operator=(const implementation&) = delete;
+
+    daemon_addresses addresses() const {
+        return {m_proxy.address(), m_control->address(), m_peers.address()};
+    }
+
+    void run() {
+        m_proxy.run();
+    }
+
+    void stop() {
+        m_proxy.stop();
+    }
+
+    void drain() {
+        if (m_is_draining.exchange(true)) {
+            return;
+        }
+        m_log.info("drain-started");
+        const absl::MutexLock lock(&m_mutex);
+        m_announced.set_all_leaving();
+        for (const auto& [id, known] : m_announced.entries()) {
+            spread(id);
+        }
+        m_drain_at = m_clock.now() + (m_announced.entries().empty() ? absl::ZeroDuration() : leave_notice);
+    }
+
+private:
+    static event_log_options make_log_options(const daemon_settings& settings) {
+        return {parse_log_level(settings.log.level), settings.log.file, settings.log.queue_lines};
+    }
+
+    peer_callbacks make_callbacks() {
+        peer_callbacks callbacks;
+        callbacks.snapshot_bytes = [this](const configuration_digest& held) { return m_keeper.update_since(held); };
+        callbacks.apply_snapshot = [this](const std::string& bytes) { return m_keeper.offer_update(bytes); };
+        callbacks.on_change = [this](const node_output& changes) { on_peer_change(changes); };
+        return callbacks;
+    }
+
+    control_handlers make_handlers() {
+        control_handlers handlers;
+        handlers.announce = [this](const upstream_announcement& announced) { announce(announced); };
+        handlers.status = [this] { return status_json(status()); };
+        handlers.metrics = [this] { return metrics_text(status()); };
+        handlers.explain_request = [this](const std::string& request) { return explain_request(request); };
+        handlers.explain_route = [this](const std::string& route_name) { return explain_route(route_name); };
+        handlers.explain_move = [this](const std::string& move_name) { return explain_move(move_name); };
+        return handlers;
+    }
+
+    void on_applied(const std::shared_ptr<const snapshot>& applied) {
+        // Shares the snapshot's lifetime.
+        m_proxy.set_configuration({applied, &applied->state()});
+        m_moves.set_moves(applied->state().moves);
+        m_peers.set_configuration({applied->version(), applied->hash()});
+        const absl::Time now = m_clock.now();
+        m_log.info(fmt::format("configuration-applied version={} hash={} publish_id={} after_ms={}", applied->version(),
+                               applied->hash().substr(0, 16), applied->publish_id(),
+                               absl::ToInt64Milliseconds(now - applied->publish_time())));
+        const absl::MutexLock lock(&m_mutex);
+        m_applied_at = now;
+        m_are_upstreams_changed = true;
+    }
+
+    void on_peer_change(const node_output& changes) {
+        for (const auto& one : changes.opaque) {
+            take_move_record(one);
+        }
+        for (const auto& one : changes.members) {
+            m_log.info(fmt::format("member address={} data_center={} state={}", to_string(one.address), one.data_center,
+                                   name(one.state)));
+        }
+        for (const auto& one : changes.upstreams) {
+            m_log.info(fmt::format("upstream id={} service={} version={} owner={} leaving={} withdrawn={}", one.id,
+                                   one.service, one.version, to_string(one.owner), one.is_leaving, one.is_withdrawn));
+        }
+        if (!changes.upstreams.empty() || !changes.members.empty()) {
+            const absl::MutexLock lock(&m_mutex);
+            m_are_upstreams_changed = true;
+        }
+    }
+
+    void take_move_record(const opaque_record& record) {
+        try {
+            m_moves.merge_remote(move_record::decode(record.bytes));
+        } catch (const error& problem) {
+            m_log.warning(fmt::format("move-record-refused key={} reason=\"{}\"", record.key, problem.what()));
+        }
+    }
+
+    void announce(const upstream_announcement& announced) {
+        const absl::MutexLock lock(&m_mutex);
+        if (m_announced.announce(announced, m_clock.now())) {
+            spread(announced.id);
+            m_moves.set_upstream(announced.service, announced.version);
+        }
+    }
+
+    /// Tells the data path and the other daemons of an upstream beside this daemon.
+    void spread(const std::string& id) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex) {
+        const upstream_record spread_record = m_peers.announce_upstream(m_announced.record(id));
+        m_proxy.set_local_upstream(spread_record, queue_limit(spread_record.service));
+        m_log.info(fmt::format("placement upstream={} service={} version={} address={} slots={} leaving={}", id,
+                               spread_record.service, spread_record.version, to_string(spread_record.address),
+                               spread_record.slots, spread_record.is_leaving));
+        m_are_upstreams_changed = true;
+    }
+
+    int queue_limit(const std::string& service_name) const {
+        const auto configuration = m_keeper.current();
+        if (configuration) {
+            const auto found = configuration->state().services.find(service_name);
+            if (found != configuration->state().services.end()) {
+                return found->second.queue_limit;
+            }
+        }
+        return m_settings.requests.queue_limit;
+    }
+
+    void run_control_loop() {
+        while (!m_is_stopped) {
+            tick();
+            std::this_thread::sleep_for(absl::ToChronoMilliseconds(control_interval));
+        }
+    }
+
+    void tick() {
+        expire_announcements();
+        for (const auto& changed : m_moves.tick()) {
+            m_peers.put_opaque({changed.key(), changed.encode()});
+        }
+        auto overrides = m_moves.share_override();
+        if (overrides != m_overrides) {
+            m_overrides = overrides;
+            m_proxy.set_share_overrides(std::move(overrides));
+        }
+        bool are_upstreams_changed = false;
+        bool is_drain_due = false;
+        {
+            const absl::MutexLock lock(&m_mutex);
+            std::swap(are_upstreams_changed, m_are_upstreams_changed);
+            is_drain_due = m_drain_at && m_clock.now() >= *m_drain_at;
+            if (is_drain_due) {
+                m_drain_at.reset();
+            }
+        }
+        if (are_upstreams_changed) {
+            m_proxy.set_upstreams(usable_upstreams());
+        }
+        if (is_drain_due) {
+            m_proxy.drain();
+        }
+    }
+
+    void expire_announcements() {
+        const absl::MutexLock lock(&m_mutex);
+        for (const auto& id : m_announced.expire(m_clock.now())) {
+            m_peers.withdraw_upstream(id);
+            m_proxy.remove_local_upstream(id);
+            m_log.warning(fmt::format("upstream-silent upstream={}", id));
+            m_are_upstreams_changed = true;
+        }
+    }
+
+    std::vector<upstream_record> usable_upstreams() const {
+        std::vector<upstream_record> usable;
+        const auto configuration = m_keeper.current();
+        if (!configuration) {
+            return usable;
+        }
+        for (const auto& [service_name, declared] : configuration->state().services) {
+            auto found = m_peers.usable_upstreams(service_name);
+            std::move(found.begin(), found.end(), std::back_inserter(usable));
+        }
+        return usable;
+    }
+
+    daemon_status status() const {
+        daemon_status result;
+        result.identity = m_settings.daemon;
+        result.now = m_clock.now();
+        result.started_at = m_started_at;
+        result.is_draining = m_is_draining;
+        result.configuration = m_keeper.current();
+        result.refusal = m_keeper.last_refusal();
+        result.newest_heard_version = m_peers.newest_heard_version();
+        result.store = m_store->status();
+        result.members = m_peers.members();
+        result.is_joined = m_peers.is_joined();
+        result.traffic = m_peers.counters();
+        result.upstreams_known = usable_upstreams().size();
+        result.moves = m_moves.statuses();
+        result.requests = m_proxy.counters();
+        result.dropped_log_lines = m_log.dropped_lines();
+        const absl::MutexLock lock(&m_mutex);
+        result.configuration_applied_at = m_applied_at;
+        result.upstreams_here = m_announced.entries();
+        return result;
+    }
+
+    std::string explain_request(const std::string& request) {
+        const auto space = request.find(' ');
+        if (space == std::string::npos) {
+            throw error(result_code::request_malformed, "a request is METHOD PATH");
+        }
+        return decision_json(request, m_proxy.explain(request.substr(0, space), request.substr(space + 1)));
+    }
+
+    std::string explain_route(const std::string& route_name) const {
+        const auto configuration = m_keeper.current();
+        if (!configuration) {
+            throw error(result_code::no_route, "no configuration is in force");
+        }
+        return route_json(*configuration, route_name);
+    }
+
+    std::string explain_move(const std::string& move_name) const {
+        const auto found = m_moves.status(move_name);
+        if (!found) {
+            throw error(result_code::move_unknown, move_name);
+        }
+        return move_json(*found);
+    }
+
+    const daemon_settings m_settings;
+    event_log m_log;
+    steady_clock m_clock;
+    absl::Time m_started_at;
+    std::atomic<bool> m_is_draining = false;
+    std::atomic<bool> m_is_stopped = false;
+
+    mutable absl::Mutex m_mutex;
+    announced_upstreams m_announced ABSL_GUARDED_BY(m_mutex);
+    bool m_are_upstreams_changed ABSL_GUARDED_BY(m_mutex) = false;
+    std::optional<absl::Time> m_applied_at ABSL_GUARDED_BY(m_mutex);
+    std::optional<absl::Time> m_drain_at ABSL_GUARDED_BY(m_mutex);
+
+    move_service m_moves;
+    share_overrides m_overrides; ///< Used by the control loop's thread only.
+    configuration_keeper m_keeper;
+    request_proxy m_proxy;
+    peer_server m_peers;
+    std::unique_ptr<store_follower> m_store;
+    std::unique_ptr<control_server> m_control;
+    std::thread m_control_loop;
+};
+
+mesh_daemon::mesh_daemon(const daemon_settings& settings) : m_implementation(std::make_unique<implementation>(settings)) {}
+
+mesh_daemon::~mesh_daemon() = default;
+
+daemon_addresses mesh_daemon::addresses() const {
+    return m_implementation->addresses();
+}
+
+void mesh_daemon::run() {
+    m_implementation->run();
+}
+
+void mesh_daemon::drain() {
+    m_implementation->drain();
+}
+
+void mesh_daemon::stop() {
+    m_implementation->stop();
+}
+
+} // namespace amaranthladder
--- /dev/null
+++ b/src/daemon/move_service.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include "common/steady_clock.h"
+#include "config/intended_state.h"
+#include "http/proxy_events.h"
+#include "moves/move_engine.h"
+#include "moves/move_record.h"
+#include "moves/move_status.h"
+
+#include <absl/base/thread_annotations.h>
+#include <absl/synchronization/mutex.h>
+
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace amaranthladder {
+
+/// Guards the move engine: the event loop reports calls, the control loop advances the moves, peers bring records.
+class move_service {
+public:
+    /// @param daemon_id unique in the mesh.
+    /// @param clock outlives the service.
+    move_service(const std::string& daemon_id, const steady_clock& clock);
+
+    void set_moves(const std::map<std::string, move>& moves);
+    void set_upstream(const std::string& service, const std::string& version);
+    void observe(const owned_call& call);
+
+    /// @return true if the record changed anything.
+    bool merge_remote(const move_record& record);
+
+    /// @return records that peers should get.
+    std::vector<move_record> tick();
+
+    std::map<std::string, std::map<std::string, double>> share_override() const;
+    std::vector<move_status> statuses() const;
+    std::optional<move_status> status(const std::string& move_name) const;
+
+private:
+    const steady_clock& m_clock;
+    mutable absl::Mutex m_mutex;
+    move_engine m_engine ABSL_GUARDED_BY(m_mutex);
+};
+
+} // namespace amaranthladder
--- /dev/null
+++ b/src/daemon/status_text.cpp
@@ -0,0 +1,223 @@
+#include "daemon/status_text.h"
+
+#include "common/error.h"
+
+#include <boost/json.hpp>
+#include <fmt/format.h>
+
+#include <iterator>
+#include <string_view>
+
+namespace amaranthladder {
+
+namespace {
+
+namespace json = boost::json;
+
+std::string time_text(absl::Time time) {
+    if (time == absl::InfiniteFuture() || time == absl::InfinitePast()) {
+        return "";
+    }
+    return absl::FormatTime("%Y-%m-%dT%H:%M:%E3SZ", time, absl::UTCTimeZone());
+}
+
+json::object origin_json(const source_line& origin) {
+    return {{"file", origin.file}, {"line", origin.line}};
+}
+
+json::object configuration_json(const daemon_status& status) {
+    json::object result;
+    if (status.configuration) {
+        result["version"] = status.configuration->version();
+        result["hash"] = status.configuration->hash();
+        result["publish_id"] = status.configuration->publish_id();
+        result["published_at"] = time_text(status.configuration->publish_time());
+    } else {
+        result["version"] = 0;
+    }
+    if (status.configuration_applied_at) {
+        result["applied_at"] = time_text(*status.configuration_applied_at);
+        result["age_ms"] = absl::ToInt64Milliseconds(status.now - *status.configuration_applied_at);
+    }
+    result["newest_heard_version"] = status.newest_heard_version;
+    if (status.refusal) {
+        result["refused"] = json::object{{"version", status.refusal->version},
+                                         {"code", static_cast<int>(status.refusal->code)},
+                                         {"name", std::string(name(status.refusal->code))},
+                                         {"detail", status.refusal->detail}};
+    }
+    return result;
+}
+
+json::object store_json(const daemon_status& status) {
+    json::object result{{"reachable", !status.store.unreachable_since},
+                        {"calls", status.store.calls},
+                        {"watching", status.store.is_watching}};
+    if (status.store.unreachable_since) {
+        result["unreachable_since"] = time_text(*status.store.unreachable_since);
+    }
+    return result;
+}
+
+json::object peers_json(const daemon_status& status) {
+    std::map<std::string, int> counts;
+    for (const auto& one : status.members) {
+        ++counts[std::string(name(one.state))];
+    }
+    json::object result{{"joined", status.is_joined}};
+    for (const auto& [state, count] : counts) {
+        result[state] = count;
+    }
+    std::uint64_t sent = status.traffic.pulls.sent_bytes + status.traffic.repairs.sent_bytes;
+    std::uint64_t received = status.traffic.pulls.received_bytes + status.traffic.repairs.received_bytes;
+    for (const auto& kind : status.traffic.datagrams) {
+        sent += kind.sent_bytes;
+        received += kind.received_bytes;
+    }
+    result["sent_bytes"] = sent;
+    result["received_bytes"] = received;
+    return result;
+}
+
+json::array upstreams_json(const daemon_status& status) {
+    json::array result;
+    for (const auto& [id, known] : status.upstreams_here) {
+        result.push_back(json::object{{"id", id},
+                                      {"service", known.announced.service},
+                                      {"version", known.announced.version},
+                                      {"address", to_string(known.announced.address)},
+                                      {"slots", known.announced.slots},
+                                      {"state", known.state}});
+    }
+    return result;
+}
+
+json::object evidence_json(const evidence_summary& evidence) {
+    return {{"calls", evidence.calls},
+            {"failed", evidence.failed},
+            {"refused", evidence.refused},
+            {"median_us", evidence.median_us}};
+}
+
+json::object move_object(const move_status& status) {
+    return {{"name", status.identity.name},
+            {"introduced_in", status.identity.introduced_in},
+            {"service", status.service},
+            {"from", status.from_version},
+            {"to", status.to_version},
+            {"share", status.share},
+            {"stage", status.stage},
+            {"state", status.state},
+            {"verdict", std::string(name(status.verdict))},
+            {"reason", std::string(name(status.reason))},
+            {"started_at", time_text(status.started_at)},
+            {"deadline", time_text(status.deadline)},
+            {"forecast", time_text(status.forecast)},
+            {"ended_at", time_text(status.ended_at)},
+            {"decided_by", status.decided_by},
+            {"route", status.route},
+            {"new_version", evidence_json(status.new_version)},
+            {"old_version", evidence_json(status.old_version)},
+            {"contributors", status.contributors}};
+}
+
+json::object requests_json(const proxy_counters& counters) {
+    return {{"entry", counters.entry_requests},
+            {"owner", counters.owner_requests},
+            {"attempts", counters.attempts},
+            {"retries", counters.retries},
+            {"refused_not_run", counters.refusals_not_run},
+            {"refused_may_have_run", counters.refusals_may_have_run},
+            {"malformed", counters.malformed_requests},
+            {"in_flight", counters.requests_in_flight},
+            {"connections", counters.connections_open},
+            {"connections_refused", counters.connections_refused}};
+}
+
+void add_metric(std::string& text, std::string_view metric, std::string_view type, std::string_view labels,
+                double value) {
+    fmt::format_to(std::back_inserter(text), "# TYPE amaranthladder_{0} {1}\namaranthladder_{0}{2} {3}\n", metric, type,
+                   labels, value);
+}
+
+} // namespace
+
+std::string status_json(const daemon_status& status) {
+    json::array moves;
+    for (const auto& one : status.moves) {
+        moves.push_back(move_object(one));
+    }
+    const json::object result{{"mesh", status.identity.mesh},
+                              {"region", status.identity.region},
+                              {"data_center", status.identity.data_center},
+                              {"worker", status.identity.worker},
+                              {"started_at", time_text(status.started_at)},
+                              {"draining", status.is_draining},
+                              {"configuration", configuration_json(status)},
+                              {"store", store_json(status)},
+                              {"peers", peers_json(status)},
+                              {"upstreams_here", upstreams_json(status)},
+                              {"upstreams_known", status.upstreams_known},
+                              {"moves", moves},
+                              {"requests", requests_json(status.requests)},
+                              {"dropped_log_lines", status.dropped_log_lines}};
+    return json::serialize(result) + "\n";
+}
+
+std::string metrics_text(const daemon_status& status) {
+    std::string text;
+    const auto version = status.configuration ? status.configuration->version() : 0;
+    add_metric(text, "configuration_version", "gauge", "", static_cast<double>(version));
+    add_metric(text, "store_reachable", "gauge", "", status.store.unreachable_since ? 0 : 1);
+    add_metric(text, "store_calls_total", "counter", "", static_cast<double>(status.store.calls));
+    add_metric(text, "upstreams_known", "gauge", "", static_cast<double>(status.upstreams_known));
+    add_metric(text, "entry_requests_total", "counter", "", static_cast<double>(status.requests.entry_requests));
+    add_metric(text, "owner_requests_total", "counter", "", static_cast<double>(status.requests.owner_requests));
+    add_metric(text, "attempts_total", "counter", "", static_cast<double>(status.requests.attempts));
+    add_metric(text, "retries_total", "counter", "", static_cast<double>(status.requests.retries));
+    add_metric(text, "malformed_requests_total", "counter", "",
+               static_cast<double>(status.requests.malformed_requests));
+    add_metric(text, "connections", "gauge", "", static_cast<double>(status.requests.connections_open));
+    add_metric(text, "log_lines_dropped_total", "counter", "", static_cast<double>(status.dropped_log_lines));
+    return text;
+}
+
+std::string move_json(const move_status& status) {
+    return json::serialize(move_object(status)) + "\n";
+}
+
+std::string decision_json(const std::string& request, const std::string& decision) {
+    return json::serialize(json::object{{"request", request}, {"decision", decision}}) + "\n";
+}
+
+std::string route_json(const snapshot& configuration, const std::string& route_name) {
+    const intended_state& state = configuration.state();
+    const auto found = state.routes.find(route_name);
+    if (found == state.routes.end()) {
+        throw error(result_code::no_route, fmt::format("no route '{}'", route_name));
+    }
+    const route& shown = found->second;
+    json::object result{{"configuration_version", configuration.version()},
+                        {"route", shown.name},
+                        {"path_prefix", shown.path_prefix},
+                        {"service", shown.service},
+                        {"idempotent", shown.is_idempotent},
+                        {"origin", origin_json(shown.origin)}};
+    result["methods"] = json::value_from(shown.methods);
+    if (const auto service = state.services.find(shown.service); service != state.services.end()) {
+        result["service_origin"] = origin_json(service->second.origin);
+    }
+    if (const auto share = state.shares.find(shown.service); share != state.shares.end()) {
+        result["share"] = json::value_from(share->second.weight_by_version);
+        result["share_origin"] = origin_json(share->second.origin);
+    }
+    for (const auto& [move_name, declared] : state.moves) {
+        if (declared.service == shown.service) {
+            result["move"] = move_name;
+            result["move_origin"] = origin_json(declared.origin);
+        }
+    }
+    return json::serialize(result) + "\n";
+}
+
+} // namespace amaranthladder
--- /dev/null
+++ b/src/tests/request_proxy_test.cpp
@@ -0,0 +1,303 @@
+#include "fake_upstream.h"
+#include "http/request_proxy.h"
+
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+#include <httplib.h>
+
+#include <arpa/inet.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <chrono>
+#include <memory>
+#include <ostream>
+#include <string>
+#include <thread>
+
+using namespace amaranthladder;
+
+BOOST_AUTO_TEST_SUITE(request_proxy_test)
+
+namespace {
+
+constexpr endpoint any_port() {
+    return {"127.0.0.1", 0};
+}
+
+/// A service with one upstream beside daemon "owner"; callers talk to daemon "entry" or to the owner.
+class two_daemons {
+public:
+    explicit two_daemons(int slots = 64, int queue_limit = 16)
+        : upstream({"127.0.0.1", 0}, "v1", {}), entry(make_proxy("entry")),
+          owner(make_proxy("owner")), m_threads{std::thread([this] { upstream.run(); }),
+                                                std::thread([this] { entry->run(); }),
+                                                std::thread([this] { owner->run(); })} {
+        auto state = std::make_shared<intended_state>();
+        state->services["tienda"] = {"tienda", absl::Seconds(5), queue_limit, {}};
+        state->routes["orders"] = {"orders", "tienda", "/", {}, false, absl::ZeroDuration(), {}};
+        state->routes["reads"] = {"reads", "tienda", "/only-get", {"GET"}, false, absl::ZeroDuration(), {}};
+        record.id = "tienda-1";
+        record.service = "tienda";
+        record.version = "v1";
+        record.data_center = "rosario-a";
+        record.owner = owner->address();
+        record.address = upstream.address();
+        record.slots = slots;
+        for (auto* proxy : {entry.get(), owner.get()}) {
+            proxy->set_configuration(state);
+            proxy->set_upstreams({record});
+        }
+        owner->set_local_upstream(record, queue_limit);
+    }
+
+    ~two_daemons() {
+        upstream.stop();
+        entry->stop();
+        owner->stop();
+        for (auto& thread : m_threads) {
+            thread.join();
+        }
+    }
+
+    two_daemons(const two_daemons&) = delete;
+    two_daemons& operator=(const two_daemons&) = delete;
+
+    httplib::Client client(bool through_entry = true) const {
+        const endpoint address = through_entry ? entry->address() : owner->address();
+        httplib::Client result(address.address, address.port);
+        result.set_tcp_nodelay(true);
+        result.set_keep_alive(true);
+        result.set_read_timeout(std::chrono::seconds(30));
+        return result;
+    }
+
+    event_log log{event_log_options{log_level::off, "", 64}};
+    steady_clock clock;
+    fake_upstream upstream;
+    std::unique_ptr<request_proxy> entry;
+    std::unique_ptr<request_proxy> owner;
+    upstream_record record;
+
+private:
+    std::unique_ptr<request_proxy> make_proxy(const std::string& worker) {
+        proxy_options options;
+        options.mesh = "litoral";
+        options.worker = worker;
+        options.listen_address = any_port();
+        options.header_timeout = absl::Milliseconds(300);
+        options.first_byte_timeout = absl::Milliseconds(700);
+        return std::make_unique<request_proxy>(options, router_settings{"rosario-a", {}}, retry_budget_policy{}, clock,
+                                               log, [](const owned_call& /*call*/) {});
+    }
+
+    std::thread m_threads[3];
+};
+
+std::string code_of(const httplib::Result& result) {
+    return result ? result->get_header_value("x-amaranthladder-code") : "no answer";
+}
+
+/// Sends raw bytes and reads until the peer closes or two seconds pass.
+std::string send_raw(const endpoint& address, const std::string& bytes) {
+    const int socket = ::socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in remote{};
+    remote.sin_family = AF_INET;
+    remote.sin_port = htons(address.port);
+    inet_pton(AF_INET, address.address.c_str(), &remote.sin_addr);
+    timeval limit{2, 0};
+    setsockopt(socket, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof(limit));
+    std::string received;
+    if (::connect(socket, reinterpret_cast<const sockaddr*>(&remote), sizeof(remote)) == 0) {
+        ::send(socket, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+        char chunk[4096];
+        for (auto size = ::recv(socket, chunk, sizeof(chunk), 0); size > 0;
+             size = ::recv(socket, chunk, sizeof(chunk), 0)) {
+            received.append(chunk, static_cast<std::size_t>(size));
+        }
+    }
+    ::close(socket);
+    return received;
+}
+
+} // namespace
+
+// Guards against bodies that are cut, doubled or mixed up on the way, in each form that HTTP gives them.
+BOOST_DATA_TEST_CASE(passes_whole_answers, boost::unit_test::data::make({true, false}), through_entry) {
+    const two_daemons mesh;
+    auto client = mesh.client(through_entry);
+    const std::string large(32 * 1024 * 1024, 'b');
+    for (int round = 0; round < 2; ++round) {
+        BOOST_TEST(client.Get("/x")->body == "version v1\n");
+        const auto head = client.Head("/bytes/1000");
+        BOOST_TEST(head->status == 200);
+        BOOST_TEST(head->get_header_value("Content-Length") == "1000");
+        BOOST_TEST(client.Post("/x", "order", "text/plain")->body == "order");
+        BOOST_TEST(client.Put("/x", "stock", "text/plain")->body == "stock");
+        BOOST_TEST(client.Delete("/x")->status == 200);
+        BOOST_TEST(client.Get("/chunked/300000")->body == std::string(300000, 'c'));
+        BOOST_TEST(client.Get("/close/300000")->body == std::string(300000, 'c'));
+        BOOST_TEST(client.Get("/bytes/0")->body.empty());
+    }
+    BOOST_TEST((client.Get("/bytes/33554432")->body == large));
+    BOOST_TEST((client.Post("/x", large, "text/plain")->body == large));
+    const auto chunked = client.Post(
+        "/x",
+        [](std::size_t offset, httplib::DataSink& sink) {
+            const std::string piece(10'000, 'p');
+            sink.write(piece.data(), piece.size());
+            if (offset >= 190'000) {
+                sink.done();
+            }
+            return true;
+        },
+        "text/plain");
+    BOOST_TEST((chunked->body == std::string(200'000, 'p')));
+}
+
+// Guards against a truncated answer that looks whole.
+BOOST_AUTO_TEST_CASE(reports_short_answers) {
+    const two_daemons mesh;
+    auto client = mesh.client();
+    const auto small = client.Get("/truncated/1000");
+    BOOST_REQUIRE(small);
+    BOOST_TEST(small->status == 502);
+    BOOST_TEST(code_of(small) == "1408");
+    BOOST_TEST(small->get_header_value("x-amaranthladder-outcome") == "may-have-run");
+    BOOST_TEST(!client.Get("/truncated/1000000"));
+}
+
+struct fault_row {
+    const char* name;
+    const char* reset_at;
+    bool is_silent;
+    const char* method;
+    const char* code;
+    const char* outcome;
+    int executed;
+
+    friend std::ostream& operator<<(std::ostream& out, const fault_row& row) {
+        return out << row.name;
+    }
+};
+
+const fault_row fault_rows[] = {
+    {"POST, reset after the headers", "after-headers", false, "POST", "1407", "may-have-run", 0},
+    {"POST, reset after the body", "after-body", false, "POST", "1407", "may-have-run", 1},
+    {"POST, reset in the answer", "in-response", false, "POST", "1408", "may-have-run", 1},
+    {"POST, no answer", "", true, "POST", "1406", "may-have-run", 1},
+};
+
+// Guards against a non-idempotent request that runs twice, and against a refusal that claims it did not run.
+BOOST_DATA_TEST_CASE(never_runs_an_order_twice, fault_rows, row) {
+    two_daemons mesh;
+    fake_upstream_behavior behavior;
+    behavior.reset_at = row.reset_at;
+    behavior.is_silent = row.is_silent;
+    mesh.upstream.set_behavior(behavior);
+    auto client = mesh.client();
+    const auto answer = client.Post("/order", httplib::Headers{{"x-caller-id", "order-1"}}, "hoops", "text/plain");
+    BOOST_REQUIRE(answer);
+    BOOST_TEST(code_of(answer) == row.code);
+    BOOST_TEST(answer->get_header_value("x-amaranthladder-outcome") == row.outcome);
+    const auto executed = mesh.upstream.executed();
+    BOOST_TEST(executed.size() == static_cast<std::size_t>(row.executed));
+    for (const auto& [id, times] : executed) {
+        BOOST_TEST(times == 1);
+    }
+}
+
+// Guards against a refusal "not run" for a request that ran: compared with the upstream's own record.
+BOOST_AUTO_TEST_CASE(refusals_say_not_run) {
+    two_daemons mesh(1, 0);
+    fake_upstream_behavior behavior;
+    behavior.delay = absl::Milliseconds(300);
+    mesh.upstream.set_behavior(behavior);
+    std::thread busy([&mesh] {
+        auto client = mesh.client();
+        BOOST_TEST(client.Get("/first", httplib::Headers{{"x-caller-id", "first"}})->status == 200);
+    });
+    while (mesh.upstream.running() == 0) {
+        std::this_thread::yield();
+    }
+    auto client = mesh.client();
+    const auto refused = client.Get("/second", httplib::Headers{{"x-caller-id", "second"}});
+    busy.join();
+    BOOST_REQUIRE(refused);
+    BOOST_TEST(refused->status == 503);
+    BOOST_TEST(refused->get_header_value("x-amaranthladder-outcome") == "not-run");
+    BOOST_TEST(!mesh.upstream.executed().contains("second"));
+}
+
+// Guards against refusals with the wrong code, and against a connection that cannot be used after one.
+BOOST_AUTO_TEST_CASE(refuses_with_numbers) {
+    two_daemons mesh;
+    auto client = mesh.client();
+    BOOST_TEST(code_of(client.Post("/only-get/x", "", "text/plain")) == "1417");
+    mesh.record.is_leaving = true;
+    mesh.owner->set_local_upstream(mesh.record, 16);
+    BOOST_TEST(code_of(client.Get("/x")) == "1404");
+    mesh.entry->set_upstreams({});
+    BOOST_TEST(code_of(client.Get("/x")) == "1401");
+    mesh.entry->set_configuration(std::make_shared<intended_state>());
+    BOOST_TEST(code_of(client.Get("/x")) == "1400");
+}
+
+struct bad_input {
+    const char* name;
+    std::string bytes;
+    const char* expected;
+
+    friend std::ostream& operator<<(std::ostream& out, const bad_input& row) {
+        return out << row.name;
+    }
+};
+
+const bad_input bad_inputs[] = {
+    {"random bytes", "\x16\x03\x01\x02\x00\x01\xff\xfe\x00\x80 garbage\r\n\r\n", "1412"},
+    {"another protocol", "SSH-2.0-OpenSSH_9.2\r\n\r\n", "1412"},
+    {"headers beyond the limit", "GET / HTTP/1.1\r\nx-large: " + std::string(200'000, 'h') + "\r\n\r\n", "1413"},
+    {"two lengths", "POST / HTTP/1.1\r\nContent-Length: 3\r\nContent-Length: 5\r\n\r\nabcde", "1412"},
+    {"length that is no number", "POST / HTTP/1.1\r\nContent-Length: many\r\n\r\n", "1412"},
+    {"deadline that is no number", "GET / HTTP/1.1\r\nx-amaranthladder-deadline-ms: soon\r\n\r\n", "1412"},
+    {"bad chunk", "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n", "1412"},
+    {"sender too slow for its headers", "GET / HTTP/1.1\r\nx-slow:", ""},
+    {"request that ends early", "POST / HTTP/1.1\r\nContent-Length: 10\r\n\r\nabc", ""},
+};
+
+// Guards against a crash, a hang or an answer without a number, and checks that the daemon goes on.
+BOOST_DATA_TEST_CASE(refuses_bad_input, bad_inputs, row) {
+    const two_daemons mesh;
+    const std::string answer = send_raw(mesh.entry->address(), row.bytes);
+    if (*row.expected != '\0') {
+        BOOST_TEST(answer.find(std::string("x-amaranthladder-code: ") + row.expected) != std::string::npos, answer);
+    }
+    auto client = mesh.client();
+    const auto next = client.Get("/x");
+    BOOST_REQUIRE(next);
+    BOOST_TEST(next->status == 200);
+}
+
+// Guards against a drain that cuts a request, a long download included.
+BOOST_AUTO_TEST_CASE(drain_ends_no_request_early) {
+    two_daemons mesh;
+    fake_upstream_behavior behavior;
+    behavior.delay = absl::Milliseconds(400);
+    mesh.upstream.set_behavior(behavior);
+    std::thread download([&mesh] {
+        auto client = mesh.client();
+        const auto answer = client.Get("/chunked/20000000");
+        BOOST_REQUIRE(answer);
+        BOOST_TEST(answer->body.size() == 20'000'000U);
+    });
+    while (mesh.upstream.running() == 0) {
+        std::this_thread::yield();
+    }
+    mesh.entry->drain();
+    download.join();
+    auto late = mesh.client();
+    BOOST_TEST(!late.Get("/x"));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
