--- a/src/config/validator.cpp
+++ b/src/config/validator.cpp
@@ -6,6 +6,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <unordered_map>
 
 namespace amaranthladder {
 
@@ -75,7 +76,7 @@
     }
 
     void check_ambiguous_routes() {
-        std::map<std::string, std::vector<const route*>> by_prefix;
+        std::unordered_map<std::string_view, std::vector<const route*>> by_prefix;
         for (const auto& [name, value] : m_state.routes) {
             std::vector<const route*>& others = by_prefix[value.path_prefix];
             for (const route* other : others) {
@@ -138,7 +139,7 @@
     }
 
     void check_moves_of_one_service() {
-        std::map<std::string, const move*> first_by_service;
+        std::unordered_map<std::string_view, const move*> first_by_service;
         for (const auto& [name, value] : m_state.moves) {
             const auto [first, is_first] = first_by_service.emplace(value.service, &value);
             if (!is_first) {
@@ -182,21 +183,22 @@
 
     void start(std::string_view kind, const std::string& name, const source_line& origin) {
         m_kind = kind;
-        m_section = fmt::format("{} {}", kind, name);
+        m_name = &name;
         m_origin = &origin;
     }
 
     void add(result_code code, std::string_view key, std::string_view text) {
         const std::string key_text(key);
-        const source_line place = m_find_line ? m_find_line(m_section, key_text, *m_origin) : *m_origin;
-        m_problems.push_back({code, place.file, place.line, m_section, key_text, std::string(text)});
+        const std::string section = fmt::format("{} {}", m_kind, *m_name);
+        const source_line place = m_find_line ? m_find_line(section, key_text, *m_origin) : *m_origin;
+        m_problems.push_back({code, place.file, place.line, section, key_text, std::string(text)});
     }
 
     const intended_state& m_state;
     const validator::line_finder& m_find_line;
     std::vector<config_problem> m_problems;
     std::string_view m_kind;
-    std::string m_section;
+    const std::string* m_name = nullptr;
     const source_line* m_origin = nullptr;
 };
 
--- /dev/null
+++ b/src/tests/test_seed.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include <cstdint>
+#include <cstdlib>
+#include <iostream>
+#include <random>
+#include <string>
+
+namespace amaranthladder {
+
+/// @return the seed of a randomized test: TEST_SEED from the environment, or a random number. Prints it, so that a
+/// failed run can be repeated.
+inline std::uint32_t test_seed() {
+    const char* const given = std::getenv("TEST_SEED");
+    const std::uint32_t seed =
+        given != nullptr ? static_cast<std::uint32_t>(std::stoul(given)) : std::random_device()();
+    std::cout << "TEST_SEED=" << seed << std::endl;
+    return seed;
+}
+
+} // namespace amaranthladder
