Choose by measured latency first, eject by sequential evidence

Causes and changes: - Reported load multiplied the cost by up to 7, so entries converged on what was idle when the report was made. Its weight falls from 3 to 0.3 per request and slot. Comparing with all others was ruled out: with four of six failing, none was ejected within 60 requests. - Ejections end at once when the better half of the active members fails too: the fault is then a common one.

--- a/src/routing/ejector.cpp
+++ b/src/routing/ejector.cpp
@@ -41,10 +41,16 @@
         return false;
     }
     count(subject, signal, now);
+    if (signal == health_signal::failure || subject.evidence > 0) {
+        weigh_evidence(subject, signal, failure_rate_of_best(id));
+    }
     forgive(subject, now);
-    if (signal == health_signal::failure && has_room() && should_eject(id, subject)) {
+    if (subject.evidence > m_policy.evidence_limit && has_room()) {
         eject(subject, now);
         ++m_ejected;
+    } else if (m_ejected > 0 && signal == health_signal::failure &&
+               failure_rate_of_best({}) > m_policy.common_failure_rate) {
+        reinstate_all(now);
     }
     return false;
 }
@@ -80,10 +86,8 @@
     subject.counted = now;
     if (signal == health_signal::success) {
         subject.successes += 1;
-        subject.failures_in_row = 0;
     } else {
         subject.failures += 1;
-        ++subject.failures_in_row;
     }
 }
 
@@ -97,41 +101,37 @@
         return false;
     }
     if (signal == health_signal::success && ++subject.probes_succeeded >= m_policy.probe_successes) {
-        const int ejections = subject.ejections;
-        subject = member{};
-        subject.ejections = ejections;
-        subject.healthy_since = now;
-        --m_ejected;
+        reinstate(subject, now);
         return true;
     }
     return false;
 }
 
-bool ejector::should_eject(const std::string& id, const member& subject) const {
-    const double others = others_success(id);
-    if (subject.failures_in_row >= m_policy.consecutive_failures && is_unlikely_run(subject.failures_in_row, others)) {
-        return true;
+double ejector::failure_rate_of_best(const std::string& excluded_id) const {
+    std::vector<const member*> others;
+    for (const auto& [id, other] : m_members) {
+        if (id != excluded_id && !other.is_ejected && other.successes + other.failures > 0) {
+            others.push_back(&other);
+        }
     }
-    const double requests = subject.successes + subject.failures;
-    const double chance = m_policy.chance_deviations * std::sqrt(others * (1 - others) / std::max(requests, 1.0));
-    return requests >= m_policy.least_requests &&
-           subject.successes / requests < others - std::max(m_policy.success_margin, chance);
-}
-
-bool ejector::is_unlikely_run(int failures, double success_rate) const {
-    return std::pow(1 - success_rate, failures) < m_policy.chance_of_run;
-}
-
-double ejector::others_success(const std::string& id) const {
-    double successes = 0;
+    std::ranges::sort(others, {}, [](const member* one) { return one->failures / (one->successes + one->failures); });
+    others.resize((others.size() + 1) / 2);
+    double failures = 0;
     double requests = 0;
-    for (const auto& [other_id, other] : m_members) {
-        if (other_id != id && !other.is_ejected) {
-            successes += other.successes;
-            requests += other.successes + other.failures;
-        }
+    for (const member* other : others) {
+        failures += other->failures;
+        requests += other->successes + other->failures;
     }
-    return requests > 0 ? successes / requests : 1;
+    return requests > 0 ? failures / requests : 0;
+}
+
+void ejector::weigh_evidence(member& subject, health_signal signal, double expected_failure_rate) const {
+    // Bounded away from 0 and 1, where one result would decide.
+    const double healthy = std::clamp(expected_failure_rate, m_policy.least_failure_rate, 0.99);
+    const double faulty = healthy + (1 - healthy) * m_policy.suspected_increase;
+    const double ratio =
+        signal == health_signal::failure ? std::log(faulty / healthy) : std::log((1 - faulty) / (1 - healthy));
+    subject.evidence = std::max(subject.evidence + ratio, 0.0);
 }
 
 bool ejector::has_room() const {
@@ -143,7 +143,7 @@
     subject.is_ejected = true;
     subject.is_probing = false;
     subject.probes_succeeded = 0;
-    subject.failures_in_row = 0;
+    subject.evidence = 0;
     subject.ejected_until = now + std::min(m_policy.base_ejection * static_cast<double>(std::int64_t{1} << doublings),
                                            m_policy.max_ejection);
     ++subject.ejections;
@@ -165,13 +165,24 @@
                 soonest = &candidate;
             }
         }
-        const int ejections = soonest->ejections;
-        const absl::Time until = soonest->ejected_until;
-        *soonest = member{};
-        soonest->ejections = ejections;
-        soonest->healthy_since = until;
-        --m_ejected;
+        reinstate(*soonest, soonest->ejected_until);
+    }
+}
+
+void ejector::reinstate_all(absl::Time now) {
+    for (auto& [id, subject] : m_members) {
+        if (subject.is_ejected) {
+            reinstate(subject, now);
+        }
     }
 }
 
+void ejector::reinstate(member& subject, absl::Time now) {
+    const int ejections = subject.ejections;
+    subject = member{};
+    subject.ejections = ejections;
+    subject.healthy_since = now;
+    --m_ejected;
+}
+
 } // namespace amaranthladder
--- a/src/routing/ejector.h
+++ b/src/routing/ejector.h
@@ -11,17 +11,16 @@
 
 /// Constants of ejector; docs/routing.md gives the reasons.
 struct ejector_policy {
-    int consecutive_failures = 5; ///< Failures in a row that eject.
-    double least_requests = 20;   ///< Recent requests below which the success rate says nothing.
-    double success_margin = 0.15; ///< Distance to the others' success rate that ejects.
-    double chance_deviations = 3; ///< The distance must also exceed so many standard deviations.
-    double chance_of_run = 1e-4;  ///< A run of failures that is likelier than this among the others does not eject.
-    absl::Duration half_life = absl::Seconds(5); ///< Age at which a result counts half.
+    double least_failure_rate = 0.01; ///< Failure rate that is always expected of a healthy upstream.
+    double suspected_increase = 0.3;  ///< Share of the others' successes that a faulty upstream is suspected to fail.
+    double evidence_limit = 11.5;     ///< Logarithm of the odds that eject; e^11.5 is 100,000 to 1.
+    double common_failure_rate = 0.5; ///< Failure rate of the better half at which all ejections end.
+    absl::Duration half_life = absl::Seconds(5); ///< Age at which a result counts half in the others' rate.
     double max_ejected_share = 0.5;              ///< Share of the group that may be ejected, rounded down.
     absl::Duration base_ejection = absl::Seconds(1);
     absl::Duration max_ejection = absl::Seconds(30);
     absl::Duration forgive_after = absl::Seconds(30); ///< Healthy time that halves the next ejection.
-    int probe_successes = 3;                          ///< Successful probes in a row that end an ejection.
+    int probe_successes = 5;                          ///< Successful probes in a row that end an ejection.
     absl::Duration probe_patience = absl::Seconds(1); ///< Wait for an idempotent request before probing with another.
     absl::Duration probe_timeout = absl::Seconds(10); ///< A probe without a result by then no longer blocks the next.
 };
@@ -38,6 +37,10 @@
 
 /// Ejects upstreams of one group (a service's version) that fail while the others do not.
 ///
+/// The evidence against a member is a cumulative sum of log-likelihood ratios: each failure adds to it, each success
+/// takes from it, by how likely they are for a faulty member and for one that fails as often as
+/// the better half of the others.
+///
 /// At most max_ejected_share of the group is ejected at any time, so that a wrong signal never empties it; an
 /// upstream that is being probed counts as ejected.
 class ejector {
@@ -70,7 +73,7 @@
 
 private:
     struct member {
-        int failures_in_row = 0;
+        double evidence = 0;  ///< Cumulative log-likelihood ratio of a fault, at least 0.
         double successes = 0; ///< Decayed by half_life.
         double failures = 0;  ///< Decayed by half_life.
         absl::Time counted = absl::InfinitePast();
@@ -85,13 +88,15 @@
 
     void count(member& subject, health_signal signal, absl::Time now) const;
     bool on_probe_result(member& subject, health_signal signal, absl::Time now);
-    bool should_eject(const std::string& id, const member& subject) const;
-    double others_success(const std::string& id) const;
-    bool is_unlikely_run(int failures, double success_rate) const;
+    /// @return failure rate of the better half of the active members, without @p excluded_id.
+    double failure_rate_of_best(const std::string& excluded_id) const;
+    void weigh_evidence(member& subject, health_signal signal, double expected_failure_rate) const;
     bool has_room() const;
     void eject(member& subject, absl::Time now) const;
     void forgive(member& subject, absl::Time now) const;
+    void reinstate(member& subject, absl::Time now);
     void reinstate_surplus();
+    void reinstate_all(absl::Time now);
 
     ejector_policy m_policy;
     absl::flat_hash_map<std::string, member> m_members;
--- a/src/routing/latency_average.h
+++ b/src/routing/latency_average.h
@@ -23,6 +23,11 @@
     ///         the first sample.
     absl::Duration value(absl::Time now) const;
 
+    /// @return true if observe was called.
+    bool is_known() const {
+        return m_updated != absl::InfinitePast();
+    }
+
 private:
     latency_average_policy m_policy;
     absl::Duration m_value;
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -89,11 +89,7 @@
         ++version;
     }
     const candidate_set usable = candidates(*version->group, target, request, now);
-    std::vector<pick_candidate> weighed;
-    weighed.reserve(usable.upstreams.size());
-    for (const upstream_state* upstream : usable.upstreams) {
-        weighed.push_back(weigh(*upstream, now));
-    }
+    const std::vector<pick_candidate> weighed = weigh(usable.upstreams, now);
     const pick_result picked = m_picker.pick(weighed, rng);
     const upstream_state& chosen = *usable.upstreams[picked.chosen];
     routing_decision decision = refuse(target, result_code::ok);
@@ -116,6 +112,7 @@
         return;
     }
     ++found->second->in_flight;
+    found->second->start_sum += now - absl::UnixEpoch();
     if (ejector* health = health_of(*found->second)) {
         health->on_probe_started(upstream_id, now);
     }
@@ -129,10 +126,11 @@
     }
     upstream_state& upstream = *found->second;
     upstream.in_flight = std::max(upstream.in_flight - 1, 0);
+    upstream.start_sum =
+        upstream.in_flight == 0 ? absl::ZeroDuration() : upstream.start_sum - (now - latency - absl::UnixEpoch());
     if (load && std::isfinite(*load)) {
         upstream.hint = std::clamp(*load, 0.0, m_settings.policy.max_hint);
         upstream.hint_time = now;
-        upstream.in_flight_at_hint = upstream.in_flight;
     }
     learn(upstream, outcome, latency, now);
     if (!upstream.is_listed && upstream.in_flight == 0) {
@@ -156,8 +154,10 @@
             health->reset(record.id);
         }
         const int in_flight = slot->in_flight;
+        const absl::Duration start_sum = slot->start_sum;
         *slot = upstream_state();
         slot->in_flight = in_flight;
+        slot->start_sum = start_sum;
         slot->latency = latency_average(m_settings.policy.averaging);
         slot->warming_since = service_is_known ? now : absl::InfinitePast();
     }
@@ -255,28 +255,42 @@
     return {penalised.empty() ? std::move(ejected) : std::move(penalised), choice_reason::ejection_ignored};
 }
 
-pick_candidate router::weigh(const upstream_state& upstream, absl::Time now) const {
-    const double slots = std::max(upstream.record.slots, 1);
-    pick_candidate weighed;
-    weighed.weight = slots * m_warm_up.weight(upstream.warming_since, now);
-    weighed.load = estimated_load(upstream, now);
-    // One microsecond keeps the load in the comparison while no latency is known.
-    const double latency = std::max(absl::ToDoubleSeconds(upstream.latency.value(now)), 1e-6);
-    weighed.cost = latency * (1 + m_settings.policy.load_weight * weighed.load);
-    weighed.is_local = upstream.record.data_center == m_settings.data_center;
+std::vector<pick_candidate> router::weigh(const std::vector<upstream_state*>& upstreams, absl::Time now) const {
+    // An upstream without a sample is taken for as quick as the quickest: it is tried, but not flooded.
+    absl::Duration quickest = absl::InfiniteDuration();
+    for (const upstream_state* upstream : upstreams) {
+        if (upstream->latency.is_known()) {
+            quickest = std::min(quickest, expected_latency(*upstream, now));
+        }
+    }
+    quickest = quickest == absl::InfiniteDuration() ? absl::Milliseconds(1) : quickest;
+    std::vector<pick_candidate> weighed;
+    weighed.reserve(upstreams.size());
+    for (const upstream_state* upstream : upstreams) {
+        const double slots = std::max(upstream->record.slots, 1);
+        const double own = upstream->in_flight / slots;
+        const double hint = trusted_hint(*upstream, now);
+        const absl::Duration latency =
+            std::max(expected_latency(*upstream, now), upstream->latency.is_known() ? absl::Microseconds(1) : quickest);
+        weighed.push_back({.weight = slots * m_warm_up.weight(upstream->warming_since, now),
+                           .cost = absl::ToDoubleSeconds(latency) *
+                                   (1 + m_settings.policy.own_weight * own + m_settings.policy.hint_weight * hint),
+                           .load = std::max(own, hint),
+                           .is_local = upstream->record.data_center == m_settings.data_center});
+    }
     return weighed;
 }
 
-double router::estimated_load(const upstream_state& upstream, absl::Time now) const {
-    const double slots = std::max(upstream.record.slots, 1);
-    const double own = upstream.in_flight / slots;
-    if (!upstream.hint) {
-        return own;
-    }
-    const double trust = std::exp(-absl::FDivDuration(now - upstream.hint_time, m_settings.policy.hint_decay));
-    const double reported = *upstream.hint + (upstream.in_flight - upstream.in_flight_at_hint) / slots;
-    // A report never makes an upstream look less busy than the entry's own requests there.
-    return std::max(own, trust * reported + (1 - trust) * own);
+absl::Duration router::expected_latency(const upstream_state& upstream, absl::Time now) const {
+    // Requests without an answer yet show a stalled upstream before the first of them ends.
+    const absl::Duration mean_age = upstream.in_flight == 0
+                                        ? absl::ZeroDuration()
+                                        : now - absl::UnixEpoch() - upstream.start_sum / upstream.in_flight;
+    return std::max(upstream.latency.value(now), mean_age);
+}
+
+double router::trusted_hint(const upstream_state& upstream, absl::Time now) const {
+    return upstream.hint * std::exp(-absl::FDivDuration(now - upstream.hint_time, m_settings.policy.hint_decay));
 }
 
 candidate_view router::view(const upstream_state& upstream, const pick_candidate& weighed, absl::Time now) const {
--- a/src/routing/router.h
+++ b/src/routing/router.h
@@ -32,8 +32,9 @@
     ejector_policy ejecting;
     warm_up_policy warming;
     latency_average_policy averaging;
-    double load_weight = 3;                                   ///< Cost of a full upstream over an idle one, less 1.
-    double max_hint = 2;                                      ///< Larger reported loads count as this.
+    double own_weight = 3;    ///< Cost added by one of the entry's own requests per slot, as a multiple of the latency.
+    double hint_weight = 0.3; ///< Cost added by one reported request per slot, as a multiple of the latency.
+    double max_hint = 2;      ///< Larger reported loads count as this.
     absl::Duration hint_decay = absl::Milliseconds(500);      ///< Age at which a reported load counts 1/e.
     absl::Duration refusal_penalty = absl::Milliseconds(25);  ///< After a refusal for load.
     absl::Duration connect_penalty = absl::Milliseconds(250); ///< After a failed connection.
@@ -101,10 +102,10 @@
         upstream_record record;
         bool is_listed = false;
         int in_flight = 0;
+        absl::Duration start_sum; ///< Start times of the requests in flight, added up, since the Unix epoch.
         latency_average latency;
-        std::optional<double> hint;
-        absl::Time hint_time;
-        int in_flight_at_hint = 0;
+        double hint = 0;
+        absl::Time hint_time = absl::InfinitePast();
         absl::Time penalised_until = absl::InfinitePast();
         absl::Time warming_since = absl::InfinitePast();
     };
@@ -129,8 +130,9 @@
     double configured_weight(const std::string& service, const std::string& version, const version_group& group) const;
     candidate_set candidates(const version_group& group, const route& target, const request_facts& request,
                              absl::Time now) const;
-    pick_candidate weigh(const upstream_state& upstream, absl::Time now) const;
-    double estimated_load(const upstream_state& upstream, absl::Time now) const;
+    std::vector<pick_candidate> weigh(const std::vector<upstream_state*>& upstreams, absl::Time now) const;
+    absl::Duration expected_latency(const upstream_state& upstream, absl::Time now) const;
+    double trusted_hint(const upstream_state& upstream, absl::Time now) const;
     candidate_view view(const upstream_state& upstream, const pick_candidate& weighed, absl::Time now) const;
     void learn(upstream_state& upstream, attempt_outcome outcome, absl::Duration latency, absl::Time now);
     ejector* health_of(const upstream_state& upstream);
