Let an earlier deadline displace the latest one in a full queue

In overload, queues fill with requests that can wait, and price lookups were refused although they could have been answered in time.

The displaced request is reported by expire or finish, so the interface of offer stays the same; next_expiry() says that it is due. A separate quota for short requests was ruled out: it needs a setting that nobody could choose.

--- a/src/routing/slot_limiter.cpp
+++ b/src/routing/slot_limiter.cpp
@@ -28,7 +28,7 @@
     if (m_policy.drops_hopeless && now + expected_wait(deadline) >= latest_start(offered)) {
         return {admission::verdict::refused, result_code::queue_deadline};
     }
-    if (queued() >= m_queue_limit) {
+    if (queued() >= m_queue_limit && !displace_for(offered)) {
         return {admission::verdict::refused, result_code::queue_full};
     }
     m_queue.push_back(offered);
@@ -43,7 +43,9 @@
     learn(m_service_time, now - found->started);
     learn(m_service_time_by_kind[found->kind], now - found->started);
     m_running.erase(found);
-    return fill_slots(now);
+    slot_change change = fill_slots(now);
+    take_displaced(change.dropped);
+    return change;
 }
 
 std::vector<request_id> slot_limiter::expire(absl::Time now) {
@@ -55,6 +57,7 @@
         dropped.push_back(waiting.id);
         return true;
     });
+    take_displaced(dropped);
     return dropped;
 }
 
@@ -62,9 +65,9 @@
     if (std::ranges::find(m_running, id, &running_request::id) != m_running.end()) {
         return cancel_result::running;
     }
-    return std::erase_if(m_queue, [&](const waiting_request& waiting) { return waiting.id == id; }) > 0
-               ? cancel_result::queued
-               : cancel_result::unknown;
+    const auto removed = std::erase_if(m_queue, [&](const waiting_request& waiting) { return waiting.id == id; }) +
+                         std::erase(m_displaced, id);
+    return removed > 0 ? cancel_result::queued : cancel_result::unknown;
 }
 
 void slot_limiter::set_leaving() {
@@ -82,6 +85,9 @@
 }
 
 std::optional<absl::Time> slot_limiter::next_expiry() const {
+    if (!m_displaced.empty()) {
+        return absl::InfinitePast();
+    }
     if (m_queue.empty()) {
         return std::nullopt;
     }
@@ -93,7 +99,7 @@
 }
 
 bool slot_limiter::is_drained() const {
-    return m_is_leaving && m_running.empty() && m_queue.empty();
+    return m_is_leaving && m_running.empty() && m_queue.empty() && m_displaced.empty();
 }
 
 double slot_limiter::load() const {
@@ -152,9 +158,28 @@
     return 0;
 }
 
+bool slot_limiter::displace_for(const waiting_request& offered) {
+    if (!m_policy.displaces || m_policy.order != queue_order::earliest_deadline || m_queue.empty()) {
+        return false;
+    }
+    const auto latest = std::ranges::max_element(m_queue, {}, &waiting_request::deadline);
+    if (latest->deadline <= offered.deadline) {
+        return false;
+    }
+    m_displaced.push_back(latest->id);
+    m_queue.erase(latest);
+    return true;
+}
+
+void slot_limiter::take_displaced(std::vector<request_id>& dropped) {
+    dropped.insert(dropped.end(), m_displaced.begin(), m_displaced.end());
+    m_displaced.clear();
+}
+
 bool slot_limiter::is_known(request_id id) const {
     return std::ranges::find(m_running, id, &running_request::id) != m_running.end() ||
-           std::ranges::find(m_queue, id, &waiting_request::id) != m_queue.end();
+           std::ranges::find(m_queue, id, &waiting_request::id) != m_queue.end() ||
+           std::ranges::find(m_displaced, id) != m_displaced.end();
 }
 
 void slot_limiter::learn(absl::Duration& average, absl::Duration sample) const {
--- a/src/routing/slot_limiter.h
+++ b/src/routing/slot_limiter.h
@@ -27,7 +27,8 @@
 struct slot_limiter_policy {
     queue_order order = queue_order::earliest_deadline;
     double service_time_weight = 0.05; ///< Weight of one new service time in the running average.
-    bool drops_hopeless = true;        ///< False: only requests whose deadline has passed are dropped. For comparisons.
+    bool displaces = true; ///< A full queue gives up its latest deadline for an earlier one; earliest_deadline only.
+    bool drops_hopeless = true; ///< False: only requests whose deadline has passed are dropped. For comparisons.
 };
 
 /// Answer of slot_limiter::offer.
@@ -62,7 +63,8 @@
     /// @param policy the constants.
     slot_limiter(int slots, int queue_limit, slot_limiter_policy policy = {});
 
-    /// Decides about a new request.
+    /// Decides about a new request. If it displaces a queued one, that one is reported by the next call of expire or
+    /// finish, and next_expiry() says that expire is due: read next_expiry() after each offer that was queued.
     /// @param id must not be queued or running here.
     /// @param deadline when the caller stops waiting.
     /// @param now the time.
@@ -74,7 +76,7 @@
     /// Frees the slot of a request and fills free slots from the queue. An unknown @p id frees nothing.
     slot_change finish(request_id id, absl::Time now);
 
-    /// Drops waiting requests that can no longer meet their deadlines.
+    /// Drops waiting requests that can no longer meet their deadlines, or were displaced.
     std::vector<request_id> expire(absl::Time now);
 
     /// Removes a waiting request.
@@ -90,7 +92,7 @@
     /// @return requests that may run now.
     slot_change set_limits(int slots, int queue_limit, absl::Time now);
 
-    /// @return when expire would next drop a request, or nothing if the queue is empty.
+    /// @return when expire would next drop a request, which may be in the past; nothing if no request waits.
     std::optional<absl::Time> next_expiry() const;
 
     /// @return true if the upstream is leaving and neither runs nor queues a request.
@@ -137,6 +139,8 @@
     absl::Duration expected_wait(absl::Time deadline) const;
     slot_change fill_slots(absl::Time now);
     std::size_t next_position() const;
+    bool displace_for(const waiting_request& offered);
+    void take_displaced(std::vector<request_id>& dropped);
     bool is_known(request_id id) const;
     void learn(absl::Duration& average, absl::Duration sample) const;
 
@@ -146,6 +150,7 @@
     bool m_is_leaving = false;
     std::vector<running_request> m_running; // Slots are few, so a scan is faster than a tree.
     std::vector<waiting_request> m_queue;   // In order of arrival.
+    std::vector<request_id> m_displaced;    // Not reported yet.
     absl::Duration m_service_time;
     absl::flat_hash_map<std::string, std::size_t> m_kind_numbers;
     std::vector<absl::Duration> m_service_time_by_kind; ///< Zero before the first one of the kind.
--- a/src/tests/slot_limiter_test.cpp
+++ b/src/tests/slot_limiter_test.cpp
@@ -222,6 +222,7 @@
     {"queued", 2, 100, admission::verdict::queued},
     {"cannot be answered in time", 2, 25, admission::verdict::refused, result_code::queue_deadline},
     {"overtakes later deadlines", 5, 100, admission::verdict::queued},
+    {"displaces a later deadline", 6, 100, admission::verdict::queued},
     {"queue full", 6, 10'001, admission::verdict::refused, result_code::queue_full},
 };
 
@@ -238,6 +239,20 @@
     BOOST_TEST(static_cast<int>(answer.refusal) == static_cast<int>(row.code));
 }
 
+// Guards against a displaced request whose caller is not told, and a queue that grows by displacing.
+BOOST_AUTO_TEST_CASE(reports_displaced_requests_at_once) {
+    slot_limiter limiter(1, 1);
+    limiter.offer(1, at(1000), at(0));
+    limiter.offer(2, at(1000), at(0));
+    BOOST_TEST((limiter.offer(3, at(500), at(0)).result == admission::verdict::queued));
+    BOOST_TEST(limiter.queued() == 1);
+    BOOST_TEST((limiter.next_expiry().value() <= at(0)));
+    BOOST_TEST(limiter.expire(at(0)) == std::vector<request_id>{2}, boost::test_tools::per_element());
+    limiter.offer(4, at(400), at(0));
+    BOOST_TEST((limiter.cancel(3) == cancel_result::queued));
+    BOOST_TEST(limiter.finish(1, at(1)).dropped.empty());
+}
+
 // Guards against long requests making the limiter refuse short ones that can be answered in time.
 BOOST_AUTO_TEST_CASE(judges_each_kind_by_its_own_service_time) {
     slot_limiter limiter(1, 4);
