--- a/src/common/endpoint.h
+++ b/src/common/endpoint.h
@@ -12,7 +12,8 @@
     std::string address; ///< IPv4 or IPv6 number, without brackets.
     std::uint16_t port = 0;
 
-    friend auto operator<=>(const endpoint&, const endpoint&) = default;
+    // clang-tidy 14 takes the 0 in comparisons rewritten by the compiler for a null pointer.
+    friend auto operator<=>(const endpoint&, const endpoint&) = default; // NOLINT(modernize-use-nullptr)
 };
 
 /// @param text `A.B.C.D:PORT` or `[IPV6]:PORT`.
--- /dev/null
+++ b/src/peers/distributor.cpp
@@ -0,0 +1,98 @@
+#include "peers/distributor.h"
+
+#include <absl/random/distributions.h>
+
+#include <algorithm>
+
+namespace amaranthladder {
+
+namespace {
+
+constexpr std::size_t max_candidates = 16;
+
+} // namespace
+
+distributor::distributor(const peer_settings& settings)
+    : m_settings(settings), m_backoff(settings.pull_backoff_first) {}
+
+void distributor::hear(const endpoint& peer, const configuration_digest& digest, bool is_near, absl::Time now,
+                       absl::BitGenRef random) {
+    m_newest_heard = std::max(m_newest_heard, digest.version);
+    if (digest.version <= m_held.version || digest.version == m_rejected || digest.version < m_wanted) {
+        return;
+    }
+    if (digest.version > m_wanted) {
+        m_wanted = digest.version;
+        m_candidates.clear();
+        m_next_pull = std::max(m_next_pull, now + absl::Uniform(random, 0.0, 1.0) * m_settings.pull_jitter);
+    }
+    const bool is_known = std::ranges::find(m_candidates, peer, &candidate::peer) != m_candidates.end();
+    if (!is_known && m_candidates.size() < max_candidates) {
+        m_candidates.push_back({peer, is_near});
+    }
+}
+
+bool distributor::is_pull_allowed(absl::Time now) const {
+    if (m_wanted <= m_held.version || m_candidates.empty() || now < m_next_pull) {
+        return false;
+    }
+    if (m_running.size() >= static_cast<std::size_t>(m_settings.concurrent_pulls)) {
+        return false;
+    }
+    return std::ranges::all_of(m_running, [&](const running_pull& pull) {
+        return pull.order.expected_version < m_wanted || pull.started + m_settings.pull_hedge <= now;
+    });
+}
+
+std::vector<pull_order> distributor::tick(absl::Time now, absl::BitGenRef random) {
+    if (!is_pull_allowed(now)) {
+        return {};
+    }
+    std::shuffle(m_candidates.begin(), m_candidates.end(), random);
+    std::stable_partition(m_candidates.begin(), m_candidates.end(), [](const candidate& peer) { return peer.is_near; });
+    const auto is_idle = [&](const candidate& peer) {
+        return std::ranges::none_of(m_running, [&](const running_pull& pull) { return pull.order.peer == peer.peer; });
+    };
+    const auto chosen = std::ranges::find_if(m_candidates, is_idle);
+    if (chosen == m_candidates.end()) {
+        return {};
+    }
+    const pull_order order{chosen->peer, m_held, m_wanted};
+    m_running.push_back({order, now});
+    return {order};
+}
+
+void distributor::finish(const pull_order& order, pull_outcome outcome, absl::Time now, absl::BitGenRef random) {
+    std::erase_if(m_running, [&](const running_pull& pull) { return pull.order == order; });
+    // A pull that left the version in force unchanged counts as failed, or it would be repeated at once.
+    if (outcome == pull_outcome::applied && m_held.version > order.held.version) {
+        m_backoff = m_settings.pull_backoff_first;
+        return;
+    }
+    if (outcome == pull_outcome::rejected) {
+        m_rejected = std::max(m_rejected, order.expected_version);
+    }
+    std::erase_if(m_candidates,
+                  [&](const candidate& peer) { return outcome == pull_outcome::rejected || peer.peer == order.peer; });
+    if (m_candidates.empty()) {
+        // Peers with a lower version than the one wanted, but above the one in force, are considered again.
+        m_wanted = m_held.version;
+    }
+    m_next_pull = now + absl::Uniform(random, 0.5, 1.5) * m_backoff;
+    m_backoff = std::min(2 * m_backoff, m_settings.pull_backoff_cap);
+}
+
+bool distributor::set_held(const configuration_digest& held) {
+    if (held.version <= m_held.version) {
+        return false;
+    }
+    m_held = held;
+    m_newest_heard = std::max(m_newest_heard, held.version);
+    if (m_wanted <= m_held.version) {
+        m_wanted = m_held.version;
+        m_candidates.clear();
+    }
+    return true;
+}
+
+} // namespace amaranthladder
--- a/src/peers/distributor.h
+++ b/src/peers/distributor.h
@@ -28,4 +28,60 @@
     rejected,    ///< Validation refused the version; it is not pulled again from anybody.
 };
 
+/// Decides from which peer to pull a newer configuration version, and when. Pure.
+///
+/// Only versions above the one in force are pulled. A failed pull removes the peer from the candidates and delays the
+/// next pull, so that peers without an answer are not asked again and again.
+class distributor {
+public:
+    /// @param settings the settings; must outlive this object.
+    explicit distributor(const peer_settings& settings);
+
+    /// Takes a peer's digest.
+    /// @param is_near true if the peer is in this daemon's data centre; such peers are preferred.
+    void hear(const endpoint& peer, const configuration_digest& digest, bool is_near, absl::Time now,
+              absl::BitGenRef random);
+
+    /// @return pulls to start now.
+    std::vector<pull_order> tick(absl::Time now, absl::BitGenRef random);
+
+    /// Ends a pull.
+    void finish(const pull_order& order, pull_outcome outcome, absl::Time now, absl::BitGenRef random);
+
+    /// States the configuration in force.
+    /// @return true if it is newer than the one before; otherwise nothing changes.
+    bool set_held(const configuration_digest& held);
+
+    const configuration_digest& held() const {
+        return m_held;
+    }
+
+    std::uint64_t newest_heard_version() const {
+        return m_newest_heard;
+    }
+
+private:
+    struct candidate {
+        endpoint peer;
+        bool is_near = false;
+    };
+
+    struct running_pull {
+        pull_order order;
+        absl::Time started;
+    };
+
+    bool is_pull_allowed(absl::Time now) const;
+
+    const peer_settings& m_settings;
+    configuration_digest m_held;
+    std::uint64_t m_newest_heard = 0;
+    std::uint64_t m_wanted = 0; ///< The version that m_candidates have; not above m_held: none.
+    std::uint64_t m_rejected = 0;
+    std::vector<candidate> m_candidates;
+    std::vector<running_pull> m_running;
+    absl::Time m_next_pull = absl::InfinitePast();
+    absl::Duration m_backoff;
+};
+
 } // namespace amaranthladder
--- /dev/null
+++ b/src/peers/member_table.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include "peers/member.h"
+#include "peers/replicated_table.h"
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace amaranthladder {
+
+/// Order and encoding of members for replicated_table.
+struct member_traits {
+    std::string key(const member& value) const;
+
+    /// @return the record with the higher (incarnation, state).
+    member merge(const member& held, const member& heard) const;
+    std::string encode(const member& value) const;
+    std::optional<member> decode(std::string_view bytes) const;
+
+    /// @return true for dead members and those that left.
+    bool is_tombstone(const member& value) const;
+};
+
+using member_table = replicated_table<member, member_traits>;
+
+} // namespace amaranthladder
--- /dev/null
+++ b/src/peers/membership.h
@@ -0,0 +1,151 @@
+#pragma once
+
+#include "common/endpoint.h"
+#include "peers/member_table.h"
+#include "peers/messages.h"
+#include "peers/peer_settings.h"
+
+#include <absl/container/flat_hash_map.h>
+#include <absl/random/bit_gen_ref.h>
+#include <absl/time/time.h>
+
+#include <array>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace amaranthladder {
+
+/// A message that membership wants to be sent.
+struct probe_message {
+    endpoint to;
+    message_kind kind = message_kind::ping;
+    std::uint64_t sequence = 0;
+    endpoint target;
+};
+
+/// Membership by probes, indirect probes, suspicion and incarnation (SWIM). Pure.
+///
+/// Every probe interval one live member is probed, in an order shuffled anew for each pass over all members. A member
+/// that answers neither directly nor through helpers is suspected, and declared dead unless it refutes the suspicion in
+/// time. Members thought dead and unreachable seeds are probed now and then, so that partitions heal.
+class membership {
+public:
+    /// @param settings the settings; must outlive this object.
+    /// @param incarnation the first incarnation of this daemon.
+    /// @throws error with a chart code if charts/member.ini does not fit member_state.
+    membership(const peer_settings& settings, std::uint64_t incarnation);
+
+    /// Advances timers.
+    std::vector<probe_message> tick(absl::Time now, absl::BitGenRef random);
+
+    /// Takes a ping, ack or ping_req. The sender's record and the piggybacked ones go through merge().
+    std::vector<probe_message> receive(const datagram& message, absl::Time now);
+
+    /// Takes a record heard from a peer.
+    /// @param age how long ago the record became a tombstone.
+    void merge(const member& heard, absl::Time now, absl::Duration age = absl::ZeroDuration());
+
+    /// Marks this daemon as having left.
+    void leave(absl::Time now);
+
+    /// Forgets all others, except some addresses to join through.
+    void reset(absl::Time now);
+
+    /// @return members whose record changed since the last call, this daemon included.
+    std::vector<member> take_changes();
+
+    /// @return up to @p count different live members, chosen at random.
+    std::vector<endpoint> random_live(std::size_t count, absl::BitGenRef random) const;
+
+    /// @return the record of @p address, or null.
+    const member* find(const endpoint& address) const;
+
+    /// @return since when the owner of the upstreams with @p http_address has been dead; the infinite future if it is
+    ///         not dead, nothing if no such member is known.
+    std::optional<absl::Time> owner_dead_since(const endpoint& http_address) const;
+
+    const member& self() const {
+        return m_self;
+    }
+
+    const member_table& table() const {
+        return m_table;
+    }
+
+    /// @return the number of live members without this daemon.
+    std::size_t live_count() const {
+        return m_live.size();
+    }
+
+    /// @return the length of the last pause of this daemon, if it lay between the last two ticks; else zero.
+    absl::Duration last_pause() const {
+        return m_last_pause;
+    }
+
+private:
+    struct probe {
+        endpoint target;
+        std::uint64_t sequence = 0;
+        absl::Time sent;
+        bool is_acked = false;
+        int retries = 0;
+    };
+
+    struct relay {
+        endpoint origin;
+        std::uint64_t origin_sequence = 0;
+        endpoint target;
+        absl::Time expires;
+    };
+
+    enum class event { probe_failed, suspicion_expired, heard_alive, heard_suspected, heard_dead, heard_left };
+    static constexpr std::size_t event_count = 6;
+    static constexpr std::size_t state_count = 4;
+
+    void read_chart();
+    std::optional<member_state> next_state(member_state state, event happened) const;
+    void note_pause(absl::Time now);
+    void end_round(absl::Time now, std::vector<probe_message>& out);
+    void begin_round(absl::Time now, absl::BitGenRef random, std::vector<probe_message>& out);
+    void forget_expired();
+    void ask_helpers(absl::Time now, absl::BitGenRef random, std::vector<probe_message>& out);
+    void contact_seeds(absl::Time now, absl::BitGenRef random, std::vector<probe_message>& out);
+    void expire_suspicions(absl::Time now);
+    void expire_relays(absl::Time now);
+    std::optional<endpoint> next_target(absl::BitGenRef random);
+    std::vector<endpoint> helpers(const endpoint& target, absl::BitGenRef random) const;
+    void hear_about_self(const member& heard, absl::Time now);
+    void store(member changed, absl::Time now, absl::Duration age);
+    void index_state(const member& changed, absl::Time now);
+    void set_live(const endpoint& address, bool is_live);
+    absl::Duration suspicion_time() const;
+
+    const peer_settings& m_settings;
+    member m_self;
+    member_table m_table;
+    std::array<std::array<std::optional<member_state>, event_count>, state_count> m_chart;
+    std::map<endpoint, absl::Time> m_suspicions; ///< Deadlines of suspected members.
+    std::vector<endpoint> m_live;
+    std::map<endpoint, std::size_t> m_live_position;
+    std::set<endpoint> m_dead;
+    std::map<endpoint, std::set<endpoint>> m_by_http_address;
+    std::vector<endpoint> m_probe_order;
+    std::optional<probe> m_probe;
+    std::map<std::uint64_t, relay> m_relays;
+    std::vector<endpoint> m_contacts;
+    std::vector<member> m_changes;
+    std::uint64_t m_next_sequence = 1;
+    std::uint64_t m_round = 0;
+    std::optional<absl::Time> m_last_tick;
+    absl::Time m_next_round = absl::InfinitePast();
+    absl::Time m_next_seed_contact = absl::InfinitePast();
+    absl::Duration m_seed_backoff;
+    absl::Duration m_last_pause = absl::ZeroDuration();
+    bool m_is_round_late = false;
+};
+
+} // namespace amaranthladder
--- a/src/peers/messages.h
+++ b/src/peers/messages.h
@@ -63,6 +63,14 @@
     friend bool operator==(const datagram&, const datagram&) = default;
 };
 
+/// A repair to be made with a peer.
+struct repair_order {
+    endpoint peer;
+    std::array<bool, table_count> is_differing{}; ///< Tables whose roots differed in the peer's digest.
+
+    friend bool operator==(const repair_order&, const repair_order&) = default;
+};
+
 /// First message of a repair: the bucket hashes of the tables whose roots differ.
 struct repair_offer {
     struct table {
--- a/src/peers/opaque_record.h
+++ b/src/peers/opaque_record.h
@@ -14,7 +14,7 @@
     friend bool operator==(const opaque_record&, const opaque_record&) = default;
 };
 
-constexpr std::size_t max_opaque_bytes = 64 * 1024;
+constexpr std::size_t max_opaque_bytes = std::size_t{64} * 1024;
 
 /// How the records of the opaque table are merged.
 struct opaque_rules {
@@ -25,6 +25,10 @@
     /// @return true if the record may be dropped and is not to be taken again, e.g. because its move is no longer part
     ///         of the configuration. May be empty: nothing is dropped.
     std::function<bool(const opaque_record& record)> is_obsolete;
+
+    /// @return true if a change to this state is to reach all daemons within a few seconds at the cost of more bytes,
+    ///         e.g. because a move was taken back. May be empty: no change is urgent.
+    std::function<bool(const opaque_record& record)> is_urgent;
 };
 
 } // namespace amaranthladder
--- /dev/null
+++ b/src/peers/opaque_table.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include "peers/opaque_record.h"
+#include "peers/replicated_table.h"
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace amaranthladder {
+
+/// Merges opaque records with the rules of the module that owns their content.
+struct opaque_traits {
+    opaque_rules rules;
+
+    std::string key(const opaque_record& value) const;
+    opaque_record merge(const opaque_record& held, const opaque_record& heard) const;
+    std::string encode(const opaque_record& value) const;
+    std::optional<opaque_record> decode(std::string_view bytes) const;
+
+    /// Opaque records have no tombstones; obsolete ones are dropped and refused by opaque_rules::is_obsolete.
+    bool is_tombstone(const opaque_record& value) const;
+};
+
+using opaque_table = replicated_table<opaque_record, opaque_traits>;
+
+} // namespace amaranthladder
--- /dev/null
+++ b/src/peers/peer_node.cpp
@@ -0,0 +1,612 @@
+#include "peers/peer_node.h"
+
+#include "common/error.h"
+#include "peers/message_codec.h"
+
+#include <absl/random/distributions.h>
+
+#include <algorithm>
+#include <cmath>
+#include <tuple>
+#include <utility>
+
+namespace amaranthladder {
+
+namespace {
+
+// After such a pause the tables are compared with a peer's at once, as after a start.
+constexpr absl::Duration long_pause = absl::Seconds(5);
+constexpr absl::Duration sweep_interval = absl::Seconds(10);
+constexpr std::size_t max_repair_bytes = std::size_t{900} * 1024; // Leaves room for the frame within 1 MB.
+// Bytes that a list of records adds to a datagram beyond an empty one.
+constexpr std::size_t list_overhead = 4;
+
+template <typename Table> std::vector<std::uint64_t> bucket_hashes(const Table& table) {
+    const auto buckets = table.buckets();
+    return {buckets.begin(), buckets.end()};
+}
+
+template <typename Element> void move_to_end(std::vector<Element>& to, std::vector<Element>& from) {
+    std::ranges::move(from, std::back_inserter(to));
+}
+
+} // namespace
+
+void node_output::append(node_output&& other) {
+    move_to_end(datagrams, other.datagrams);
+    move_to_end(pulls, other.pulls);
+    move_to_end(repairs, other.repairs);
+    move_to_end(members, other.members);
+    move_to_end(upstreams, other.upstreams);
+    move_to_end(opaque, other.opaque);
+}
+
+peer_node::peer_node(const peer_settings& settings, opaque_rules rules, absl::Time now)
+    : m_settings(settings), m_mesh(message_codec::mesh_hash(settings.mesh)),
+      m_incarnation(static_cast<std::uint64_t>(std::max<std::int64_t>(1, absl::ToUnixMillis(now)))), m_start(now),
+      m_membership(m_settings, m_incarnation), m_directory(settings.tombstone_retention),
+      m_opaque(opaque_traits{std::move(rules)}, settings.tombstone_retention), m_distributor(m_settings),
+      m_queue(settings.queued_changes), m_repair_delay(settings.join_repair_interval), m_notify_refilled(now),
+      m_notify_tokens(settings.notify_burst) {
+    if (2 * settings.dead_owner_retention > settings.tombstone_retention ||
+        settings.dead_owner_retention >= settings.dead_member_retention) {
+        throw error(result_code::setting_conflict,
+                    "records of dead owners must be dropped before tombstones and dead members are forgotten");
+    }
+    m_is_joined = std::ranges::all_of(settings.seeds, [&](const endpoint& seed) { return seed == settings.address; });
+}
+
+node_output peer_node::tick(absl::Time now, absl::BitGenRef random) {
+    const std::vector<probe_message> messages = m_membership.tick(now, random);
+    if (m_membership.last_pause() >= m_settings.dead_owner_retention) {
+        restart_after_pause(now);
+    }
+    if (m_membership.last_pause() >= long_pause) {
+        m_repair_delay = m_settings.join_repair_interval;
+        m_next_repair = now;
+    }
+    m_directory.expire(now);
+    withdraw_unclaimed(now);
+    if (now >= m_next_sweep) {
+        sweep(now);
+        m_next_sweep = now + sweep_interval;
+    }
+    note_member_changes(now, random);
+    for (const probe_message& message : messages) {
+        send(message, now);
+    }
+    return finish_call(now, random);
+}
+
+// The others may have forgotten tombstones in the meantime: what this daemon holds of them could be withdrawn long ago.
+void peer_node::restart_after_pause(absl::Time now) {
+    m_membership.reset(now);
+    m_directory.clear();
+    m_queue.clear();
+    m_dead.clear();
+    m_unclaimed.clear();
+    m_is_joined = false;
+    for (const auto& [id, record] : m_own) {
+        store_upstream(record, now, absl::ZeroDuration());
+    }
+}
+
+void peer_node::sweep(absl::Time now) {
+    m_directory.sweep(owner_query(), m_settings.dead_owner_retention, now);
+    if (!m_opaque.traits().rules.is_obsolete) {
+        return;
+    }
+    std::vector<std::string> obsolete;
+    m_opaque.for_each([&](const opaque_table::entry& held) {
+        if (m_opaque.traits().rules.is_obsolete(held.record)) {
+            obsolete.push_back(held.record.key);
+        }
+    });
+    for (const std::string& key : obsolete) {
+        m_opaque.drop(key);
+    }
+}
+
+node_output peer_node::receive(std::string_view bytes, absl::Time now, absl::BitGenRef random) {
+    const std::optional<datagram> message = decode(bytes);
+    if (!message || message->sender.address == self().address) {
+        return {};
+    }
+    std::vector<decoded_record> records;
+    for (const table_record& record : message->records) {
+        records.push_back(decode(record));
+        if (!records.back().is_valid()) {
+            ++m_drops.malformed;
+            return {};
+        }
+    }
+    m_membership.merge(message->sender, now);
+    for (const decoded_record& record : records) {
+        hear(record, now);
+    }
+    note_member_changes(now, random);
+    if (message->sender.state == member_state::alive) {
+        hear_digest(*message, now, random);
+        for (const probe_message& answer : m_membership.receive(*message, now)) {
+            send(answer, now);
+        }
+    }
+    return finish_call(now, random);
+}
+
+std::optional<datagram> peer_node::decode(std::string_view bytes) {
+    try {
+        datagram message = message_codec::decode_datagram(bytes, m_mesh);
+        const bool is_alive_or_left =
+            message.sender.state == member_state::alive || message.sender.state == member_state::left;
+        if (is_alive_or_left) {
+            return message;
+        }
+        ++m_drops.malformed;
+    } catch (const error& problem) {
+        if (problem.code() == result_code::message_too_large) {
+            ++m_drops.too_large;
+        } else if (problem.code() == result_code::message_other_mesh) {
+            ++m_drops.other_mesh;
+        } else {
+            ++m_drops.malformed;
+        }
+    }
+    return std::nullopt;
+}
+
+peer_node::decoded_record peer_node::decode(const table_record& record) {
+    decoded_record out;
+    out.table = record.table;
+    out.age = absl::Seconds(record.tombstone_age_s);
+    switch (record.table) {
+    case table_id::members:
+        out.member_heard = message_codec::decode_member(record.bytes);
+        break;
+    case table_id::upstreams:
+        out.upstream_heard = message_codec::decode_upstream(record.bytes);
+        break;
+    case table_id::opaque:
+        out.opaque_heard = message_codec::decode_opaque(record.bytes);
+        break;
+    }
+    return out;
+}
+
+void peer_node::hear(const decoded_record& heard, absl::Time now) {
+    if (heard.member_heard) {
+        m_membership.merge(*heard.member_heard, now, heard.age);
+    } else if (heard.upstream_heard) {
+        hear_upstream(*heard.upstream_heard, now, heard.age);
+    } else if (heard.opaque_heard) {
+        hear_opaque(*heard.opaque_heard);
+    }
+}
+
+void peer_node::hear_upstream(const upstream_record& heard, absl::Time now, absl::Duration age) {
+    const auto own = m_own.find(heard.id);
+    const bool is_mine = heard.owner == m_settings.http_address;
+    if (is_mine && own != m_own.end()) {
+        if (is_newer(heard, own->second)) {
+            // A record of an earlier run with a higher order, e.g. because the clock was set back since.
+            own->second.incarnation = heard.incarnation + 1;
+            own->second.sequence = 0;
+            store_upstream(own->second, now, absl::ZeroDuration());
+        }
+        return;
+    }
+    if (!heard.is_withdrawn && !is_mine && is_owner_forgotten(heard, now)) {
+        return;
+    }
+    const upstream_record* const held = m_directory.find(heard.id);
+    if (held != nullptr && *held == heard) {
+        return;
+    }
+    store_upstream(heard, now, age);
+    if (own != m_own.end() && m_directory.find(heard.id)->owner != m_settings.http_address) {
+        m_own.erase(own);
+    }
+}
+
+bool peer_node::is_owner_forgotten(const upstream_record& record, absl::Time now) const {
+    const auto dead_since = m_membership.owner_dead_since(record.owner);
+    return dead_since && *dead_since + m_settings.dead_owner_retention <= now;
+}
+
+void peer_node::store_upstream(const upstream_record& changed, absl::Time now, absl::Duration age) {
+    if (!m_directory.merge(changed, now, age)) {
+        return;
+    }
+    if (changed.owner == m_settings.http_address && !changed.is_withdrawn && !m_own.contains(changed.id)) {
+        m_unclaimed.insert(changed.id);
+    }
+    const auto* const held = m_directory.table().find(changed.id);
+    m_queue.add(table_id::upstreams, changed.id, message_codec::encode(changed), held->tombstone_since,
+                changed.is_leaving);
+    m_is_notify_pending = m_is_notify_pending || changed.is_leaving;
+    m_output.upstreams.push_back(changed);
+}
+
+bool peer_node::hear_opaque(const opaque_record& heard) {
+    const opaque_rules& rules = m_opaque.traits().rules;
+    if ((rules.is_obsolete && rules.is_obsolete(heard)) || !m_opaque.merge(heard, m_start)) {
+        return false;
+    }
+    const opaque_record& merged = m_opaque.find(heard.key)->record;
+    m_queue.add(table_id::opaque, merged.key, message_codec::encode(merged), absl::InfiniteFuture(), false);
+    m_is_notify_pending = m_is_notify_pending || (rules.is_urgent && rules.is_urgent(merged));
+    m_output.opaque.push_back(merged);
+    return true;
+}
+
+void peer_node::hear_digest(const datagram& message, absl::Time now, absl::BitGenRef random) {
+    const configuration_digest& heard = message.digest.configuration;
+    const bool is_near = message.sender.data_center == m_settings.data_center;
+    m_distributor.hear(message.sender.address, heard, is_near, now, random);
+    // A ping is answered with a digest anyway; the senders of other messages would wait for the next probe round.
+    if (heard.version < held_configuration().version && message.kind != message_kind::ping) {
+        send({message.sender.address, message_kind::notify, 0, {}}, now);
+    }
+    consider_repair(message, now, random);
+}
+
+void peer_node::consider_repair(const datagram& message, absl::Time now, absl::BitGenRef random) {
+    repair_order order{message.sender.address, {}};
+    const peer_digest own = digest();
+    for (std::size_t table = 0; table < table_count; ++table) {
+        order.is_differing[table] = own.table_roots[table] != message.digest.table_roots[table];
+    }
+    if (own.table_roots == message.digest.table_roots) {
+        m_is_joined = true;
+        return;
+    }
+    if (m_running_repair || now < m_next_repair) {
+        return;
+    }
+    m_running_repair = order;
+    m_output.repairs.push_back(order);
+    m_next_repair = now + absl::Uniform(random, 0.75, 1.25) * m_repair_delay;
+    m_repair_delay = std::min(2 * m_repair_delay, m_settings.repair_interval);
+}
+
+void peer_node::finish_repair(const repair_order& order, bool is_ok, absl::Time now, absl::BitGenRef random) {
+    if (m_running_repair == order) {
+        m_running_repair.reset();
+    }
+    m_is_joined = m_is_joined || is_ok;
+    note_member_changes(now, random);
+}
+
+void peer_node::note_member_changes(absl::Time now, absl::BitGenRef random) {
+    for (member& changed : m_membership.take_changes()) {
+        const auto* const held = m_membership.table().find(to_string(changed.address));
+        const absl::Time since = held == nullptr ? absl::InfiniteFuture() : held->tombstone_since;
+        m_queue.add(table_id::members, to_string(changed.address), message_codec::encode(changed), since, false);
+        if (changed.state == member_state::dead) {
+            m_dead.insert(changed.address);
+        } else if (m_dead.erase(changed.address) != 0 && changed.state == member_state::alive) {
+            // The end of a partition, perhaps: the tables of the two sides are compared soon.
+            m_repair_delay = std::min(m_repair_delay, 4 * m_settings.join_repair_interval);
+            m_next_repair = std::min(m_next_repair, now + absl::Uniform(random, 0.0, 1.0) * m_repair_delay);
+        }
+        m_output.members.push_back(std::move(changed));
+    }
+}
+
+upstream_record peer_node::announce_upstream(upstream_record record, absl::Time now) {
+    record.owner = m_settings.http_address;
+    record.is_withdrawn = false;
+    const auto own = m_own.find(record.id);
+    const upstream_record* const held = m_directory.find(record.id);
+    if (own != m_own.end()) {
+        record.incarnation = own->second.incarnation;
+        record.sequence = own->second.sequence;
+        if (record == own->second) {
+            return record;
+        }
+        ++record.sequence;
+    } else {
+        const bool is_foreign = held != nullptr && !held->is_withdrawn && held->owner != record.owner;
+        if (is_foreign && m_membership.owner_dead_since(held->owner) == absl::InfiniteFuture()) {
+            throw error(result_code::announcement_conflict,
+                        record.id + " is announced by the daemon at " + to_string(held->owner));
+        }
+        record.incarnation = std::max(m_incarnation, held == nullptr ? 0 : held->incarnation + 1);
+        record.sequence = 0;
+    }
+    m_own[record.id] = record;
+    m_unclaimed.erase(record.id);
+    store_upstream(record, now, absl::ZeroDuration());
+    m_is_notify_pending = true;
+    return record;
+}
+
+void peer_node::withdraw_upstream(const std::string& id, absl::Time now) {
+    const auto own = m_own.find(id);
+    if (own == m_own.end()) {
+        return;
+    }
+    upstream_record record = own->second;
+    m_own.erase(own);
+    record.is_leaving = true;
+    record.is_withdrawn = true;
+    ++record.sequence;
+    store_upstream(record, now, absl::ZeroDuration());
+}
+
+// Upstreams that announced themselves to an earlier run of this daemon and have not come back.
+void peer_node::withdraw_unclaimed(absl::Time now) {
+    if (m_unclaimed.empty() || now < m_start + m_settings.announcement_grace) {
+        return;
+    }
+    for (const std::string& id : std::exchange(m_unclaimed, {})) {
+        const upstream_record* const held = m_directory.find(id);
+        if (held == nullptr || held->is_withdrawn || held->owner != m_settings.http_address) {
+            continue;
+        }
+        upstream_record record = *held;
+        record.is_leaving = true;
+        record.is_withdrawn = true;
+        ++record.sequence;
+        store_upstream(record, now, absl::ZeroDuration());
+    }
+}
+
+bool peer_node::put_opaque(const opaque_record& record, absl::Time /*now*/) {
+    if (record.key.empty() || record.key.size() + record.bytes.size() > max_opaque_bytes) {
+        throw error(result_code::message_too_large, "record " + record.key);
+    }
+    const bool is_changed = hear_opaque(record);
+    m_is_notify_pending = m_is_notify_pending || is_changed;
+    return is_changed;
+}
+
+void peer_node::set_configuration(const configuration_digest& held) {
+    if (m_distributor.set_held(held)) {
+        m_is_notify_pending = true;
+    }
+}
+
+void peer_node::finish_pull(const pull_order& order, pull_outcome outcome, absl::Time now, absl::BitGenRef random) {
+    m_distributor.finish(order, outcome, now, random);
+}
+
+void peer_node::leave(absl::Time now) {
+    std::vector<std::string> ids;
+    for (const auto& [id, record] : m_own) {
+        ids.push_back(id);
+    }
+    for (const std::string& id : ids) {
+        withdraw_upstream(id, now);
+    }
+    m_membership.leave(now);
+    m_is_notify_pending = true;
+    m_next_notify = now;
+    m_notify_tokens = std::max(m_notify_tokens, static_cast<double>(m_settings.notify_fan_out));
+}
+
+node_output peer_node::finish_call(absl::Time now, absl::BitGenRef random) {
+    notify(now, random);
+    for (pull_order& order : m_distributor.tick(now, random)) {
+        m_output.pulls.push_back(std::move(order));
+    }
+    return std::exchange(m_output, {});
+}
+
+void peer_node::notify(absl::Time now, absl::BitGenRef random) {
+    m_notify_tokens =
+        std::min(m_settings.notify_burst,
+                 m_notify_tokens + absl::ToDoubleSeconds(now - m_notify_refilled) * m_settings.notify_per_second);
+    m_notify_refilled = now;
+    if (!m_is_notify_pending || now < m_next_notify || m_notify_tokens < 1) {
+        return;
+    }
+    const auto count = std::min<std::size_t>(static_cast<std::size_t>(m_settings.notify_fan_out),
+                                             static_cast<std::size_t>(m_notify_tokens));
+    for (const endpoint& peer : m_membership.random_live(count, random)) {
+        send({peer, message_kind::notify, 0, {}}, now);
+        m_notify_tokens -= 1;
+    }
+    m_is_notify_pending = false;
+    m_next_notify = now + m_settings.notify_interval;
+}
+
+void peer_node::send(const probe_message& message, absl::Time now) {
+    datagram out;
+    out.kind = message.kind;
+    out.sequence = message.sequence;
+    out.sender = self();
+    out.target = message.target;
+    out.digest = digest();
+    // A receiver that is thought to be suspected or dead learns of it first, so that it can refute.
+    const auto* const receiver = m_membership.table().find(to_string(message.to));
+    if (receiver != nullptr && receiver->record.state != member_state::alive) {
+        out.records.push_back({table_id::members, message_codec::encode(receiver->record),
+                               gossip_queue::age_seconds(receiver->tombstone_since, now)});
+    }
+    const std::size_t used = message_codec::encode(out, m_mesh).size() + list_overhead;
+    if (used < max_datagram_bytes) {
+        std::vector<table_record> changes = m_queue.take(max_datagram_bytes - used, transmissions(), now);
+        move_to_end(out.records, changes);
+    }
+    m_output.datagrams.push_back({message.to, message.kind, message_codec::encode(out, m_mesh)});
+}
+
+int peer_node::transmissions() const {
+    const auto members = static_cast<double>(m_membership.live_count()) + 2;
+    return static_cast<int>(std::ceil(m_settings.transmission_multiplier * std::log2(members)));
+}
+
+const bucket_index& peer_node::index(table_id table) const {
+    switch (table) {
+    case table_id::members:
+        return m_membership.table().index();
+    case table_id::upstreams:
+        return m_directory.table().index();
+    case table_id::opaque:
+        break;
+    }
+    return m_opaque.index();
+}
+
+peer_digest peer_node::digest() const {
+    return {held_configuration(),
+            {index(table_id::members).root(), index(table_id::upstreams).root(), index(table_id::opaque).root()}};
+}
+
+repair_offer peer_node::offer(const repair_order& order) const {
+    repair_offer out;
+    for (const table_id table : {table_id::members, table_id::upstreams, table_id::opaque}) {
+        if (order.is_differing[static_cast<std::size_t>(table)]) {
+            out.tables.push_back({table, bucket_hashes(index(table))});
+        }
+    }
+    return out;
+}
+
+namespace {
+
+/// Calls @p visit(table id, table) for each of the three tables.
+template <typename Visit>
+void for_each_table(const membership& members, const upstream_directory& directory, const opaque_table& opaque,
+                    Visit&& visit) {
+    visit(table_id::members, members.table());
+    visit(table_id::upstreams, directory.table());
+    visit(table_id::opaque, opaque);
+}
+
+template <typename Table, typename Entry>
+table_record encode_entry(table_id id, const Table& table, const Entry& held, absl::Time now) {
+    return {id, table.traits().encode(held.record), gossip_queue::age_seconds(held.tombstone_since, now)};
+}
+
+} // namespace
+
+repair_difference peer_node::compare(const repair_offer& offered) const {
+    repair_difference out;
+    for (const repair_offer::table& peer : offered.tables) {
+        out.buckets[static_cast<std::size_t>(peer.id)] = index(peer.id).differing(peer.bucket_hashes);
+    }
+    for_each_table(m_membership, m_directory, m_opaque, [&](table_id id, const auto& table) {
+        for (const std::uint16_t bucket : out.buckets[static_cast<std::size_t>(id)]) {
+            table.for_each_in_digest(bucket, [&](std::uint64_t key_hash, const auto& held) {
+                out.fingerprints.push_back({id, key_hash, held.record_hash});
+            });
+        }
+    });
+    return out;
+}
+
+repair_exchange peer_node::plan(const repair_difference& difference, absl::Time now) const {
+    repair_exchange out;
+    std::array<absl::flat_hash_map<std::uint64_t, std::uint64_t>, table_count> peers;
+    for (const record_fingerprint& listed : difference.fingerprints) {
+        peers[static_cast<std::size_t>(listed.table)][listed.key_hash] = listed.record_hash;
+    }
+    std::size_t bytes = 0;
+    for_each_table(m_membership, m_directory, m_opaque, [&](table_id id, const auto& table) {
+        const auto& peer = peers[static_cast<std::size_t>(id)];
+        for (const auto& [key_hash, record_hash] : peer) {
+            const auto* const held = table.find_hash(key_hash);
+            if (held == nullptr || held->record_hash != record_hash) {
+                out.wanted.push_back({id, key_hash, record_hash});
+            }
+        }
+        for (const std::uint16_t bucket : difference.buckets[static_cast<std::size_t>(id)]) {
+            table.for_each_in_digest(bucket, [&](std::uint64_t key_hash, const auto& held) {
+                const auto listed = peer.find(key_hash);
+                const bool is_known = listed != peer.end() && listed->second == held.record_hash;
+                if (!is_known && bytes < max_repair_bytes) {
+                    out.records.push_back(encode_entry(id, table, held, now));
+                    bytes += gossip_queue::wire_size(out.records.back().bytes.size());
+                }
+            });
+        }
+    });
+    return out;
+}
+
+repair_records peer_node::exchange(const repair_exchange& request, absl::Time now) {
+    absorb(request.records, now);
+    repair_records out;
+    std::size_t bytes = 0;
+    for (const record_fingerprint& wanted : request.wanted) {
+        if (bytes >= max_repair_bytes) {
+            break;
+        }
+        ++out.answered;
+        table_record record = encode_found(wanted, now);
+        if (!record.bytes.empty()) {
+            bytes += gossip_queue::wire_size(record.bytes.size());
+            out.records.push_back(std::move(record));
+        }
+    }
+    return out;
+}
+
+table_record peer_node::encode_found(const record_fingerprint& wanted, absl::Time now) const {
+    table_record out;
+    for_each_table(m_membership, m_directory, m_opaque, [&](table_id id, const auto& table) {
+        const auto* const held = id == wanted.table ? table.find_hash(wanted.key_hash) : nullptr;
+        if (held != nullptr) {
+            out = encode_entry(id, table, *held, now);
+        }
+    });
+    return out;
+}
+
+std::size_t peer_node::absorb(const std::vector<table_record>& records, absl::Time now) {
+    const std::size_t before = m_output.members.size() + m_output.upstreams.size() + m_output.opaque.size();
+    for (const table_record& record : records) {
+        const decoded_record heard = decode(record);
+        if (heard.is_valid()) {
+            hear(heard, now);
+        } else {
+            ++m_drops.malformed;
+        }
+    }
+    return m_output.members.size() + m_output.upstreams.size() + m_output.opaque.size() - before;
+}
+
+upstream_directory::owner_query peer_node::owner_query() const {
+    return [this](const endpoint& owner) { return m_membership.owner_dead_since(owner); };
+}
+
+std::vector<upstream_record> peer_node::usable_upstreams(const std::string& service) const {
+    return m_directory.usable(service, owner_query());
+}
+
+std::vector<upstream_record> peer_node::upstreams() const {
+    std::vector<upstream_record> out;
+    m_directory.table().for_each(
+        [&](const upstream_directory::table_type::entry& held) { out.push_back(held.record); });
+    return out;
+}
+
+const upstream_record* peer_node::upstream(const std::string& id) const {
+    return m_directory.find(id);
+}
+
+std::vector<opaque_record> peer_node::opaque_records() const {
+    std::vector<opaque_record> out;
+    m_opaque.for_each([&](const opaque_table::entry& held) { out.push_back(held.record); });
+    return out;
+}
+
+std::vector<member> peer_node::members() const {
+    std::vector<member> out;
+    m_membership.table().for_each([&](const member_table::entry& held) { out.push_back(held.record); });
+    return out;
+}
+
+std::vector<member> peer_node::members(member_state state) const {
+    std::vector<member> out;
+    m_membership.table().for_each([&](const member_table::entry& held) {
+        if (held.record.state == state) {
+            out.push_back(held.record);
+        }
+    });
+    return out;
+}
+
+} // namespace amaranthladder
--- a/src/peers/peer_node.h
+++ b/src/peers/peer_node.h
@@ -1,9 +1,13 @@
 #pragma once
 
 #include "peers/distributor.h"
+#include "peers/gossip_queue.h"
+#include "peers/membership.h"
 #include "peers/messages.h"
 #include "peers/opaque_record.h"
+#include "peers/opaque_table.h"
 #include "peers/peer_settings.h"
+#include "peers/upstream_directory.h"
 #include "peers/upstream_record.h"
 
 #include <absl/container/flat_hash_map.h>
@@ -13,6 +17,7 @@
 #include <array>
 #include <cstdint>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -30,7 +35,7 @@
 struct node_output {
     std::vector<outgoing_datagram> datagrams;
     std::vector<pull_order> pulls;          ///< Each is answered with peer_node::finish_pull.
-    std::vector<endpoint> repairs;          ///< Peers to repair tables with; each is answered with finish_repair.
+    std::vector<repair_order> repairs;      ///< Peers to repair tables with; each is answered with finish_repair.
     std::vector<member> members;            ///< Members whose state changed.
     std::vector<upstream_record> upstreams; ///< Upstream records that changed.
     std::vector<opaque_record> opaque;      ///< Records of the opaque table that changed.
@@ -56,7 +61,11 @@
     /// @param now the time of the start; the first incarnation is derived from it, so that a restarted daemon has a
     ///        higher one than its earlier run.
     /// @throws error with result_code::setting_conflict if the retention times contradict each other.
-    peer_node(peer_settings settings, opaque_rules rules, absl::Time now);
+    peer_node(const peer_settings& settings, opaque_rules rules, absl::Time now);
+
+    peer_node(const peer_node&) = delete;
+    peer_node& operator=(const peer_node&) = delete;
+    ~peer_node() = default;
 
     /// Advances timers. To be called about every 50 ms; a call that is late by more than the probe timeout is taken as
     /// a pause of this daemon, in which it suspects nobody.
@@ -71,6 +80,7 @@
     /// Announces an upstream beside this daemon or changes its record. The owner, incarnation and sequence are set
     /// here; a record without a change is not announced again.
     /// @return the record as announced.
+    /// @throws error with result_code::announcement_conflict if another live daemon has announced the id.
     upstream_record announce_upstream(upstream_record record, absl::Time now);
 
     /// Withdraws an upstream that this daemon announced; does nothing for others.
@@ -78,6 +88,7 @@
 
     /// Merges a record into the opaque table and spreads it if that changed it.
     /// @return true if the table changed.
+    /// @throws error with result_code::message_too_large if the record exceeds max_opaque_bytes.
     bool put_opaque(const opaque_record& record, absl::Time now);
 
     /// States the configuration in force. Lower or equal versions are ignored.
@@ -87,17 +98,28 @@
     void finish_pull(const pull_order& order, pull_outcome outcome, absl::Time now, absl::BitGenRef random);
 
     /// Ends a repair of node_output::repairs.
-    void finish_repair(const endpoint& peer, bool is_ok, absl::Time now, absl::BitGenRef random);
+    void finish_repair(const repair_order& order, bool is_ok, absl::Time now, absl::BitGenRef random);
 
     /// Leaves the mesh: withdraws own upstreams and tells some peers. The datagrams are returned by the next tick.
     void leave(absl::Time now);
 
     /// @name Table repair. The initiator calls offer, plan and absorb; the peer calls compare and exchange.
     /// @{
-    repair_offer offer() const;
-    repair_difference compare(const repair_offer& offered, absl::Time now) const;
+
+    /// @return the bucket hashes of the tables that differ.
+    repair_offer offer(const repair_order& order) const;
+
+    /// @return which buckets differ from @p offered, with the fingerprints of the records in them.
+    repair_difference compare(const repair_offer& offered) const;
+
+    /// @return the records that the peer lacks, within the size limit, and the fingerprints of those wanted from it.
     repair_exchange plan(const repair_difference& difference, absl::Time now) const;
+
+    /// Absorbs the request's records.
+    /// @return the wanted records, within the size limit.
     repair_records exchange(const repair_exchange& request, absl::Time now);
+
+    /// Merges records from a repair. Those that do not decode are skipped and counted.
     /// @return the number of records that changed a table.
     std::size_t absorb(const std::vector<table_record>& records, absl::Time now);
     /// @}
@@ -109,21 +131,97 @@
     /// @return all upstream records, tombstones included.
     std::vector<upstream_record> upstreams() const;
 
+    /// @return the record of @p id, tombstones included, or null.
     const upstream_record* upstream(const std::string& id) const;
+
     std::vector<opaque_record> opaque_records() const;
+
+    /// @return all members, this daemon and those dead or left included.
     std::vector<member> members() const;
+
     std::vector<member> members(member_state state) const;
-    const member& self() const;
-    const configuration_digest& held_configuration() const;
+
+    const member& self() const {
+        return m_membership.self();
+    }
+
+    const configuration_digest& held_configuration() const {
+        return m_distributor.held();
+    }
 
     /// @return the newest version heard of, held or not.
-    std::uint64_t newest_heard_version() const;
+    std::uint64_t newest_heard_version() const {
+        return m_distributor.newest_heard_version();
+    }
 
     peer_digest digest() const;
-    const drop_counters& drops() const;
 
-    /// @return true once a first repair of the tables has succeeded, or if there is no peer to ask.
-    bool is_joined() const;
+    const drop_counters& drops() const {
+        return m_drops;
+    }
+
+    /// @return true once the tables have been compared with a peer's, or if the settings name no peer.
+    bool is_joined() const {
+        return m_is_joined;
+    }
+
+private:
+    struct decoded_record {
+        table_id table = table_id::members;
+        std::optional<member> member_heard;
+        std::optional<upstream_record> upstream_heard;
+        std::optional<opaque_record> opaque_heard;
+        absl::Duration age;
+
+        bool is_valid() const {
+            return member_heard || upstream_heard || opaque_heard;
+        }
+    };
+
+    static decoded_record decode(const table_record& record);
+    std::optional<datagram> decode(std::string_view bytes);
+    void hear(const decoded_record& heard, absl::Time now);
+    void hear_upstream(const upstream_record& heard, absl::Time now, absl::Duration age);
+    bool hear_opaque(const opaque_record& heard);
+    bool is_owner_forgotten(const upstream_record& record, absl::Time now) const;
+    void store_upstream(const upstream_record& changed, absl::Time now, absl::Duration age);
+    void hear_digest(const datagram& message, absl::Time now, absl::BitGenRef random);
+    void consider_repair(const datagram& message, absl::Time now, absl::BitGenRef random);
+    void withdraw_unclaimed(absl::Time now);
+    void note_member_changes(absl::Time now, absl::BitGenRef random);
+    void restart_after_pause(absl::Time now);
+    void sweep(absl::Time now);
+    void notify(absl::Time now, absl::BitGenRef random);
+    void send(const probe_message& message, absl::Time now);
+    node_output finish_call(absl::Time now, absl::BitGenRef random);
+    int transmissions() const;
+    upstream_directory::owner_query owner_query() const;
+    table_record encode_found(const record_fingerprint& wanted, absl::Time now) const;
+    const bucket_index& index(table_id table) const;
+
+    peer_settings m_settings;
+    std::uint64_t m_mesh;
+    std::uint64_t m_incarnation;
+    absl::Time m_start;
+    membership m_membership;
+    upstream_directory m_directory;
+    opaque_table m_opaque;
+    distributor m_distributor;
+    gossip_queue m_queue;
+    absl::flat_hash_map<std::string, upstream_record> m_own;
+    std::set<std::string> m_unclaimed; ///< Ids that name this daemon as owner but were not announced in this run.
+    std::set<endpoint> m_dead;         ///< Members last reported dead, to notice their return.
+    node_output m_output;
+    drop_counters m_drops;
+    absl::Time m_next_sweep = absl::InfinitePast();
+    absl::Time m_next_repair = absl::InfinitePast();
+    absl::Duration m_repair_delay;
+    std::optional<repair_order> m_running_repair;
+    absl::Time m_next_notify = absl::InfinitePast();
+    absl::Time m_notify_refilled;
+    double m_notify_tokens;
+    bool m_is_notify_pending = false;
+    bool m_is_joined = false;
 };
 
 } // namespace amaranthladder
--- a/src/peers/peer_settings.h
+++ b/src/peers/peer_settings.h
@@ -39,7 +39,9 @@
     absl::Duration join_retry_cap = absl::Seconds(15);
 
     int notify_fan_out = 5; ///< Peers told at once of a new configuration version or a leaving upstream.
-    absl::Duration notify_interval = absl::Milliseconds(250); ///< Least time between two rounds of notifications.
+    absl::Duration notify_interval = absl::Milliseconds(200); ///< Least time between two rounds of notifications.
+    double notify_per_second = 4; ///< Notifications sent in the long run; bounds the bytes when much changes at once.
+    double notify_burst = 40;     ///< Notifications that may be sent at once.
 
     int concurrent_pulls = 2;
     absl::Duration pull_jitter = absl::Milliseconds(20);
@@ -49,7 +51,7 @@
 
     /// Table roots differ most of the time while changes spread; repairs are rare enough to cost few bytes.
     absl::Duration repair_interval = absl::Seconds(30);
-    absl::Duration join_repair_interval = absl::Seconds(1); ///< Until the first repair after a start succeeded.
+    absl::Duration join_repair_interval = absl::Seconds(1); ///< After a start; doubles up to repair_interval.
 
     std::size_t queued_changes = 4096; ///< Changes waiting to be sent; repair covers what does not fit.
 };
--- /dev/null
+++ b/src/peers/upstream_directory.cpp
@@ -0,0 +1,126 @@
+#include "peers/upstream_directory.h"
+
+#include "peers/message_codec.h"
+
+#include <tuple>
+#include <utility>
+
+namespace amaranthladder {
+
+std::string upstream_traits::key(const upstream_record& value) const {
+    return value.id;
+}
+
+upstream_record upstream_traits::merge(const upstream_record& held, const upstream_record& heard) const {
+    if (is_newer(heard, held)) {
+        return heard;
+    }
+    if (is_newer(held, heard)) {
+        return held;
+    }
+    return encode(held) < encode(heard) ? heard : held;
+}
+
+std::string upstream_traits::encode(const upstream_record& value) const {
+    return message_codec::encode(value);
+}
+
+std::optional<upstream_record> upstream_traits::decode(std::string_view bytes) const {
+    return message_codec::decode_upstream(bytes);
+}
+
+bool upstream_traits::is_tombstone(const upstream_record& value) const {
+    return value.is_withdrawn;
+}
+
+bool is_newer(const upstream_record& left, const upstream_record& right) {
+    return std::tie(left.incarnation, left.sequence) > std::tie(right.incarnation, right.sequence);
+}
+
+upstream_directory::upstream_directory(absl::Duration retention) : m_table(upstream_traits(), retention) {}
+
+bool upstream_directory::merge(const upstream_record& heard, absl::Time now, absl::Duration tombstone_age) {
+    const upstream_record* const held = find(heard.id);
+    const std::string former_service = held == nullptr ? std::string() : held->service;
+    if (!m_table.merge(heard, now, tombstone_age)) {
+        return false;
+    }
+    set_indexed(former_service, heard.id, false);
+    if (!heard.is_withdrawn) {
+        set_indexed(heard.service, heard.id, true);
+    }
+    return true;
+}
+
+void upstream_directory::set_indexed(const std::string& service, const std::string& id, bool is_indexed) {
+    if (is_indexed) {
+        m_ids_by_service[service].insert(id);
+        return;
+    }
+    const auto found = m_ids_by_service.find(service);
+    if (found != m_ids_by_service.end() && found->second.erase(id) != 0 && found->second.empty()) {
+        m_ids_by_service.erase(found);
+    }
+}
+
+void upstream_directory::expire(absl::Time now) {
+    m_table.expire(now);
+}
+
+void upstream_directory::sweep(const owner_query& owner_dead_since, absl::Duration limit, absl::Time now) {
+    absl::flat_hash_map<std::string, absl::Time> unknown;
+    std::vector<std::pair<std::string, std::string>> dropped;
+    m_table.for_each([&](const table_type::entry& held) {
+        if (held.record.is_withdrawn) {
+            return;
+        }
+        absl::Time since = now;
+        if (const auto dead_since = owner_dead_since(held.record.owner)) {
+            since = *dead_since;
+        } else {
+            const auto known = m_owner_unknown_since.find(held.record.id);
+            since = known == m_owner_unknown_since.end() ? now : known->second;
+            unknown[held.record.id] = since;
+        }
+        if (since + limit <= now) {
+            dropped.emplace_back(held.record.service, held.record.id);
+        }
+    });
+    for (const auto& [service, id] : dropped) {
+        unknown.erase(id);
+        set_indexed(service, id, false);
+        m_table.drop(id);
+    }
+    m_owner_unknown_since = std::move(unknown);
+}
+
+void upstream_directory::clear() {
+    m_table.clear();
+    m_ids_by_service.clear();
+    m_owner_unknown_since.clear();
+}
+
+std::vector<upstream_record> upstream_directory::usable(const std::string& service,
+                                                        const owner_query& owner_dead_since) const {
+    std::vector<upstream_record> result;
+    const auto ids = m_ids_by_service.find(service);
+    if (ids == m_ids_by_service.end()) {
+        return result;
+    }
+    for (const std::string& id : ids->second) {
+        const upstream_record* const record = find(id);
+        const bool is_owner_dead =
+            owner_dead_since(record->owner).value_or(absl::InfiniteFuture()) != absl::InfiniteFuture();
+        if (!record->is_leaving && !is_owner_dead) {
+            result.push_back(*record);
+        }
+    }
+    return result;
+}
+
+const upstream_record* upstream_directory::find(const std::string& id) const {
+    const auto* const held = m_table.find(id);
+    return held == nullptr ? nullptr : &held->record;
+}
+
+} // namespace amaranthladder
--- /dev/null
+++ b/src/tests/fakes/peer_network.cpp
@@ -0,0 +1,342 @@
+#include "tests/fakes/peer_network.h"
+
+#include <absl/random/distributions.h>
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <cmath>
+
+namespace amaranthladder::fakes {
+
+namespace {
+
+constexpr absl::Duration tick_interval = absl::Milliseconds(100);
+constexpr absl::Duration rpc_timeout = absl::Milliseconds(1000);
+constexpr std::size_t socket_buffer_datagrams = 200;
+constexpr std::uint16_t first_port = 1000;
+
+opaque_rules maximum_rules() {
+    opaque_rules rules;
+    rules.merge = [](const std::string&, const std::string& held, const std::string& heard) {
+        return std::max(held, heard);
+    };
+    return rules;
+}
+
+} // namespace
+
+peer_network::peer_network(std::size_t count, const peer_settings& settings, std::uint64_t seed)
+    : m_settings(settings), m_random(seed), m_daemons(count) {}
+
+endpoint peer_network::address_of(std::size_t node) {
+    return {"127.0.0.1", static_cast<std::uint16_t>(first_port + node)};
+}
+
+std::size_t peer_network::number_of(const endpoint& address) {
+    return static_cast<std::size_t>(address.port - first_port);
+}
+
+peer_settings peer_network::settings_of(std::size_t node) const {
+    peer_settings settings = m_settings;
+    settings.mesh = "test";
+    settings.address = address_of(node);
+    settings.http_address = {"127.0.0.2", settings.address.port};
+    settings.data_center = fmt::format("dc{}", node % 2);
+    settings.seeds = {address_of(0), address_of(1)};
+    return settings;
+}
+
+void peer_network::schedule(absl::Duration after, std::function<void()> action) {
+    m_queue.push({m_now + after, m_next_number++, std::move(action)});
+}
+
+void peer_network::run_for(absl::Duration duration) {
+    const absl::Time end = m_now + duration;
+    while (!m_queue.empty() && m_queue.top().time <= end) {
+        const scheduled next = m_queue.top();
+        m_queue.pop();
+        m_now = next.time;
+        ++m_events;
+        next.action();
+    }
+    m_now = end;
+}
+
+void peer_network::start(std::size_t node) {
+    daemon& started = m_daemons[node];
+    const std::uint64_t run = started.run + 1;
+    started = daemon();
+    started.run = run;
+    started.last_tick = m_now;
+    started.node = std::make_unique<peer_node>(settings_of(node), maximum_rules(), m_now);
+    schedule_tick(node);
+}
+
+void peer_network::kill(std::size_t node) {
+    m_daemons[node].node.reset();
+    m_daemons[node].socket_buffer.clear();
+}
+
+void peer_network::freeze(std::size_t node) {
+    m_daemons[node].is_frozen = true;
+}
+
+void peer_network::resume(std::size_t node) {
+    daemon& resumed = m_daemons[node];
+    resumed.is_frozen = false;
+    if (resumed.node == nullptr) {
+        return;
+    }
+    for (absl::Time missed = resumed.last_tick; makes_up_for_missed_ticks && missed < m_now; missed += tick_interval) {
+        take(node, resumed.node->tick(missed, m_random));
+    }
+    for (const std::string& bytes : std::exchange(resumed.socket_buffer, {})) {
+        arrive(node, bytes);
+    }
+}
+
+void peer_network::leave(std::size_t node) {
+    m_daemons[node].node->leave(m_now);
+    take(node, m_daemons[node].node->tick(m_now, m_random));
+    kill(node);
+}
+
+void peer_network::cut() {
+    m_is_cut = true;
+}
+
+void peer_network::heal() {
+    m_is_cut = false;
+}
+
+bool peer_network::is_connected(std::size_t left, std::size_t right) const {
+    return !m_is_cut || left % 2 == right % 2;
+}
+
+bool peer_network::can_answer(std::size_t peer, std::size_t from) const {
+    return peer < size() && is_running(peer) && is_connected(peer, from);
+}
+
+absl::Duration peer_network::delay() {
+    return faults.shortest_delay + absl::Uniform(m_random, 0.0, 1.0) * (faults.longest_delay - faults.shortest_delay);
+}
+
+void peer_network::schedule_tick(std::size_t node) {
+    schedule(tick_interval, [this, node, run = m_daemons[node].run] {
+        daemon& ticking = m_daemons[node];
+        if (ticking.run != run || ticking.node == nullptr) {
+            return;
+        }
+        if (!ticking.is_frozen) {
+            ticking.last_tick = m_now;
+            take(node, ticking.node->tick(m_now, m_random));
+        }
+        schedule_tick(node);
+    });
+}
+
+void peer_network::take(std::size_t node, const node_output& output) {
+    for (const outgoing_datagram& datagram : output.datagrams) {
+        deliver(datagram, node);
+    }
+    for (const pull_order& order : output.pulls) {
+        pull(node, order);
+    }
+    for (const repair_order& order : output.repairs) {
+        repair(node, order);
+    }
+    for (const member& changed : output.members) {
+        m_daemons[node].deaths += changed.state == member_state::dead ? 1 : 0;
+    }
+    check_records(node, output.upstreams);
+}
+
+void peer_network::deliver(const outgoing_datagram& datagram, std::size_t from) {
+    if (datagram.bytes.size() > max_datagram_bytes) {
+        m_violations.push_back(fmt::format("datagram of {} bytes", datagram.bytes.size()));
+    }
+    std::size_t to = number_of(datagram.to);
+    if (absl::Bernoulli(m_random, faults.misdelivery)) {
+        to = absl::Uniform<std::size_t>(m_random, 0, size());
+    }
+    const int copies = absl::Bernoulli(m_random, faults.duplication) ? 2 : 1;
+    for (int copy = 0; copy < copies; ++copy) {
+        if (to >= size() || !is_connected(from, to) || absl::Bernoulli(m_random, faults.loss)) {
+            continue;
+        }
+        schedule(delay(), [this, to, bytes = datagram.bytes] { arrive(to, bytes); });
+    }
+}
+
+void peer_network::arrive(std::size_t node, const std::string& bytes) {
+    daemon& receiver = m_daemons[node];
+    if (receiver.node == nullptr) {
+        return;
+    }
+    if (receiver.is_frozen) {
+        if (receiver.socket_buffer.size() < socket_buffer_datagrams) {
+            receiver.socket_buffer.push_back(bytes);
+        }
+        return;
+    }
+    take(node, receiver.node->receive(bytes, m_now, m_random));
+}
+
+void peer_network::pull(std::size_t node, const pull_order& order) {
+    if (order.expected_version <= m_daemons[node].version) {
+        m_violations.push_back(
+            fmt::format("daemon {} pulls {} while it holds {}", node, order.expected_version, m_daemons[node].version));
+    }
+    const std::size_t peer = number_of(order.peer);
+    const bool is_answered = can_answer(peer, node) && !absl::Bernoulli(m_random, faults.loss / 2);
+    const std::uint64_t version = is_answered ? m_daemons[peer].version : 0;
+    schedule(is_answered ? 2 * delay() : rpc_timeout, [this, node, order, version, run = m_daemons[node].run] {
+        daemon& asking = m_daemons[node];
+        if (asking.run != run || asking.node == nullptr) {
+            return;
+        }
+        hold(node, std::max(version, asking.version));
+        asking.node->finish_pull(
+            order, version > order.held.version ? pull_outcome::applied : pull_outcome::unreachable, m_now, m_random);
+    });
+}
+
+void peer_network::hold(std::size_t node, std::uint64_t version) {
+    daemon& holder = m_daemons[node];
+    if (version < holder.version) {
+        m_violations.push_back(fmt::format("daemon {} returns from {} to {}", node, holder.version, version));
+    }
+    if (version != holder.version) {
+        holder.version_since = m_now;
+    }
+    holder.version = version;
+    holder.node->set_configuration({version, std::to_string(version)});
+}
+
+void peer_network::repair(std::size_t node, const repair_order& order) {
+    const std::size_t peer = number_of(order.peer);
+    const bool is_answered = can_answer(peer, node) && !absl::Bernoulli(m_random, faults.loss / 2);
+    schedule(
+        is_answered ? 4 * delay() : rpc_timeout, [this, node, peer, order, is_answered, run = m_daemons[node].run] {
+            daemon& asking = m_daemons[node];
+            if (asking.run != run || asking.node == nullptr) {
+                return;
+            }
+            const bool is_ok = is_answered && can_answer(peer, node);
+            if (is_ok) {
+                peer_node& answering = *m_daemons[peer].node;
+                const repair_exchange request = asking.node->plan(answering.compare(asking.node->offer(order)), m_now);
+                asking.node->absorb(answering.exchange(request, m_now).records, m_now);
+            }
+            asking.node->finish_repair(order, is_ok, m_now, m_random);
+        });
+}
+
+void peer_network::check_records(std::size_t node, const std::vector<upstream_record>& changed) {
+    for (const upstream_record& record : changed) {
+        auto& highest = m_daemons[node].highest[record.id];
+        const std::pair order(record.incarnation, record.sequence);
+        if (order < highest) {
+            m_violations.push_back(fmt::format("daemon {}: upstream {} went back", node, record.id));
+        }
+        highest = order;
+    }
+}
+
+void peer_network::publish(std::size_t node) {
+    m_published = m_now;
+    hold(node, ++m_newest_version);
+}
+
+void peer_network::announce(std::size_t node, const std::string& version) {
+    daemon& owner = m_daemons[node];
+    upstream_record record;
+    record.id = fmt::format("worker-{}", node);
+    record.service = fmt::format("service-{}", node % 3);
+    record.version = version;
+    record.data_center = "dc";
+    record.address = {"127.0.0.3", address_of(node).port};
+    record.slots = 6;
+    record.is_leaving = owner.is_leaving;
+    owner.node->announce_upstream(record, m_now);
+    owner.upstream_version = version;
+}
+
+void peer_network::set_leaving(std::size_t node) {
+    m_daemons[node].is_leaving = true;
+    announce(node, m_daemons[node].upstream_version.value_or("v1"));
+}
+
+void peer_network::withdraw(std::size_t node) {
+    m_daemons[node].node->withdraw_upstream(fmt::format("worker-{}", node), m_now);
+    m_daemons[node].upstream_version.reset();
+}
+
+void peer_network::put_opaque(std::size_t node) {
+    m_daemons[node].node->put_opaque({"move", fmt::format("{:08}", ++m_opaque_value)}, m_now);
+}
+
+std::optional<absl::Duration> peer_network::time_until_held(double share) const {
+    std::vector<absl::Duration> times;
+    for (const daemon& holder : m_daemons) {
+        if (holder.node != nullptr && !holder.is_frozen) {
+            times.push_back(holder.version == m_newest_version ? holder.version_since - m_published
+                                                               : absl::InfiniteDuration());
+        }
+    }
+    std::ranges::sort(times);
+    const auto needed = static_cast<std::size_t>(std::ceil(share * static_cast<double>(times.size())));
+    const absl::Duration longest = times.empty() ? absl::InfiniteDuration() : times[needed - 1];
+    return longest == absl::InfiniteDuration() ? std::nullopt : std::optional(longest);
+}
+
+std::string peer_network::disagreement() const {
+    std::set<endpoint> running;
+    std::map<std::string, std::string> expected;
+    for (std::size_t node = 0; node < size(); ++node) {
+        const daemon& owner = m_daemons[node];
+        if (owner.node != nullptr) {
+            running.insert(address_of(node));
+            if (owner.upstream_version && !owner.is_leaving) {
+                expected[fmt::format("worker-{}", node)] = *owner.upstream_version;
+            }
+        }
+    }
+    std::optional<peer_digest> digest;
+    for (std::size_t node = 0; node < size(); ++node) {
+        if (!is_running(node)) {
+            continue;
+        }
+        const peer_node& checked = *m_daemons[node].node;
+        std::set<endpoint> alive;
+        for (const member_state state : {member_state::alive, member_state::suspected}) {
+            for (const member& known : checked.members(state)) {
+                alive.insert(known.address);
+            }
+        }
+        if (alive != running) {
+            return fmt::format("daemon {} takes {} daemons for alive, {} are", node, alive.size(), running.size());
+        }
+        std::map<std::string, std::string> usable;
+        for (const char* const service : {"service-0", "service-1", "service-2"}) {
+            for (const upstream_record& record : checked.usable_upstreams(service)) {
+                usable[record.id] = record.version;
+            }
+        }
+        if (usable != expected) {
+            return fmt::format("daemon {} has {} usable upstreams, {} are expected or one has another version", node,
+                               usable.size(), expected.size());
+        }
+        if (m_daemons[node].version != m_newest_version) {
+            return fmt::format("daemon {} holds {} of {}", node, m_daemons[node].version, m_newest_version);
+        }
+        const peer_digest own = checked.digest();
+        if (digest && (digest->table_roots[1] != own.table_roots[1] || digest->table_roots[2] != own.table_roots[2])) {
+            return fmt::format("daemon {} has other tables", node);
+        }
+        digest = own;
+    }
+    return {};
+}
+
+} // namespace amaranthladder::fakes
