Trim the index of pieces also while others publish

The property test now counts the pieces left after a run and found hundreds: with two operators publishing without pause, the other's addition to the index made the trim conflict each time, so the index reached its limit and dropped names of stored pieces. The trim now reads the index again and removes what was cleared. A larger index was ruled out, since it only delays the limit.

--- a/src/store/publish_run.cpp
+++ b/src/store/publish_run.cpp
@@ -13,6 +13,7 @@
 
 constexpr absl::Duration first_pause = absl::Milliseconds(50);
 constexpr absl::Duration longest_pause = absl::Seconds(2);
+constexpr int max_trim_conflicts = 5;
 
 // An index that cannot be read is replaced: it only serves collecting, and refusing to publish would cost more than
 // the pieces that stay behind.
@@ -68,6 +69,7 @@
     case phase::read_head:
         return store_step{action::get, config_head_key, 0, {}, {}};
     case phase::read_index:
+    case phase::reread_index:
         return store_step{action::get, config_index_key, 0, {}, {}};
     case phase::write_index:
     case phase::trim_index:
@@ -111,9 +113,10 @@
         return on_garbage_read(reply);
     case phase::clear_garbage:
         return on_garbage_cleared(reply);
+    case phase::reread_index:
+        return on_index_reread(reply);
     case phase::trim_index:
-        // If this write fails, the next publish trims the index.
-        return finish(result_code::ok);
+        return on_index_trimmed(reply);
     case phase::finished:
         return;
     }
@@ -271,11 +274,11 @@
 
 void publish_run::on_garbage_read(const store_reply& reply) {
     if (reply.outcome == store_outcome::ok && reply.value.empty()) {
-        std::erase(m_index, m_garbage[m_garbage_position]);
+        m_cleared.insert(m_garbage[m_garbage_position]);
         return next_garbage();
     }
     if (reply.outcome != store_outcome::ok && reply.outcome != store_outcome::absent) {
-        return finish(result_code::ok);
+        return stop_clearing();
     }
     // An absent piece is created empty, so that a write of it that is still on its way fails.
     m_garbage_revision = reply.outcome == store_outcome::ok ? reply.key_revision : 0;
@@ -284,14 +287,45 @@
 
 void publish_run::on_garbage_cleared(const store_reply& reply) {
     if (reply.outcome == store_outcome::ok) {
-        std::erase(m_index, m_garbage[m_garbage_position]);
+        m_cleared.insert(m_garbage[m_garbage_position]);
     }
     next_garbage();
 }
 
 void publish_run::next_garbage() {
     ++m_garbage_position;
-    m_phase = m_garbage_position < m_garbage.size() ? phase::read_garbage : phase::trim_index;
+    if (m_garbage_position == m_garbage.size()) {
+        return stop_clearing();
+    }
+    m_phase = phase::read_garbage;
+}
+
+void publish_run::stop_clearing() {
+    if (m_cleared.empty()) {
+        return finish(result_code::ok);
+    }
+    m_phase = phase::reread_index;
+}
+
+// The index is read again, since other operators add to it while this one collects; under constant publishing it would
+// fill up if each of their additions voided the collecting.
+void publish_run::on_index_reread(const store_reply& reply) {
+    if (reply.outcome != store_outcome::ok) {
+        return finish(result_code::ok);
+    }
+    m_index_revision = reply.key_revision;
+    m_index = parse_index(reply.value);
+    std::erase_if(m_index, [this](const std::string& name) { return m_cleared.contains(name); });
+    m_phase = phase::trim_index;
+}
+
+void publish_run::on_index_trimmed(const store_reply& reply) {
+    if (reply.outcome == store_outcome::conflict && ++m_trim_conflicts < max_trim_conflicts) {
+        m_phase = phase::reread_index;
+        return;
+    }
+    // If this write fails, a later publish trims the index.
+    finish(result_code::ok);
 }
 
 void publish_run::finish(result_code code) {
@@ -300,7 +334,7 @@
 }
 
 void publish_run::give_up() {
-    if (m_phase == phase::read_garbage || m_phase == phase::clear_garbage || m_phase == phase::trim_index) {
+    if (m_result.code == result_code::ok) {
         return finish(result_code::ok);
     }
     finish(m_may_be_published ? result_code::publish_unresolved : result_code::store_unavailable);
--- a/src/store/publish_run.h
+++ b/src/store/publish_run.h
@@ -11,6 +11,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -57,10 +58,10 @@
 /// Sizes that bound what a publish writes.
 struct publish_limits {
     std::size_t piece_bytes = 900'000; ///< Below the store's limit of 1 MB a value.
-    /// Names in the index. When it is full, the oldest names are dropped and their pieces remain in the store; this
-    /// takes about that many publishes that crashed before they reached the head, without one that succeeds.
+    /// Names in the index. When it is full, the oldest names are dropped and their pieces remain in the store. This
+    /// takes about that many publishes in a row that fail before they collect.
     std::size_t index_names = 512;
-    std::size_t collected_pieces = 64; ///< Pieces collected after one publish.
+    std::size_t collected_pieces = 64; ///< Pieces collected after one publish; each takes up to two store calls.
 };
 
 /// The decisions of one publish, without I/O: next() names a step, on_reply() takes its result.
@@ -99,6 +100,7 @@
         write_head,
         read_garbage,
         clear_garbage,
+        reread_index,
         trim_index,
         finished,
     };
@@ -112,10 +114,13 @@
     void on_head_written(const store_reply& reply);
     void on_garbage_read(const store_reply& reply);
     void on_garbage_cleared(const store_reply& reply);
+    void on_index_reread(const store_reply& reply);
+    void on_index_trimmed(const store_reply& reply);
     void compare_with_head(const config_head& head);
     void next_piece();
     void start_collecting();
     void next_garbage();
+    void stop_clearing();
     void finish(result_code code);
     void give_up();
     void retry(phase next_phase);
@@ -140,6 +145,8 @@
     std::vector<std::string> m_garbage;
     std::size_t m_garbage_position = 0;
     revision m_garbage_revision = 0;
+    std::set<std::string> m_cleared;
+    int m_trim_conflicts = 0;
 };
 
 } // namespace amaranthladder
