--- a/src/daemon/configuration_keeper.cpp
+++ b/src/daemon/configuration_keeper.cpp
@@ -2,7 +2,6 @@
 
 #include "common/error.h"
 #include "config/snapshot_delta.h"
-#include "config/validator.h"
 
 #include <algorithm>
 #include <utility>
@@ -13,20 +12,15 @@
 
 pull_outcome configuration_keeper::offer_update(const std::string& bytes) {
     const absl::MutexLock applying(&m_apply_mutex);
-    try {
-        const auto held = current();
-        return apply(snapshot_delta::apply(held.get(), bytes));
-    } catch (const error& problem) {
-        return refuse(0, problem);
-    }
+    return finish(m_holder.offer_update(bytes));
 }
 
 pull_outcome configuration_keeper::offer_whole(std::string_view bytes, std::string_view hash) {
     const absl::MutexLock applying(&m_apply_mutex);
     try {
-        return apply(snapshot::decode(bytes, hash));
-    } catch (const error& problem) {
-        return refuse(0, problem);
+        return finish(m_holder.offer(snapshot::decode(bytes, hash)));
+    } catch (const error&) {
+        return pull_outcome::bad_content;
     }
 }
 
@@ -52,38 +46,37 @@
     return m_snapshots.empty() ? nullptr : m_snapshots.back();
 }
 
-std::optional<refused_version> configuration_keeper::last_refusal() const {
+std::optional<snapshot_refusal> configuration_keeper::last_refusal() const {
     const absl::MutexLock lock(&m_mutex);
     return m_refusal;
 }
 
-pull_outcome configuration_keeper::apply(const std::shared_ptr<const snapshot>& candidate) {
-    const auto held = current();
-    if (held && candidate->version() <= held->version()) {
-        return pull_outcome::applied;
-    }
-    try {
-        validator::require_valid(candidate->state());
-    } catch (const error& problem) {
-        refuse(candidate->version(), problem);
-        return pull_outcome::rejected;
-    }
+pull_outcome configuration_keeper::finish(const offer_result& result) {
+    const std::shared_ptr<const snapshot> in_force = m_holder.current();
     {
         const absl::MutexLock lock(&m_mutex);
-        m_snapshots.push_back(candidate);
-        if (m_snapshots.size() > kept_snapshots) {
-            m_snapshots.pop_front();
+        m_refusal = m_holder.last_refusal();
+        if (result.outcome == offer_outcome::applied) {
+            m_snapshots.push_back(in_force);
+            if (m_snapshots.size() > kept_snapshots) {
+                m_snapshots.pop_front();
+            }
         }
-        m_refusal.reset();
     }
-    m_on_applied(candidate);
-    return pull_outcome::applied;
-}
-
-pull_outcome configuration_keeper::refuse(std::uint64_t version, const error& problem) {
-    const absl::MutexLock lock(&m_mutex);
-    m_refusal = refused_version{version, problem.code(), problem.what()};
-    return pull_outcome::bad_content;
+    switch (result.outcome) {
+    case offer_outcome::applied:
+        m_on_applied(in_force);
+        return pull_outcome::applied;
+    case offer_outcome::not_newer:
+        return pull_outcome::applied;
+    case offer_outcome::needs_whole:
+        return pull_outcome::bad_content;
+    case offer_outcome::refused:
+        break;
+    }
+    const bool is_damaged =
+        result.code == result_code::snapshot_malformed || result.code == result_code::snapshot_hash_mismatch;
+    return is_damaged ? pull_outcome::bad_content : pull_outcome::rejected;
 }
 
 } // namespace amaranthladder
--- a/src/daemon/configuration_keeper.h
+++ b/src/daemon/configuration_keeper.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "common/result_code.h"
+#include "config/configuration_holder.h"
 #include "config/snapshot.h"
 #include "peers/distributor.h"
 #include "peers/messages.h"
@@ -18,15 +18,6 @@
 
 namespace amaranthladder {
 
-class error;
-
-/// A version that this daemon did not apply.
-struct refused_version {
-    std::uint64_t version = 0;
-    result_code code = result_code::ok;
-    std::string detail;
-};
-
 /// Holds the configuration in force, applies newer versions and serves updates to peers. Thread-safe.
 ///
 /// Versions are applied one after the other and never in descending order; the listener sees them in that order.
@@ -51,20 +42,20 @@
     std::shared_ptr<const snapshot> current() const;
 
     /// @return the last version that was refused, if no newer one has been applied since.
-    std::optional<refused_version> last_refusal() const;
+    std::optional<snapshot_refusal> last_refusal() const;
 
 private:
-    pull_outcome apply(const std::shared_ptr<const snapshot>& candidate);
-    pull_outcome refuse(std::uint64_t version, const error& problem);
+    pull_outcome finish(const offer_result& result) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_apply_mutex);
 
     /// Snapshots kept as bases of deltas; a peer that is further behind gets the whole.
     static constexpr std::size_t kept_snapshots = 16;
 
     listener m_on_applied;
     absl::Mutex m_apply_mutex; ///< Held while a version is applied, so that the listener sees versions in order.
+    configuration_holder m_holder ABSL_GUARDED_BY(m_apply_mutex);
     mutable absl::Mutex m_mutex;
     std::deque<std::shared_ptr<const snapshot>> m_snapshots ABSL_GUARDED_BY(m_mutex); ///< The newest is the last.
-    std::optional<refused_version> m_refusal ABSL_GUARDED_BY(m_mutex);
+    std::optional<snapshot_refusal> m_refusal ABSL_GUARDED_BY(m_mutex);
 };
 
 } // namespace amaranthladder
--- /dev/null
+++ b/src/daemon/seat_record.cpp
@@ -0,0 +1,60 @@
+#include "daemon/seat_record.h"
+
+#include "common/error.h"
+
+#include <fmt/format.h>
+
+#include <charconv>
+
+namespace amaranthladder {
+
+namespace {
+
+constexpr std::string_view no_holder = "-";
+
+} // namespace
+
+std::string seat_record::encode() const {
+    return fmt::format("{} {}", epoch, holder ? to_string(*holder) : std::string(no_holder));
+}
+
+seat_record seat_record::decode(std::string_view bytes) {
+    seat_record result;
+    const char* const end = bytes.data() + bytes.size();
+    const auto [number_end, failure] = std::from_chars(bytes.data(), end, result.epoch);
+    if (failure != std::errc{} || number_end == end || *number_end != ' ') {
+        throw error(result_code::message_malformed, "a seat record has an epoch and an address");
+    }
+    const std::string_view address(number_end + 1, static_cast<std::size_t>(end - number_end - 1));
+    if (address != no_holder) {
+        try {
+            result.holder = parse_endpoint(address);
+        } catch (const error& problem) {
+            throw error(result_code::message_malformed, problem.what());
+        }
+    }
+    return result;
+}
+
+std::string seat_record_key(const std::string& data_center, int number) {
+    return fmt::format("{}{}/{}", seat_record_prefix, data_center, number);
+}
+
+std::string merge_seat_records(const std::string& held, const std::string& heard) {
+    try {
+        const seat_record heard_record = seat_record::decode(heard);
+        if (held.empty()) {
+            return heard;
+        }
+        const seat_record held_record = seat_record::decode(held);
+        if (held_record.epoch != heard_record.epoch) {
+            return held_record.epoch > heard_record.epoch ? held : heard;
+        }
+        // Two holders that began in the same millisecond: any fixed order makes all daemons agree.
+        return std::max(held, heard);
+    } catch (const error&) {
+        return held;
+    }
+}
+
+} // namespace amaranthladder
--- a/src/daemon/status_text.h
+++ b/src/daemon/status_text.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "common/steady_clock.h"
+#include "config/configuration_holder.h"
 #include "config/snapshot.h"
 #include "daemon/announced_upstreams.h"
 #include "daemon/configuration_keeper.h"
@@ -30,7 +31,7 @@
     bool is_draining = false;
     std::shared_ptr<const snapshot> configuration;
     std::optional<absl::Time> configuration_applied_at;
-    std::optional<refused_version> refusal;
+    std::optional<snapshot_refusal> refusal;
     std::uint64_t newest_heard_version = 0;
     store_status store;
     std::vector<member> members;
--- a/src/daemon/store_follower.h
+++ b/src/daemon/store_follower.h
@@ -6,30 +6,53 @@
 #include "settings/daemon_settings.h"
 #include "store/call_counter.h"
 #include "store/http_store.h"
+#include "store/seat.h"
 
 #include <absl/base/thread_annotations.h>
 #include <absl/random/random.h>
 #include <absl/synchronization/mutex.h>
 #include <absl/time/time.h>
 
+#include <functional>
 #include <optional>
+#include <string>
 #include <thread>
+#include <vector>
 
 namespace amaranthladder {
 
 /// What a daemon knows of the store's availability.
 struct store_status {
-    std::optional<absl::Time> unreachable_since; ///< Empty while the store answers.
+    std::optional<absl::Time> unreachable_since; ///< Empty while the last call was answered.
     std::uint64_t calls = 0;
-    bool is_watching = false;
+    bool is_watching = false;                    ///< This daemon holds a seat and watches the head.
 };
 
-/// Follows the configuration in the store with one thread: reads the head, then watches it.
+/// What the follower asks of the rest of the daemon.
+struct store_follower_peers {
+    /// @return true if a living daemon other than this one holds the seat.
+    std::function<bool(int seat_number)> is_seat_taken;
+    /// @return living daemons of the data centre, this one included.
+    std::function<int()> candidates;
+    /// @return true if this daemon knows a living peer.
+    std::function<bool()> has_peers;
+    /// Tells the other daemons that this one holds the seat, or has given it up.
+    std::function<void(int seat_number, bool is_held)> announce_seat;
+};
+
+/// Follows the configuration in the store with one thread.
+///
+/// Only a holder of one of the data centre's seats watches the head; other daemons learn of new versions from their
+/// peers and make no store call. A daemon without a configuration and without peers reads the head itself.
 class store_follower {
 public:
     /// @param settings address and timeouts.
+    /// @param data_center whose seats to take.
+    /// @param holder unique to this run of the daemon.
+    /// @param peers functions of the daemon; called from the follower's thread.
     /// @param keeper takes each version that is read.
-    store_follower(const daemon_settings::store_section& settings, configuration_keeper& keeper,
+    store_follower(const daemon_settings::store_section& settings, const std::string& data_center,
+                   const std::string& holder, store_follower_peers peers, configuration_keeper& keeper,
                    const steady_clock& clock, event_log& log);
     ~store_follower();
     store_follower(const store_follower&) = delete;
@@ -39,22 +62,33 @@
 
 private:
     void run();
-    /// @return true if the store answered.
-    bool follow_once();
-    bool take_head(const std::string& text);
-    void note_answer(bool is_answered);
+    bool is_stopped() const;
+    void update_seats();
+    void update_seat(int seat_number);
+    /// @return true while a seat is held.
+    bool is_holder() const;
+    void follow_head();
+    void read_alone();
+    void take_head(const versioned_value& head);
+    void note(store_outcome outcome);
     void wait(absl::Duration delay);
 
     daemon_settings::store_section m_settings;
+    store_follower_peers m_peers;
     configuration_keeper& m_keeper;
     const steady_clock& m_clock;
     event_log& m_log;
     call_counter m_calls;
     http_store m_store;
     absl::BitGen m_random;
+    std::vector<seat> m_seats;
+    std::vector<bool> m_announced;
     revision m_revision = 0;
+    absl::Time m_next_read;
+    backoff m_read_backoff;
     mutable absl::Mutex m_mutex;
     bool m_is_stopped ABSL_GUARDED_BY(m_mutex) = false;
+    bool m_is_watching ABSL_GUARDED_BY(m_mutex) = false;
     std::optional<absl::Time> m_unreachable_since ABSL_GUARDED_BY(m_mutex);
     std::thread m_thread;
 };
