Generate the reference pages from the tables and describe the configuration folder

docs/settings.md, docs/result-codes.md and the keys table of docs/configuration.md come from the rows that the readers use; a test fails while a page differs, and scripts/make_docs.sh rewrites the pages. The examples of both meshes are folders that a test loads and validates. The settings gain the three timeouts of the data path that proxy_options has, and log levels are those of event_log.

--- a/src/common/result_code.cpp
+++ b/src/common/result_code.cpp
@@ -27,7 +27,7 @@
     {result_code::config_syntax, "config-syntax", "A line of a configuration file is neither a section nor a key with a value.", 400, execution::not_applicable},
     {result_code::config_unknown_section, "config-unknown-section", "A configuration file has a section of an unknown kind.", 400, execution::not_applicable},
     {result_code::config_unknown_key, "config-unknown-key", "A section has a key that its kind does not know.", 400, execution::not_applicable},
-    {result_code::config_duplicate_key, "config-duplicate-key", "A key stands twice in one section of one file.", 400, execution::not_applicable},
+    {result_code::config_duplicate_key, "config-duplicate-key", "A key stands twice in one section, or a section twice in one file.", 400, execution::not_applicable},
     {result_code::config_missing_key, "config-missing-key", "A section lacks a required key.", 400, execution::not_applicable},
     {result_code::config_bad_value, "config-bad-value", "The value of a key cannot be read.", 400, execution::not_applicable},
     {result_code::config_out_of_range, "config-out-of-range", "The value of a key is outside its allowed range.", 400, execution::not_applicable},
--- a/src/settings/daemon_settings.cpp
+++ b/src/settings/daemon_settings.cpp
@@ -41,6 +41,9 @@
                        static_cast<std::size_t>(values.integer("requests", "body_buffer_bytes")),
                        values.duration("requests", "connect_timeout"),
                        values.duration("requests", "first_byte_timeout"),
+                       values.duration("requests", "header_timeout"),
+                       values.duration("requests", "keep_alive_timeout"),
+                       values.duration("requests", "body_idle_timeout"),
                        values.duration("requests", "idle_connection"),
                        values.duration("requests", "default_timeout"),
                        static_cast<int>(values.integer("requests", "retry_budget_percent")),
@@ -48,7 +51,7 @@
                        values.duration("requests", "warm_up"),
                        values.duration("requests", "announcement_timeout"),
                        values.duration("requests", "drain_timeout")};
-    result.log = {values.text("log", "level"), values.text("log", "file"),
+    result.log = {parse_log_level(values.text("log", "level")), values.text("log", "file"),
                   static_cast<std::size_t>(values.integer("log", "queue_lines"))};
     return result;
 }
--- a/src/settings/daemon_settings.h
+++ b/src/settings/daemon_settings.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "common/endpoint.h"
+#include "common/event_log.h"
 
 #include <absl/time/time.h>
 
@@ -54,6 +55,9 @@
         std::size_t body_buffer_bytes = 0;
         absl::Duration connect_timeout;
         absl::Duration first_byte_timeout;
+        absl::Duration header_timeout;
+        absl::Duration keep_alive_timeout;
+        absl::Duration body_idle_timeout;
         absl::Duration idle_connection;
         absl::Duration default_timeout;
         int retry_budget_percent = 0;
@@ -65,7 +69,7 @@
         friend bool operator==(const requests_section&, const requests_section&) = default;
     };
     struct log_section {
-        std::string level;
+        log_level level = log_level::info;
         std::string file; ///< Empty: the standard error stream.
         std::size_t queue_lines = 0;
 
--- a/src/settings/settings_reader.cpp
+++ b/src/settings/settings_reader.cpp
@@ -1,5 +1,6 @@
 #include "settings/settings_reader.h"
 
+#include "common/event_log.h"
 #include "config/ini_reader.h"
 #include "config/name_rules.h"
 #include "settings/unit_text.h"
@@ -63,9 +64,7 @@
     case setting_type::text:
         break;
     case setting_type::log_level:
-        if (std::ranges::find(log_levels(), std::string_view(text)) == log_levels().end()) {
-            throw error(result_code::setting_bad_value, fmt::format("'{}'", text));
-        }
+        parse_log_level(text);
         break;
     case setting_type::endpoint:
         check_remote_endpoint(text);
--- a/src/settings/settings_table.cpp
+++ b/src/settings/settings_table.cpp
@@ -1,5 +1,6 @@
 #include "settings/settings_table.h"
 
+#include "common/event_log.h"
 #include "settings/unit_text.h"
 
 #include <fmt/format.h>
@@ -45,13 +46,16 @@
     {"peers", "gossip_bytes", setting_type::size, false, "1200B", min_gossip_bytes, max_gossip_bytes, "Largest datagram."},
     {"requests", "max_connections", setting_type::integer, false, "2000", 1, 100'000, "Connections accepted on the request port."},
     {"requests", "max_header_bytes", setting_type::size, false, "64KiB", 1 * kibibyte, 1 * mebibyte, "Largest header block of a request or an answer."},
-    {"requests", "body_buffer_bytes", setting_type::size, false, "64KiB", 1 * kibibyte, 16 * mebibyte, "Buffer of each direction of a body."},
+    {"requests", "body_buffer_bytes", setting_type::size, false, "64KiB", 1 * kibibyte, 16 * mebibyte, "A body up to this size is held whole and can be sent again; a larger one is streamed."},
     {"requests", "connect_timeout", setting_type::duration, false, "250ms", 10, 30 * second, "Limit for opening a connection to a daemon or an upstream."},
     {"requests", "first_byte_timeout", setting_type::duration, false, "5s", 10, 1 * hour, "Limit for the first byte of an answer."},
+    {"requests", "header_timeout", setting_type::duration, false, "10s", 100, 10 * minute, "Limit for a request's headers once their first byte has arrived."},
+    {"requests", "keep_alive_timeout", setting_type::duration, false, "60s", 100, 1 * hour, "Time that a caller's connection may wait for its next request."},
+    {"requests", "body_idle_timeout", setting_type::duration, false, "30s", 100, 1 * hour, "Time without progress after which the transfer of a body is given up."},
     {"requests", "idle_connection", setting_type::duration, false, "1s", 0, 1 * hour, "Idle time after which a pooled connection carries no non-idempotent request."},
     {"requests", "default_timeout", setting_type::duration, false, "15s", 10, 1 * hour, "Deadline of a request when neither the caller nor its route or service gives one."},
     {"requests", "retry_budget_percent", setting_type::integer, false, "8", 0, max_retry_budget_percent, "Retries allowed for each 100 recent requests."},
-    {"requests", "queue_limit", setting_type::integer, false, "16", 0, 10'000, "Requests that may wait at the upstream when its service gives no limit."},
+    {"requests", "queue_limit", setting_type::integer, false, "16", 0, 10'000, "Requests that may wait at the upstream while its service is not in the configuration."},
     {"requests", "warm_up", setting_type::duration, false, "10s", 0, 10 * minute, "Time over which a new upstream is brought to its full share."},
     {"requests", "announcement_timeout", setting_type::duration, false, "3s", 500, 1 * minute, "Silence after which an upstream is withdrawn."},
     {"requests", "drain_timeout", setting_type::duration, false, "60s", 0, 1 * hour, "Limit for requests in flight at a shutdown."},
@@ -60,7 +64,6 @@
     {"log", "queue_lines", setting_type::integer, false, "8192", 16, 1'048'576, "Lines that wait for the log's thread; when full, the oldest are dropped."},
 });
 
-constexpr auto level_names = std::to_array<std::string_view>({"trace", "debug", "info", "warn", "error", "off"});
 // clang-format on
 
 std::string range_text(const setting_row& row) {
@@ -94,7 +97,8 @@
     case setting_type::text:
         return "text, may be empty";
     case setting_type::log_level:
-        return fmt::format("{}", fmt::join(level_names, ", "));
+        return fmt::format("{}, {}, {}, {} or {}", name(log_level::debug), name(log_level::info),
+                           name(log_level::warning), name(log_level::error), name(log_level::off));
     case setting_type::endpoint:
         return "IP:PORT";
     case setting_type::listen_endpoint:
@@ -113,8 +117,4 @@
     return "";
 }
 
-std::span<const std::string_view> log_levels() {
-    return level_names;
-}
-
 } // namespace amaranthladder
--- a/src/settings/settings_table.h
+++ b/src/settings/settings_table.h
@@ -45,7 +45,4 @@
 /// @return what a value of @p row may be, with its range and unit, for people.
 std::string allowed_text(const setting_row& row);
 
-/// @return the levels of the log, from the most detailed.
-std::span<const std::string_view> log_levels();
-
 } // namespace amaranthladder
--- /dev/null
+++ b/src/tests/reference_writer_test.cpp
@@ -0,0 +1,56 @@
+#include "settings/reference_writer.h"
+
+#include "common/error.h"
+#include "config/state_builder.h"
+
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include <fstream>
+#include <iterator>
+
+using namespace amaranthladder;
+
+BOOST_AUTO_TEST_SUITE(reference_writer_test)
+
+const std::string docs = TEST_DOCS_FOLDER;
+
+std::string page(const std::string& name) {
+    std::ifstream stream(docs + "/" + name);
+    BOOST_REQUIRE(stream.is_open());
+    return {std::istreambuf_iterator<char>(stream), {}};
+}
+
+// Guards against pages that fall behind the tables; scripts/make_docs.sh rewrites them.
+BOOST_AUTO_TEST_CASE(pages_are_up_to_date) {
+    BOOST_CHECK(page("settings.md") == reference_writer::settings_page());
+    BOOST_CHECK(page("result-codes.md") == reference_writer::result_codes_page());
+    const std::string configuration = page("configuration.md");
+    BOOST_CHECK(configuration == reference_writer::with_configuration_keys(configuration));
+}
+
+BOOST_AUTO_TEST_CASE(page_without_a_place_for_the_keys_is_refused) {
+    for (const char* text : {"", "<!-- keys -->\n", "<!-- end of keys -->\n<!-- keys -->\n"}) {
+        BOOST_CHECK_THROW(reference_writer::with_configuration_keys(text), error);
+    }
+}
+
+intended_state example(const std::string& mesh) {
+    return state_builder::build_valid(folder_merger::load(docs + "/examples/" + mesh));
+}
+
+// Guards against examples that the tool would refuse or that do not mean what the page says.
+BOOST_AUTO_TEST_CASE(examples_are_valid) {
+    const intended_state kufenbach = example("kufenbach");
+    BOOST_TEST((kufenbach.services.at("werkbank").timeout == absl::Seconds(12)));
+    BOOST_TEST(kufenbach.services.at("werkbank").queue_limit == 8);
+    BOOST_TEST((kufenbach.routes.at("stave-reservations").timeout == absl::Milliseconds(2500)));
+    BOOST_TEST(kufenbach.moves.at("trockenhaus-3.2").to_version == "3.2");
+    const intended_state litoral = example("litoral");
+    BOOST_TEST(litoral.routes.size() == 6);
+    BOOST_TEST(litoral.routes.at("price-lookup").is_idempotent);
+    BOOST_TEST(litoral.shares.at("deposito").weight_by_version.at("2031-04") == 75);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/src/tests/settings_reader_test.cpp
+++ b/src/tests/settings_reader_test.cpp
@@ -74,7 +74,7 @@
     {"product beyond every type", "call_timeout = 9223372036854775807h\n", "11 1006 store.call_timeout;"},
     {"integer with a unit", "[requests]\nmax_connections = 5B\n", "12 1004 requests.max_connections;"},
     {"integer too large", "[requests]\nretry_budget_percent = 10\n", "12 1006 requests.retry_budget_percent;"},
-    {"bad name", "[requests]\n[log]\nlevel = loud\n", "13 1004 log.level;"},
+    {"unknown level", "[requests]\n[log]\nlevel = loud\n", "13 1004 log.level;"},
     {"host name in place of an IP number", "[peers]\nseeds = localhost:1\n", "12 1004 peers.seeds;"},
     {"list with an empty item", "[peers]\nseeds = 127.0.0.1:1,,127.0.0.1:2\n", "12 1004 peers.seeds;"},
     {"seed with port 0", "[peers]\nseeds = 127.0.0.1:0\n", "12 1006 peers.seeds;"},
@@ -141,7 +141,7 @@
     case setting_type::integer:
         return fmt::format("{}", parse_integer(row.default_text) - 1);
     case setting_type::log_level:
-        return "warn";
+        return "warning";
     case setting_type::name:
     case setting_type::text:
         return "other";
