--- a/src/daemon/mesh_daemon.cpp
+++ b/src/daemon/mesh_daemon.cpp
@@ -7,6 +7,7 @@
 #include "daemon/configuration_keeper.h"
 #include "daemon/control_server.h"
 #include "daemon/move_service.h"
+#include "daemon/seat_record.h"
 #include "daemon/status_text.h"
 #include "daemon/store_follower.h"
 #include "http/request_proxy.h"
@@ -73,7 +74,10 @@
     return result;
 }
 
-std::string merge_move_records(const std::string& /*key*/, const std::string& held, const std::string& heard) {
+std::string merge_records(const std::string& key, const std::string& held, const std::string& heard) {
+    if (key.starts_with(seat_record_prefix)) {
+        return merge_seat_records(held, heard);
+    }
     try {
         const move_record heard_record = move_record::decode(heard);
         return held.empty() ? heard : merge(move_record::decode(held), heard_record).encode();
@@ -82,6 +86,18 @@
     }
 }
 
+/// Rollbacks and signs of a fault spread before other records; a changed seat holder can wait.
+bool is_urgent_record(const opaque_record& record) {
+    if (record.key.starts_with(seat_record_prefix)) {
+        return false;
+    }
+    try {
+        return move_record::decode(record.bytes).is_urgent();
+    } catch (const error&) {
+        return false;
+    }
+}
+
 } // namespace
 
 class mesh_daemon::implementation {
@@ -93,9 +109,12 @@
           m_keeper([this](const std::shared_ptr<const snapshot>& applied) { on_applied(applied); }),
           m_proxy(make_proxy_options(settings), make_router_settings(settings), make_budget(settings), m_clock, m_log,
                   [this](const owned_call& call) { m_moves.observe(call); }),
-          m_peers(make_peer_settings(settings, m_proxy.address()), {merge_move_records, nullptr}, make_callbacks()) {
+          m_peers(make_peer_settings(settings, m_proxy.address()), {merge_records, nullptr, is_urgent_record},
+                  make_callbacks()) {
         m_peers.start();
-        m_store = std::make_unique<store_follower>(settings.store, m_keeper, m_clock, m_log);
+        const std::string holder = fmt::format("{}-{}", settings.daemon.worker, absl::ToUnixMillis(m_started_at));
+        m_store = std::make_unique<store_follower>(settings.store, settings.daemon.data_center, holder,
+                                                   make_store_peers(), m_keeper, m_clock, m_log);
         m_control = std::make_unique<control_server>(settings.listen.control, make_handlers());
         m_control_loop = std::thread([this] { run_control_loop(); });
         m_log.info(fmt::format("daemon-started mesh={} worker={} data_center={} requests={} control={} peers={}",
@@ -142,7 +161,7 @@
 
 private:
     static event_log_options make_log_options(const daemon_settings& settings) {
-        return {parse_log_level(settings.log.level), settings.log.file, settings.log.queue_lines};
+        return {settings.log.level, settings.log.file, settings.log.queue_lines};
     }
 
     peer_callbacks make_callbacks() {
@@ -164,6 +183,47 @@
         return handlers;
     }
 
+    store_follower_peers make_store_peers() {
+        store_follower_peers peers;
+        peers.is_seat_taken = [this](int seat_number) { return is_seat_taken(seat_number); };
+        peers.candidates = [this] {
+            int count = 0;
+            for (const auto& one : m_peers.members(member_state::alive)) {
+                count += one.data_center == m_settings.daemon.data_center ? 1 : 0;
+            }
+            return count;
+        };
+        peers.has_peers = [this] { return m_peers.members(member_state::alive).size() > 1; };
+        peers.announce_seat = [this](int seat_number, bool is_held) {
+            const seat_record changed{static_cast<std::uint64_t>(absl::ToUnixMillis(m_clock.now())),
+                                      is_held ? std::optional(m_peers.address()) : std::nullopt};
+            m_peers.put_opaque({seat_record_key(m_settings.daemon.data_center, seat_number), changed.encode()});
+        };
+        return peers;
+    }
+
+    /// @return true if another living daemon holds the seat, as its record says.
+    bool is_seat_taken(int seat_number) const {
+        const std::string key = seat_record_key(m_settings.daemon.data_center, seat_number);
+        for (const auto& one : m_peers.opaque_records()) {
+            if (one.key != key) {
+                continue;
+            }
+            const seat_record known = seat_record::decode(one.bytes);
+            return known.holder && *known.holder != m_peers.address() && is_living(*known.holder);
+        }
+        return false;
+    }
+
+    bool is_living(const endpoint& address) const {
+        for (const auto& one : m_peers.members()) {
+            if (one.address == address) {
+                return one.state == member_state::alive || one.state == member_state::suspected;
+            }
+        }
+        return false;
+    }
+
     void on_applied(const std::shared_ptr<const snapshot>& applied) {
         // Shares the snapshot's lifetime.
         m_proxy.set_configuration({applied, &applied->state()});
@@ -197,6 +257,9 @@
     }
 
     void take_move_record(const opaque_record& record) {
+        if (record.key.starts_with(seat_record_prefix)) {
+            return;
+        }
         try {
             m_moves.merge_remote(move_record::decode(record.bytes));
         } catch (const error& problem) {
--- a/src/daemon/seat_record.cpp
+++ b/src/daemon/seat_record.cpp
@@ -4,6 +4,7 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <charconv>
 
 namespace amaranthladder {
--- a/src/daemon/seat_record.h
+++ b/src/daemon/seat_record.h
@@ -12,8 +12,8 @@
 /// Which daemon holds a store seat, as daemons tell each other. It lets daemons without the seat notice a lost holder
 /// without a store call.
 struct seat_record {
-    std::uint64_t epoch = 0;           ///< Grows with each change of the holder; the higher one wins a merge.
-    std::optional<endpoint> holder;    ///< Peer address of the holder; empty after it has given the seat up.
+    std::uint64_t epoch = 0;        ///< Grows with each change of the holder; the higher one wins a merge.
+    std::optional<endpoint> holder; ///< Peer address of the holder; empty after it has given the seat up.
 
     /// @return the record in the form that decode() reads.
     std::string encode() const;
--- a/src/daemon/store_follower.cpp
+++ b/src/daemon/store_follower.cpp
@@ -9,6 +9,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace amaranthladder {
 
@@ -99,9 +100,11 @@
         one.holder_silent(m_peers.candidates(), m_clock.now(), m_random);
     }
     const std::uint64_t calls_before = m_calls.total();
-    make_seat_call(one, m_store, [this] { return m_clock.now(); }, m_settings.call_timeout, m_random);
+    const std::uint64_t failures_before = failed_calls();
+    make_seat_call(
+        one, m_store, [this] { return m_clock.now(); }, m_settings.call_timeout, m_random);
     if (m_calls.total() != calls_before) {
-        note(one.is_held(m_clock.now()) ? store_outcome::ok : store_outcome::unchanged);
+        note(failed_calls() == failures_before ? store_outcome::ok : store_outcome::unavailable);
     }
     const bool is_held = one.is_held(m_clock.now());
     if (is_held != m_announced[index]) {
@@ -162,12 +165,20 @@
     }
 }
 
+std::uint64_t store_follower::failed_calls() const {
+    std::uint64_t failed = 0;
+    for (const auto kind : {store_call_kind::acquire_lease, store_call_kind::renew_lease}) {
+        failed += m_calls.count(kind, store_outcome::unavailable) + m_calls.count(kind, store_outcome::unknown);
+    }
+    return failed;
+}
+
 void store_follower::note(store_outcome outcome) {
     const bool is_answered = outcome != store_outcome::unavailable && outcome != store_outcome::unknown;
     const absl::MutexLock lock(&m_mutex);
     if (is_answered && m_unreachable_since) {
-        m_log.info(
-            fmt::format("store-reachable after_ms={}", absl::ToInt64Milliseconds(m_clock.now() - *m_unreachable_since)));
+        m_log.info(fmt::format("store-reachable after_ms={}",
+                               absl::ToInt64Milliseconds(m_clock.now() - *m_unreachable_since)));
         m_unreachable_since.reset();
     } else if (!is_answered && !m_unreachable_since && !m_is_stopped) {
         m_unreachable_since = m_clock.now();
--- a/src/daemon/store_follower.h
+++ b/src/daemon/store_follower.h
@@ -25,7 +25,7 @@
 struct store_status {
     std::optional<absl::Time> unreachable_since; ///< Empty while the last call was answered.
     std::uint64_t calls = 0;
-    bool is_watching = false;                    ///< This daemon holds a seat and watches the head.
+    bool is_watching = false; ///< This daemon holds a seat and watches the head.
 };
 
 /// What the follower asks of the rest of the daemon.
@@ -70,6 +70,7 @@
     void follow_head();
     void read_alone();
     void take_head(const versioned_value& head);
+    std::uint64_t failed_calls() const;
     void note(store_outcome outcome);
     void wait(absl::Duration delay);
 
