Add the operator's tool: check, apply, watch, status, explain

watch applies a folder when two looks find the same content, so that half-written files are not applied, and does not repeat a raced publish, since two watches over different folders would undo each other for ever. report is left out until its module exists.

--- /dev/null
+++ b/src/tool/tool_commands.cpp
@@ -0,0 +1,199 @@
+#include "tool/tool_commands.h"
+
+#include "common/backoff.h"
+#include "common/error.h"
+#include "config/folder_merger.h"
+#include "config/state_builder.h"
+#include "store/call_counter.h"
+#include "store/http_store.h"
+#include "tool/daemon_client.h"
+#include "tool/exit_status.h"
+#include "tool/folder_publisher.h"
+
+#include <absl/random/random.h>
+#include <boost/json.hpp>
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <ostream>
+#include <utility>
+
+namespace amaranthladder {
+
+namespace {
+
+constexpr absl::Duration stop_check_interval = absl::Milliseconds(100);
+constexpr absl::Duration first_watch_retry = absl::Seconds(1);
+constexpr absl::Duration longest_watch_retry = absl::Seconds(30);
+
+boost::json::object to_json(const apply_result& result) {
+    return {{"code", static_cast<int>(result.code)},
+            {"name", std::string(name(result.code))},
+            {"version", result.version},
+            {"publish_id", result.publish_id},
+            {"operator", result.operator_name},
+            {"differences", boost::json::array(result.differences.begin(), result.differences.end())}};
+}
+
+std::string to_text(const apply_result& result) {
+    std::string text = fmt::format("{} {}: {}\nversion: {}\n", static_cast<int>(result.code), name(result.code),
+                                   describe(result.code).text, result.version);
+    if (!result.publish_id.empty()) {
+        text += fmt::format("publish id: {}\n", result.publish_id);
+    }
+    if (!result.operator_name.empty()) {
+        text += fmt::format("operator: {}\n", result.operator_name);
+    }
+    for (const std::string& difference : result.differences) {
+        text += fmt::format("  {}\n", difference);
+    }
+    return text;
+}
+
+boost::json::object to_json(const config_problem& problem) {
+    return {{"code", static_cast<int>(problem.code)},
+            {"name", std::string(name(problem.code))},
+            {"file", problem.file},
+            {"line", problem.line},
+            {"section", problem.section},
+            {"key", problem.key},
+            {"text", problem.text}};
+}
+
+bool is_same(const std::vector<config_file>& left, const std::vector<config_file>& right) {
+    return std::ranges::equal(left, right, [](const config_file& one, const config_file& other) {
+        return one.name == other.name && one.text == other.text;
+    });
+}
+
+} // namespace
+
+tool_commands::tool_commands(tool_options options, std::ostream& out, std::ostream& problems)
+    : m_options(std::move(options)), m_out(out), m_problems(problems) {}
+
+result_code tool_commands::run(const std::function<bool()>& is_stopped) {
+    if (m_options.command == "check") {
+        return guarded([this] { return check(); });
+    }
+    if (m_options.command == "apply") {
+        return guarded([this] { return apply(); });
+    }
+    if (m_options.command == "watch") {
+        return watch(is_stopped);
+    }
+    if (m_options.command == "status") {
+        return guarded([this] { return status(); });
+    }
+    return guarded([this] { return explain(); });
+}
+
+result_code tool_commands::check() {
+    const intended_state state = state_builder::build_valid(folder_merger::load(m_options.folder));
+    print_result(result_code::ok, fmt::format("{} services, {} routes, {} shares, {} moves", state.services.size(),
+                                              state.routes.size(), state.shares.size(), state.moves.size()));
+    return result_code::ok;
+}
+
+result_code tool_commands::apply() {
+    intended_state state = state_builder::build_valid(folder_merger::load(m_options.folder));
+    call_counter calls;
+    http_store store(m_options.store, calls);
+    absl::BitGen random;
+    const apply_result result = folder_publisher(store, m_options.operator_name)
+                                    .apply(std::move(state), m_options.expected_version, m_options.deadline, random);
+    m_out << (m_options.is_json ? boost::json::serialize(to_json(result)) + "\n" : to_text(result)) << std::flush;
+    return result.code;
+}
+
+result_code tool_commands::watch(const std::function<bool()>& is_stopped) {
+    std::vector<config_file> seen;
+    std::vector<config_file> applied;
+    bool is_applied = false;
+    absl::BitGen random;
+    backoff retries(first_watch_retry, longest_watch_retry);
+    absl::Time not_before = absl::InfinitePast();
+    while (!is_stopped()) {
+        std::vector<config_file> files;
+        const result_code loaded = guarded([this, &files] {
+            files = folder_merger::load(m_options.folder);
+            return result_code::ok;
+        });
+        // A folder is applied when two looks find the same content, so that a half-written file is not.
+        const bool is_settled = loaded == result_code::ok && is_same(files, seen);
+        seen = std::move(files);
+        if (is_settled && (!is_applied || !is_same(seen, applied)) && absl::Now() >= not_before) {
+            const result_code code = guarded([this] { return apply(); });
+            const exit_status status = exit_status_of(code);
+            // A raced publish is not repeated: two watches over different folders would undo each other for ever.
+            is_applied = status != exit_status::unavailable && status != exit_status::unknown;
+            if (is_applied) {
+                applied = seen;
+                retries.reset();
+            } else {
+                not_before = absl::Now() + retries.next_delay(random);
+            }
+        }
+        const absl::Time next = absl::Now() + m_options.poll_interval;
+        while (absl::Now() < next && !is_stopped()) {
+            absl::SleepFor(std::min(stop_check_interval, next - absl::Now()));
+        }
+    }
+    return result_code::ok;
+}
+
+result_code tool_commands::status() {
+    const std::string json = daemon_client(m_options.daemon, m_options.deadline).ask("/v1/status");
+    m_out << (m_options.is_json ? json + "\n" : key_lines(json));
+    return result_code::ok;
+}
+
+result_code tool_commands::explain() {
+    const daemon_client client(m_options.daemon, m_options.deadline);
+    std::string json;
+    if (m_options.request) {
+        json = client.ask("/v1/explain", "request", *m_options.request);
+    } else if (m_options.move) {
+        json = client.ask("/v1/explain", "move", *m_options.move);
+    } else {
+        json = client.ask("/v1/explain", "route", *m_options.route);
+    }
+    m_out << (m_options.is_json ? json + "\n" : key_lines(json));
+    return result_code::ok;
+}
+
+result_code tool_commands::guarded(const std::function<result_code()>& body) {
+    try {
+        return body();
+    } catch (const config_error_list& list) {
+        if (m_options.is_json) {
+            boost::json::array problems;
+            for (const config_problem& problem : list.problems()) {
+                problems.push_back(to_json(problem));
+            }
+            m_out << boost::json::serialize(boost::json::object{{"code", static_cast<int>(list.code())},
+                                                                {"name", std::string(name(list.code()))},
+                                                                {"problems", std::move(problems)}})
+                  << std::endl;
+        } else {
+            for (const config_problem& problem : list.problems()) {
+                m_problems << to_string(problem) << std::endl;
+            }
+        }
+        return list.code();
+    } catch (const error& problem) {
+        print_result(problem.code(), problem.what());
+        return problem.code();
+    }
+}
+
+void tool_commands::print_result(result_code code, const std::string& text) {
+    if (m_options.is_json) {
+        m_out << boost::json::serialize(boost::json::object{
+                     {"code", static_cast<int>(code)}, {"name", std::string(name(code))}, {"text", text}})
+              << std::endl;
+        return;
+    }
+    (code == result_code::ok ? m_out : m_problems) << text << std::endl;
+}
+
+} // namespace amaranthladder
--- /dev/null
+++ b/src/tool/tool_commands.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include "common/result_code.h"
+#include "tool/tool_options.h"
+
+#include <functional>
+#include <iosfwd>
+
+namespace amaranthladder {
+
+/// Runs one command of the tool.
+class tool_commands {
+public:
+    /// @param options a command line that was checked.
+    /// @param out receives results.
+    /// @param problems receives error messages.
+    tool_commands(tool_options options, std::ostream& out, std::ostream& problems);
+
+    /// @param is_stopped asked by `watch` about ten times a second.
+    /// @return how the command ended; errors are printed and returned, not thrown.
+    result_code run(const std::function<bool()>& is_stopped);
+
+private:
+    result_code check();
+    result_code apply();
+    result_code watch(const std::function<bool()>& is_stopped);
+    result_code status();
+    result_code explain();
+    result_code guarded(const std::function<result_code()>& body);
+    void print_result(result_code code, const std::string& text);
+
+    tool_options m_options;
+    std::ostream& m_out;
+    std::ostream& m_problems;
+};
+
+} // namespace amaranthladder
--- /dev/null
+++ b/src/tool/tool_options.cpp
@@ -0,0 +1,117 @@
+#include "tool/tool_options.h"
+
+#include "common/error.h"
+#include "settings/unit_text.h"
+
+#include <boost/program_options.hpp>
+#include <fmt/format.h>
+
+#include <cstdlib>
+#include <ostream>
+#include <set>
+
+namespace amaranthladder {
+
+namespace {
+
+namespace options = boost::program_options;
+
+const std::set<std::string> folder_commands{"check", "apply", "watch"};
+const std::set<std::string> daemon_commands{"status", "explain"};
+
+std::string default_operator() {
+    const char* const user = std::getenv("USER");
+    return user != nullptr && *user != '\0' ? user : "unknown";
+}
+
+options::options_description named_options() {
+    options::options_description described("Options");
+    described.add_options()("help", "print this help")("version", "print the version")("json", "print JSON")(
+        "store", options::value<std::string>()->default_value("127.0.0.1:8500"),
+        "ADDR:PORT of the store")("daemon", options::value<std::string>()->default_value("127.0.0.1:7300"),
+                                  "ADDR:PORT of a daemon's control port")(
+        "operator", options::value<std::string>()->default_value(default_operator()), "name kept with the version")(
+        "expect-version", options::value<std::uint64_t>(), "apply only on top of this version")(
+        "deadline", options::value<std::string>()->default_value("30s"), "longest time of one command or publish")(
+        "poll", options::value<std::string>()->default_value("1s"), "watch: time between two looks at the folder")(
+        "request", options::value<std::string>(), "explain: METHOD PATH, for instance 'GET /orders'")(
+        "move", options::value<std::string>(), "explain: name of a move")("route", options::value<std::string>(),
+                                                                          "explain: name of a route");
+    return described;
+}
+
+std::optional<std::string> text_of(const options::variables_map& values, const char* key) {
+    return values.contains(key) ? std::optional(values[key].as<std::string>()) : std::nullopt;
+}
+
+void check(const tool_options& parsed) {
+    if (parsed.is_help || parsed.is_version) {
+        return;
+    }
+    const bool needs_folder = folder_commands.contains(parsed.command);
+    if (!needs_folder && !daemon_commands.contains(parsed.command)) {
+        throw error(result_code::usage, parsed.command.empty() ? "no command" : "unknown command " + parsed.command);
+    }
+    if (needs_folder == parsed.folder.empty()) {
+        throw error(result_code::usage, parsed.command + (needs_folder ? " needs a folder" : " takes no folder"));
+    }
+    const int questions = (parsed.request ? 1 : 0) + (parsed.move ? 1 : 0) + (parsed.route ? 1 : 0);
+    if (questions != (parsed.command == "explain" ? 1 : 0)) {
+        throw error(result_code::usage, "explain, and no other command, takes one of --request, --move and --route");
+    }
+    if (parsed.expected_version && parsed.command != "apply") {
+        throw error(result_code::usage, "only apply takes --expect-version");
+    }
+}
+
+} // namespace
+
+tool_options tool_options::parse(const std::vector<std::string>& arguments) {
+    options::options_description all;
+    all.add(named_options());
+    all.add_options()("command", options::value<std::string>()->default_value(""))(
+        "folder", options::value<std::string>()->default_value(""));
+    options::positional_options_description positions;
+    positions.add("command", 1).add("folder", 1);
+    options::variables_map values;
+    try {
+        options::store(options::command_line_parser(arguments).options(all).positional(positions).run(), values);
+        options::notify(values);
+    } catch (const options::error& problem) {
+        throw error(result_code::usage, problem.what());
+    }
+    tool_options parsed;
+    parsed.is_help = values.contains("help");
+    parsed.is_version = values.contains("version");
+    parsed.is_json = values.contains("json");
+    parsed.command = values["command"].as<std::string>();
+    parsed.folder = values["folder"].as<std::string>();
+    parsed.store = parse_endpoint(values["store"].as<std::string>());
+    parsed.daemon = parse_endpoint(values["daemon"].as<std::string>());
+    parsed.operator_name = values["operator"].as<std::string>();
+    parsed.deadline = parse_duration(values["deadline"].as<std::string>());
+    parsed.poll_interval = parse_duration(values["poll"].as<std::string>());
+    if (values.contains("expect-version")) {
+        parsed.expected_version = values["expect-version"].as<std::uint64_t>();
+    }
+    parsed.request = text_of(values, "request");
+    parsed.move = text_of(values, "move");
+    parsed.route = text_of(values, "route");
+    check(parsed);
+    return parsed;
+}
+
+void tool_options::print_help(std::ostream& out) {
+    out << "amaranthladder COMMAND [OPTIONS]\n"
+           "  check FOLDER    validate a configuration folder\n"
+           "  apply FOLDER    validate and publish a configuration folder\n"
+           "  watch FOLDER    apply each change of a folder until stopped\n"
+           "  status          show a daemon's status\n"
+           "  explain         show what a daemon knows of a request, move or route\n"
+           "Exit codes: 0 done, 1 refused, 2 usage, 3 store or daemon unavailable, 4 another operator published "
+           "first,\n"
+           "5 unknown whether published, 6 other errors. docs/tool.md describes them.\n"
+        << named_options();
+}
+
+} // namespace amaranthladder
--- /dev/null
+++ b/src/tool/tool_options.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include "common/endpoint.h"
+
+#include <absl/time/time.h>
+
+#include <cstdint>
+#include <iosfwd>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace amaranthladder {
+
+/// The tool's command line.
+struct tool_options {
+    bool is_help = false;
+    bool is_version = false;
+    bool is_json = false;
+    std::string command;
+    std::string folder;
+    endpoint store;
+    endpoint daemon;
+    std::string operator_name;
+    std::optional<std::uint64_t> expected_version;
+    absl::Duration deadline;
+    absl::Duration poll_interval;
+    std::optional<std::string> request;
+    std::optional<std::string> move;
+    std::optional<std::string> route;
+
+    /// @param arguments the arguments without the program's name.
+    /// @return the options.
+    /// @throws error with result_code::usage or result_code::setting_bad_value.
+    static tool_options parse(const std::vector<std::string>& arguments);
+
+    /// Prints the commands and options.
+    static void print_help(std::ostream& out);
+};
+
+} // namespace amaranthladder
