--- /dev/null
+++ b/src/tests/tool_options_test.cpp
@@ -0,0 +1,97 @@
+#include "tool/tool_options.h"
+
+#include "common/error.h"
+#include "tool/exit_status.h"
+
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include <sstream>
+
+using namespace amaranthladder;
+
+namespace {
+
+struct line_row {
+    std::vector<std::string> arguments;
+    result_code code;
+
+    friend std::ostream& operator<<(std::ostream& out, const line_row& row) {
+        for (const std::string& argument : row.arguments) {
+            out << argument << ' ';
+        }
+        return out;
+    }
+};
+
+const line_row bad_lines[] = {
+    {{}, result_code::usage},
+    {{"report"}, result_code::usage},
+    {{"apply"}, result_code::usage},
+    {{"status", "folder"}, result_code::usage},
+    {{"apply", "folder", "more"}, result_code::usage},
+    {{"apply", "folder", "--unknown"}, result_code::usage},
+    {{"apply", "folder", "--expect-version", "x"}, result_code::usage},
+    {{"check", "folder", "--expect-version", "1"}, result_code::usage},
+    {{"explain"}, result_code::usage},
+    {{"explain", "--move", "m", "--route", "r"}, result_code::usage},
+    {{"status", "--route", "r"}, result_code::usage},
+    {{"status", "--daemon", "localhost:1"}, result_code::setting_bad_value},
+    {{"apply", "folder", "--deadline", "3"}, result_code::setting_bad_unit},
+};
+
+struct exit_row {
+    result_code code;
+    int status;
+
+    friend std::ostream& operator<<(std::ostream& out, const exit_row& row) {
+        return out << name(row.code);
+    }
+};
+
+const exit_row exit_rows[] = {
+    {result_code::ok, 0},
+    {result_code::publish_unchanged, 0},
+    {result_code::config_syntax, 1},
+    {result_code::config_move_conflict, 1},
+    {result_code::file_unreadable, 1},
+    {result_code::usage, 2},
+    {result_code::store_unavailable, 3},
+    {result_code::peer_unreachable, 3},
+    {result_code::publish_raced, 4},
+    {result_code::publish_unresolved, 5},
+    {result_code::store_bad_answer, 6},
+    {result_code::snapshot_hash_mismatch, 6},
+    {result_code::store_conflict, 6},
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(tool_options_test)
+
+// Guards against a mistyped command line that runs something else.
+BOOST_DATA_TEST_CASE(refuses_bad_lines, bad_lines, row) {
+    BOOST_CHECK_EXCEPTION(tool_options::parse(row.arguments), error,
+                          [&](const error& problem) { return problem.code() == row.code; });
+}
+
+BOOST_AUTO_TEST_CASE(reads_a_line) {
+    const auto parsed =
+        tool_options::parse({"apply", "conf", "--json", "--store", "10.0.0.1:9", "--expect-version", "4"});
+    BOOST_TEST(parsed.command == "apply");
+    BOOST_TEST(parsed.folder == "conf");
+    BOOST_TEST(parsed.is_json);
+    BOOST_TEST(to_string(parsed.store) == "10.0.0.1:9");
+    BOOST_TEST(parsed.expected_version.value() == 4U);
+    BOOST_TEST(tool_options::parse({"explain", "--request", "GET /x"}).request.value() == "GET /x");
+    BOOST_TEST(tool_options::parse({"--help"}).is_help);
+    BOOST_TEST(tool_options::parse({"--version"}).is_version);
+}
+
+// Guards against scripts that take a raced or unresolved publish for a done one.
+BOOST_DATA_TEST_CASE(exit_codes, exit_rows, row) {
+    BOOST_TEST(static_cast<int>(exit_status_of(row.code)) == row.status);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
