--- a/bench/moves_bench_main.cpp
+++ b/bench/moves_bench_main.cpp
@@ -6,9 +6,11 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <atomic>
 #include <fstream>
 #include <iostream>
 #include <string>
+#include <thread>
 #include <vector>
 
 namespace {
@@ -16,6 +18,8 @@
 using namespace amaranthladder;
 using namespace amaranthladder::bench;
 
+constexpr int worker_count = 4;
+
 struct row_figures {
     int runs = 0;
     int as_expected = 0;
@@ -37,13 +41,27 @@
 }
 
 row_figures measure(const scenario& row, mover moved_by, int runs, std::uint64_t seed, bool sends_directly) {
+    std::vector<run_result> results(static_cast<std::size_t>(runs));
+    std::atomic<std::size_t> next{0};
+    const auto work = [&] {
+        for (std::size_t run = next++; run < results.size(); run = next++) {
+            run_options options;
+            options.moved_by = moved_by;
+            options.seed = seed + run;
+            options.sends_urgent_directly = sends_directly;
+            results[run] = run_move(row, options);
+        }
+    };
+    std::vector<std::thread> workers;
+    workers.reserve(worker_count);
+    for (int worker = 0; worker < worker_count; ++worker) {
+        workers.emplace_back(work);
+    }
+    for (std::thread& worker : workers) {
+        worker.join();
+    }
     row_figures figures;
-    for (int run = 0; run < runs; ++run) {
-        run_options options;
-        options.moved_by = moved_by;
-        options.seed = seed + static_cast<std::uint64_t>(run);
-        options.sends_urgent_directly = sends_directly;
-        const run_result result = run_move(row, options);
+    for (const run_result& result : results) {
         figures.runs += 1;
         figures.as_expected += is_as_expected(row, result) ? 1 : 0;
         figures.in_time += result.verdict == move_verdict::done ? 1 : 0;
@@ -130,6 +148,7 @@
     std::uint64_t seed = 0;
     std::string csv;
     std::string only;
+    double recorded_rate = 0;
     options::options_description_easy_init add_option = description.add_options();
     add_option("help", "show this text");
     add_option("runs", options::value(&runs)->default_value(25), "runs per row");
@@ -137,6 +156,8 @@
     add_option("csv", options::value(&csv), "file for the rows as CSV");
     add_option("only", options::value(&only), "rows whose name contains this text");
     add_option("gossip-only", "urgent records wait for the next probe");
+    add_option("record", options::value(&recorded_rate),
+               "print the calls of one run per row at so many calls/s, in the form of src/tests/traces");
     add_option("trace", "print the states of one run per row");
     options::variables_map given;
     options::store(options::parse_command_line(argc, argv, description), given);
@@ -150,13 +171,26 @@
                         "completed_median_part,unproven_share,bytes_per_daemon_s\n";
     goals engine_total;
     goals baseline_total;
-    fmt::print("{:<50} {:>4} {:>9} {:>7} {:>7} {:>8} {:>7} {:>7} {:>6} {:>6} | {:>9} {:>7} {:>8}\n", "row", "runs",
-               "expected", "in time", "rolled", "zero s", "p95 s", "exposed", "done", "B/s", "baseline", "zero s",
-               "exposed");
+    if (!given.contains("record")) {
+        fmt::print("{:<50} {:>4} {:>9} {:>7} {:>7} {:>8} {:>7} {:>7} {:>6} {:>6} | {:>9} {:>7} {:>8}\n", "row", "runs",
+                   "expected", "in time", "rolled", "zero s", "p95 s", "exposed", "done", "B/s", "baseline", "zero s",
+                   "exposed");
+    }
     for (const scenario& row : fault_table()) {
         if (row.name.find(only) == std::string::npos) {
             continue;
         }
+        if (given.contains("record")) {
+            scenario slower = row;
+            slower.calls_per_second = recorded_rate;
+            std::string calls;
+            run_options recorded;
+            recorded.seed = seed;
+            recorded.recorded_calls = &calls;
+            run_move(slower, recorded);
+            fmt::print("# {}, seed {}\n{}", row.name, seed, calls);
+            continue;
+        }
         if (given.contains("trace")) {
             run_options traced;
             traced.seed = seed;
@@ -188,6 +222,9 @@
                                  quantile(figures->completed_parts, 0.5), figures->unproven_share, figures->bytes);
         }
     }
+    if (given.contains("record") || given.contains("trace")) {
+        return 0;
+    }
     print_goals("engine", engine_total);
     print_goals("baseline: equal steps over 80% of the window, rollback above 5% errors in 10 s", baseline_total);
     if (!csv.empty()) {
--- a/bench/moves_simulation.cpp
+++ b/bench/moves_simulation.cpp
@@ -5,6 +5,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <array>
 #include <cmath>
 #include <map>
 #include <memory>
@@ -272,6 +273,12 @@
         }
         sample.latency = absl::Milliseconds(median_latency_ms * expected.slowness *
                                             std::exp(latency_spread * std::normal_distribution<>()(m_random)));
+        if (m_options.recorded_calls != nullptr) {
+            constexpr std::array<const char*, 3> outcomes{"good", "failed", "refused"};
+            *m_options.recorded_calls += fmt::format(
+                "{:.3f},{},{},{},{}\n", context.seconds, sample.version, sample.route,
+                outcomes.at(static_cast<std::size_t>(sample.outcome)), absl::ToInt64Microseconds(sample.latency));
+        }
         if (of_new) {
             m_new_answers += 1;
             note_fault(context, expected, sample, when);
--- a/bench/moves_simulation.h
+++ b/bench/moves_simulation.h
@@ -63,7 +63,8 @@
     mover moved_by = mover::engine;
     move_policy policy;
     std::uint64_t seed = 1;
-    bool sends_urgent_directly = true; ///< Urgent records go to all daemons of the service at once, beside gossip.
+    std::string* recorded_calls = nullptr; ///< Gets one line per answered call, in the form of src/tests/traces.
+    bool sends_urgent_directly = true;     ///< Urgent records go to all daemons of the service at once, beside gossip.
 };
 
 /// What one run showed.
--- a/src/moves/move_policy.h
+++ b/src/moves/move_policy.h
@@ -42,11 +42,13 @@
     absl::Duration confirmation_margin = absl::Seconds(1); ///< Bound on the delay error of a remote count's time.
     absl::Duration suspension_max = absl::Minutes(10);     ///< A suspicion unresolved for so long is confirmed.
     absl::Duration suspension_min = absl::Seconds(10);     ///< Same, once the deadline has passed.
-    absl::Duration recovery = absl::Seconds(3);            ///< Time without trouble that ends a pause.
+    absl::Duration watch_persistence = absl::Seconds(1);   ///< Least duration of a fault found in the watch.
+    double held_watch_share = 0.9; ///< Share in a pause after completion: the rest shows the old version's state.
+    absl::Duration recovery = absl::Seconds(3); ///< Time without trouble that ends a pause.
 
     // Exchange of evidence.
-    absl::Duration publish_interval = absl::Seconds(1);
-    absl::Duration urgent_interval = absl::Milliseconds(200);
+    absl::Duration publish_interval = absl::Seconds(2);
+    absl::Duration urgent_interval = absl::Milliseconds(500);
     absl::Duration heartbeat = absl::Seconds(5);
     absl::Duration fresh_for = absl::Seconds(15);      ///< Age at which a contributor no longer counts as present.
     absl::Duration pause_detection = absl::Seconds(3); ///< A longer gap between ticks means this process was paused
--- a/src/moves/private/evidence_table.cpp
+++ b/src/moves/private/evidence_table.cpp
@@ -128,8 +128,8 @@
     return true;
 }
 
-std::vector<move_evidence> evidence_table::take_due(bool is_urgent, absl::Time now) {
-    const absl::Duration interval = is_urgent ? m_policy.urgent_interval : m_policy.publish_interval;
+std::vector<move_evidence> evidence_table::take_due(bool is_urgent, bool is_asked, absl::Time now) {
+    const absl::Duration interval = is_urgent || is_asked ? m_policy.urgent_interval : m_policy.publish_interval;
     std::vector<move_evidence> due;
     for (auto& [key, row] : m_own) {
         const absl::Duration age = now - row.sent_at;
--- a/src/moves/private/evidence_table.h
+++ b/src/moves/private/evidence_table.h
@@ -37,10 +37,11 @@
     /// @return true if the row was newer than the one held.
     bool merge(const move_evidence& row, absl::Time now, evidence_delta& delta);
 
-    /// @param is_urgent true if there are signs of a fault: rows are due sooner and marked.
+    /// @param is_urgent true if this daemon sees signs of a fault: rows are due sooner and marked.
+    /// @param is_asked true if another daemon has sent such rows: rows are due sooner.
     /// @param now present time.
     /// @return own rows that are due for sending.
-    std::vector<move_evidence> take_due(bool is_urgent, absl::Time now);
+    std::vector<move_evidence> take_due(bool is_urgent, bool is_asked, absl::Time now);
 
     /// @return all rows held.
     std::vector<move_evidence> rows() const;
--- a/src/moves/private/move_process.cpp
+++ b/src/moves/private/move_process.cpp
@@ -92,6 +92,7 @@
 }
 
 void move_process::tick(bool is_deciding, absl::Time now) {
+    m_is_deciding = is_deciding;
     for (const evidence_delta& delta : m_evidence.take_own(now)) {
         add(delta, now);
     }
@@ -113,8 +114,7 @@
     if (is_final()) {
         return due;
     }
-    const bool is_alarmed = is_in("suspended") || now < m_alarmed_until || has_signs_of_fault();
-    for (move_evidence& row : m_evidence.take_due(is_alarmed, now)) {
+    for (move_evidence& row : m_evidence.take_due(is_suspecting(), now < m_alarmed_until, now)) {
         due.push_back({identity(), std::move(row)});
     }
     return due;
@@ -134,6 +134,13 @@
     if (refuses_new_version()) {
         return 0;
     }
+    const bool is_completed = m_progress.stage >= move_policy::completed_stage;
+    if (!m_is_deciding && !is_completed) {
+        return 0;
+    }
+    if (is_in("held") && is_completed) {
+        return m_policy.held_watch_share;
+    }
     return move_policy::stage_shares.at(static_cast<std::size_t>(m_progress.stage));
 }
 
@@ -234,7 +241,7 @@
     for (auto& [route, judge_of_route] : m_judges) {
         judge_of_route.tick(m_progress.stage >= move_policy::completed_stage, now);
     }
-    m_signs_since = has_signs_of_fault() ? std::min(m_signs_since, now) : absl::InfiniteFuture();
+    m_signs_since = is_suspecting() && !is_in("held") ? std::min(m_signs_since, now) : absl::InfiniteFuture();
     if (has_evidence(now)) {
         m_evidence_since = std::min(m_evidence_since, now);
     }
@@ -280,6 +287,12 @@
     if (m_suspicion.evidence < 1) {
         return;
     }
+    // The old version is idle after completion and cannot show that a short disturbance was common to both.
+    if (is_in("watched") && m_suspicion.run_start < absl::InfiniteFuture() &&
+        now - m_suspicion.run_start < m_policy.watch_persistence) {
+        m_suspicion = {};
+        return;
+    }
     m_suspended_since = now;
     fire("suspect");
     if (!m_policy.waits_for_confirmation) {
@@ -366,7 +379,8 @@
     }
     const bool is_proven =
         new_calls() - m_stage_calls_before >= m_policy.stage_calls && now - m_stage_since >= dwell(m_progress.stage);
-    const bool is_forced = now >= forced_exit(m_progress.stage) && now - m_stage_since >= forced_dwell();
+    const bool is_forced =
+        !is_suspecting() && now >= forced_exit(m_progress.stage) && now - m_stage_since >= forced_dwell();
     return is_proven || is_forced;
 }
 
@@ -374,6 +388,12 @@
     return std::ranges::any_of(m_judges, [](const auto& entry) { return !entry.second.allows_growth(); });
 }
 
+bool move_process::is_suspecting() const {
+    return is_in("suspended") || std::ranges::any_of(m_judges, [&](const auto& entry) {
+               return entry.second.strongest().evidence >= m_policy.suspicion;
+           });
+}
+
 bool move_process::has_evidence(absl::Time now) const {
     return m_evidence.has_fresh(move_side::new_version, now) && m_evidence.has_fresh(move_side::old_version, now);
 }
@@ -389,7 +409,7 @@
     }
     const absl::Duration overtime = std::clamp(window() / 2, m_policy.overtime_min, m_policy.overtime_max);
     const bool is_over = now >= m_progress.deadline + overtime;
-    const bool has_lasting_signs = !is_in("held") && now - m_signs_since >= signs_at_deadline;
+    const bool has_lasting_signs = now - m_signs_since >= signs_at_deadline;
     if (m_evidence.has_fresh(move_side::new_version, now) && (is_over || has_lasting_signs)) {
         roll_back(result_code::move_taken_back_undecided, "", now);
     }
@@ -398,7 +418,7 @@
 void move_process::check_watch(absl::Time now) {
     const absl::Duration watched_for = now - m_progress.completed_at;
     const bool has_calls = has_evidence(now) && new_calls() - m_stage_calls_before >= m_policy.stage_calls;
-    if (has_signs_of_fault() && watched_for < 2 * m_policy.watch_max) {
+    if (is_suspecting() && watched_for < 2 * m_policy.watch_max) {
         return;
     }
     if (watched_for >= m_policy.watch_max || (watched_for >= watch() && has_calls)) {
--- a/src/moves/private/move_process.h
+++ b/src/moves/private/move_process.h
@@ -99,6 +99,7 @@
     void enter_stage(int stage, absl::Time now);
     bool may_leave_stage(absl::Time now) const;
     bool has_signs_of_fault() const;
+    bool is_suspecting() const;
     bool has_evidence(absl::Time now) const;
     void roll_back(result_code reason, const std::string& route, absl::Time now);
     double new_calls() const;
@@ -119,6 +120,7 @@
     evidence_table m_evidence;
     std::map<std::string, route_judge> m_judges; ///< By route; the empty name stands for all routes together.
     bool m_is_changed = true;
+    bool m_is_deciding = true;
     absl::Time m_stage_since;
     double m_stage_calls_before = 0;
     std::string m_suspected_route;
--- a/src/moves/private/route_judge.cpp
+++ b/src/moves/private/route_judge.cpp
@@ -167,16 +167,17 @@
     const double usual =
         std::min(0.9, m_policy.base_rate_factor * before_bad / before_calls + m_policy.base_rate_floor);
     const double expected = usual * overlap_calls;
-    if (overlap_bad > expected + 3 * std::sqrt(expected + 1) + 1) {
-        return confirmation::refuted;
-    }
     const double like_new = std::clamp(suspected.run_rate / 2, std::min(0.94, 2 * usual), 0.95);
-    const double log_odds =
-        after_good * std::log((1 - usual) / (1 - like_new)) + after_bad * std::log(usual / like_new);
-    if (log_odds >= log_odds_confirmed) {
-        return confirmation::confirmed;
+    const auto log_odds_healthy = [&](double good, double bad) {
+        return good * std::log((1 - usual) / (1 - like_new)) + bad * std::log(usual / like_new);
+    };
+    const bool was_elevated = overlap_bad > expected + 3 * std::sqrt(expected + 1) + 1 ||
+                              log_odds_healthy(overlap_calls - overlap_bad, overlap_bad) <= log_odds_refuted;
+    const double log_odds = log_odds_healthy(after_good, after_bad);
+    if (was_elevated || log_odds <= log_odds_refuted) {
+        return confirmation::refuted;
     }
-    return log_odds <= log_odds_refuted ? confirmation::refuted : confirmation::open;
+    return log_odds >= log_odds_confirmed ? confirmation::confirmed : confirmation::open;
 }
 
 confirmation route_judge::confirm_slow(const suspicion& /*suspected*/, absl::Time since) const {
--- a/src/moves/private/slowness_test.cpp
+++ b/src/moves/private/slowness_test.cpp
@@ -8,7 +8,7 @@
 namespace {
 
 // Half-lives of the sums. The last one keeps everything, for services with few calls.
-constexpr std::array<double, 4> half_life_seconds{8, 60, 600, 1e9};
+constexpr std::array<double, 5> half_life_seconds{1.5, 8, 60, 600, 1e9};
 
 // A stratum is as short as its calls allow: at least one second (the exchange interval of the evidence), four calls of
 // the new version and eight of the old one.
@@ -17,7 +17,7 @@
 constexpr double stratum_old_calls = 8;
 
 // Without calls of the old version a stratum of this size is compared with the reference.
-constexpr absl::Duration reference_stratum_min = absl::Seconds(3);
+constexpr absl::Duration reference_stratum_min = absl::Seconds(1);
 
 constexpr double log_step_after_refutation = 2;
 
--- a/src/moves/private/slowness_test.h
+++ b/src/moves/private/slowness_test.h
@@ -61,7 +61,7 @@
         double ratio() const;
     };
 
-    static constexpr std::size_t scale_count = 4;
+    static constexpr std::size_t scale_count = 5;
 
     double evidence(const sums& scale) const;
     const sums& strongest() const;
