Add the month report: records, recorder and writer

The store has no list call, so a month's records stand in pages of at most 64 KB that are written by compare-and-swap and found by counting. An id that already stands in the page read is not written again, and the reader takes each id once, so a record written to two pages by two daemons still counts once. A lost answer is resolved by adding the record again, which reads the page back.

Ruled out: one value per record with an index value. It needs two writes per record, and a crash between them leaves a record that no report finds.

--- /dev/null
+++ b/src/report/month_record.h
@@ -0,0 +1,72 @@
+#pragma once
+
+#include "common/result_code.h"
+
+#include <absl/time/time.h>
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+namespace amaranthladder {
+
+/// How one move ended.
+struct move_outcome {
+    std::string move;        ///< Name and introducing version, as NAME@VERSION.
+    std::string verdict;     ///< Stable name of the move_verdict.
+    int reason = 0;          ///< Number of the result_code.
+    double seconds = 0;      ///< From the move's start to its verdict.
+    double share = 0;        ///< Share of the new version at the verdict, 0 to 1.
+    std::uint64_t calls = 0; ///< Calls that the new version had received.
+
+    friend bool operator==(const move_outcome&, const move_outcome&) = default;
+};
+
+/// What one daemon measured in one time window.
+struct traffic_sample {
+    std::string daemon;
+    double window_seconds = 0;
+    std::uint64_t control_bytes = 0;           ///< Control-plane bytes sent and received.
+    std::vector<std::uint32_t> convergence_ms; ///< Publish to in force, one value per configuration version.
+
+    friend bool operator==(const traffic_sample&, const traffic_sample&) = default;
+};
+
+/// One entry of a month's report. Its id makes it count once although it may be written more than once.
+struct month_record {
+    static constexpr std::size_t max_encoded_size = 8'192;
+    static constexpr std::size_t max_convergence_values = 256;
+
+    std::string id;    ///< Unique in the month, made of letters, digits and `.:@_-`.
+    std::string month; ///< YYYY-MM, UTC.
+    std::variant<move_outcome, traffic_sample> content;
+
+    /// @return the record as JSON.
+    /// @throws error with result_code::report_record_malformed if it exceeds a bound.
+    std::string encode() const;
+
+    /// @param text a record as JSON.
+    /// @throws error with result_code::report_record_malformed.
+    static month_record decode(std::string_view text);
+
+    friend bool operator==(const month_record&, const month_record&) = default;
+};
+
+/// @return the month of @p time, as YYYY-MM in UTC.
+std::string month_of(absl::Time time);
+
+/// @param month YYYY-MM.
+/// @return the month before.
+/// @throws error with result_code::report_bad_month.
+std::string month_before(std::string_view month);
+
+/// @return the record of a move's outcome.
+/// @param ended_at time of the verdict; it decides the month.
+month_record make_outcome_record(move_outcome outcome, absl::Time ended_at);
+
+/// @return the record of a sample; the daemon and the start of the window make its id.
+month_record make_sample_record(traffic_sample sample, absl::Time window_start);
+
+} // namespace amaranthladder
--- /dev/null
+++ b/src/report/month_table.h
@@ -0,0 +1,109 @@
+#pragma once
+
+#include "common/error.h"
+#include "report/month_record.h"
+#include "store/key_value_store.h"
+
+#include <absl/time/time.h>
+#include <boost/algorithm/string/classification.hpp>
+#include <boost/algorithm/string/split.hpp>
+#include <fmt/format.h>
+
+#include <map>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace amaranthladder {
+
+/// The records of months in the store.
+///
+/// The store has no list call, so the records of a month stand in pages: values with one record per line, which are
+/// written by compare-and-swap. A page that is full is followed by the next one; pages are found by counting up from 0
+/// until one is absent. A record whose id stands in any page of its month is not written again.
+template <key_value_store Store> class month_table {
+public:
+    /// Bound of a page, far below the store's 1 MB, so that a compare-and-swap stays cheap.
+    static constexpr std::size_t max_page_size = 65'536;
+    static constexpr int max_pages = 4'096;
+
+    /// @param store the store; must outlive this object.
+    /// @param mesh name of the mesh.
+    /// @param call_limit longest time for one store call.
+    month_table(Store& store, std::string mesh, absl::Duration call_limit)
+        : m_store(store), m_mesh(std::move(mesh)), m_call_limit(call_limit) {}
+
+    /// Adds a record unless it is there already.
+    /// @return ok once the record is in the store, otherwise the outcome of the call that failed. After `unknown` the
+    /// record may be there; adding it again finds out.
+    store_outcome add(const month_record& record) {
+        const std::string line = record.encode() + "\n";
+        for (int page = m_last_page[record.month]; page < max_pages;) {
+            const std::string key = page_key(record.month, page);
+            const auto held = m_store.get(key, m_call_limit);
+            if (!held.is_ok() && held.outcome != store_outcome::absent) {
+                return held.outcome;
+            }
+            const std::string text = held.is_ok() ? held.value->value : "";
+            if (has_id(text, record.id)) {
+                return store_outcome::ok;
+            }
+            if (text.size() + line.size() > max_page_size) {
+                m_last_page[record.month] = ++page;
+                continue;
+            }
+            const revision known = held.is_ok() ? held.value->key_revision : 0;
+            const auto written = m_store.compare_and_swap(key, known, text + line, m_call_limit);
+            if (written.outcome != store_outcome::conflict) {
+                return written.outcome;
+            }
+        }
+        return store_outcome::conflict;
+    }
+
+    /// @param month YYYY-MM.
+    /// @return the month's records, each id once.
+    /// @throws error with result_code::store_unavailable if a page cannot be read, or report_record_malformed.
+    std::vector<month_record> read(const std::string& month) {
+        std::vector<month_record> records;
+        std::set<std::string> ids;
+        for (int page = 0; page < max_pages; ++page) {
+            const auto held = m_store.get(page_key(month, page), m_call_limit);
+            if (held.outcome == store_outcome::absent) {
+                break;
+            }
+            if (!held.is_ok()) {
+                throw error(result_code::store_unavailable, fmt::format("page {} of {}", page, month));
+            }
+            std::vector<std::string> lines;
+            boost::algorithm::split(lines, held.value->value, boost::algorithm::is_any_of("\n"));
+            for (const std::string& line : lines) {
+                if (line.empty()) {
+                    continue;
+                }
+                month_record record = month_record::decode(line);
+                if (ids.insert(record.id).second) {
+                    records.push_back(std::move(record));
+                }
+            }
+        }
+        return records;
+    }
+
+private:
+    std::string page_key(const std::string& month, int page) const {
+        return fmt::format("amaranthladder/{}/report/{}/{}", m_mesh, month, page);
+    }
+
+    static bool has_id(const std::string& text, const std::string& id) {
+        return text.find(fmt::format("{{\"id\":\"{}\",", id)) != std::string::npos;
+    }
+
+    Store& m_store;
+    std::string m_mesh;
+    absl::Duration m_call_limit;
+    std::map<std::string, int> m_last_page;
+};
+
+} // namespace amaranthladder
--- /dev/null
+++ b/src/report/report_writer.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include "report/month_record.h"
+
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace amaranthladder {
+
+/// Figures of one month by the names of `report_figures()`; a figure without data is absent.
+using month_figures = std::map<std::string, double, std::less<>>;
+
+/// One line of the report.
+struct report_figure {
+    std::string_view name; ///< Stable name, also in the CSV forms.
+    std::string_view unit;
+    std::string_view text;
+    int decimals;
+};
+
+/// @return the lines of the report in their order.
+const std::vector<report_figure>& report_figures();
+
+/// @param records a month's records, each id once.
+/// @return the month's figures.
+month_figures summarize(const std::vector<month_record>& records);
+
+/// Reads the old system's figures: lines `name,value` with the names of report_figures(), in any order. The header
+/// `figure,value`, empty lines and lines that start with `#` are skipped.
+/// @param text the file's content.
+/// @param file_name name for messages.
+/// @throws error with result_code::report_compare_malformed, naming file and line.
+month_figures read_comparison(std::string_view text, std::string_view file_name);
+
+/// The figures of one report, side by side.
+struct report_columns {
+    std::string mesh;
+    std::string month;
+    month_figures present;
+    std::string month_before;
+    month_figures before;
+    bool has_comparison = false;
+    month_figures comparison; ///< The old system's figures.
+};
+
+/// @return the report as text for people.
+std::string report_text(const report_columns& columns);
+
+/// @return the report as CSV: `figure,unit,MONTH,MONTH_BEFORE[,old_system]`, empty fields for absent figures.
+std::string report_csv(const report_columns& columns);
+
+} // namespace amaranthladder
--- /dev/null
+++ b/src/tests/fakes/report_store_fake.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include "store/key_value_store.h"
+
+#include <functional>
+#include <map>
+#include <string>
+
+namespace amaranthladder::fakes {
+
+/// A store in memory whose writes can fail in the ways that the platform's store can.
+class report_store_fake {
+public:
+    /// Called before each write; its result replaces the write's outcome. `unknown` does the write and loses the
+    /// answer; every other outcome but ok does nothing.
+    std::function<store_outcome()> on_write = [] { return store_outcome::ok; };
+    bool is_down = false;
+    std::map<std::string, versioned_value> values;
+
+    store_result<versioned_value> get(const std::string& key, absl::Duration /*limit*/) {
+        if (is_down) {
+            return {store_outcome::unavailable, {}};
+        }
+        const auto found = values.find(key);
+        return found == values.end() ? store_result<versioned_value>{store_outcome::absent, {}}
+                                     : store_result<versioned_value>{store_outcome::ok, found->second};
+    }
+
+    store_result<revision> compare_and_swap(const std::string& key, revision known, const std::string& text,
+                                            absl::Duration /*limit*/) {
+        const store_outcome forced = is_down ? store_outcome::unavailable : on_write();
+        if (forced != store_outcome::ok && forced != store_outcome::unknown) {
+            return {forced, {}};
+        }
+        versioned_value& held = values[key];
+        if (held.key_revision != known) {
+            return {store_outcome::conflict, {}};
+        }
+        held = {text, known + 1};
+        return forced == store_outcome::ok ? store_result<revision>{forced, held.key_revision}
+                                           : store_result<revision>{forced, {}};
+    }
+
+    store_result<lease> acquire_lease(const std::string&, const std::string&, absl::Duration, absl::Duration) {
+        return {};
+    }
+    store_result<lease> renew_lease(const lease&, absl::Duration) {
+        return {};
+    }
+    store_result<revision> release_lease(const lease&, absl::Duration) {
+        return {};
+    }
+    store_result<versioned_value> watch(const std::string&, revision, absl::Duration) {
+        return {};
+    }
+};
+
+} // namespace amaranthladder::fakes
--- /dev/null
+++ b/src/tests/report_writer_test.cpp
@@ -0,0 +1,116 @@
+#include "report/report_writer.h"
+
+#include "common/error.h"
+
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include <ostream>
+
+using namespace amaranthladder;
+
+BOOST_AUTO_TEST_SUITE(report_writer_test)
+
+namespace {
+
+const absl::Time noon = absl::FromUnixSeconds(1'800'000'000); // 2027-01-15
+
+std::vector<month_record> sample_month() {
+    return {
+        make_outcome_record({"kiln@7", "done", 1503, 30, 1, 500}, noon),
+        make_outcome_record({"band@8", "done-late", 1504, 90, 1, 500}, noon),
+        make_outcome_record({"glue@9", "rolled-back", 1500, 4, 0.05, 3}, noon),
+        make_outcome_record({"glue@10", "rolled-back", 1501, 12, 0.15, 120}, noon),
+        make_outcome_record({"glue@11", "replaced", 1506, 5, 0.05, 9}, noon),
+        make_sample_record({"nord-1", 100, 20'000, {100, 200, 300}}, noon),
+        make_sample_record({"sued-1", 100, 40'000, {400}}, noon),
+    };
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(summarizes_a_month) {
+    const month_figures figures = summarize(sample_month());
+    BOOST_TEST(figures.at("moves_in_time") == 1);
+    BOOST_TEST(figures.at("moves_late") == 1);
+    BOOST_TEST(figures.at("moves_rolled_back") == 2);
+    BOOST_TEST(figures.at("moves_replaced") == 1);
+    BOOST_TEST(figures.at("rollback_verdict_median_s") == 4);
+    BOOST_TEST(figures.at("rollback_verdict_worst_s") == 12);
+    BOOST_TEST(figures.at("rollback_share_worst_percent") == 15);
+    BOOST_TEST(figures.at("rollback_exposed_calls") == 123);
+    BOOST_TEST(figures.at("convergence_median_s") == 0.2);
+    BOOST_TEST(figures.at("convergence_worst_s") == 0.4);
+    BOOST_TEST(figures.at("control_bytes_per_daemon_s") == 300);
+    BOOST_TEST(figures.at("control_bytes_total") == 60'000);
+    BOOST_TEST(figures.at("daemons") == 2);
+}
+
+// Guards against figures of zero where nothing was measured.
+BOOST_AUTO_TEST_CASE(leaves_out_what_was_not_measured) {
+    const month_figures figures = summarize({});
+    BOOST_TEST(!figures.contains("convergence_median_s"));
+    BOOST_TEST(!figures.contains("rollback_verdict_median_s"));
+    BOOST_TEST(figures.at("moves_in_time") == 0);
+}
+
+BOOST_AUTO_TEST_CASE(prints_the_months_side_by_side) {
+    report_columns columns{"kufenbach", "2027-01", summarize(sample_month()), "2026-12", summarize({}), true, {}};
+    columns.comparison =
+        read_comparison("figure,value\n# 2026\nmoves_late,3\r\nconvergence_median_s, 41.5\n", "old.csv");
+    const std::string csv = report_csv(columns);
+    BOOST_TEST(csv.starts_with("figure,unit,2027-01,2026-12,old_system\nconvergence_median_s,s,0.200,,41.500\n"));
+    BOOST_TEST(csv.find("moves_late,,1,0,3\n") != std::string::npos);
+    const std::string text = report_text(columns);
+    BOOST_TEST(text.find("Convergence time, median") != std::string::npos);
+    BOOST_TEST(text.find("41.500") != std::string::npos);
+}
+
+struct bad_comparison_row {
+    const char* name;
+    const char* text;
+    const char* place;
+
+    friend std::ostream& operator<<(std::ostream& out, const bad_comparison_row& row) {
+        return out << row.name;
+    }
+};
+
+const bad_comparison_row bad_comparisons[] = {
+    {"no comma", "figure,value\nmoves_late 3\n", "old.csv:2:"},
+    {"unknown figure", "moves_early,3\n", "old.csv:1:"},
+    {"no number", "moves_late,three\n", "old.csv:1:"},
+    {"text after the number", "moves_late,3 moves\n", "old.csv:1:"},
+    {"negative", "\nmoves_late,-3\n", "old.csv:2:"},
+    {"not finite", "moves_late,inf\n", "old.csv:1:"},
+    {"twice", "moves_late,3\n\nmoves_late,4\n", "old.csv:3:"},
+};
+
+BOOST_DATA_TEST_CASE(refuses_a_bad_comparison_with_its_line, bad_comparisons, row) {
+    BOOST_CHECK_EXCEPTION(read_comparison(row.text, "old.csv"), error, [&](const error& problem) {
+        return problem.code() == result_code::report_compare_malformed &&
+               std::string(problem.what()).find(row.place) != std::string::npos;
+    });
+}
+
+BOOST_AUTO_TEST_CASE(knows_months) {
+    BOOST_TEST(month_of(noon) == "2027-01");
+    BOOST_TEST(month_before("2027-01") == "2026-12");
+    BOOST_TEST(month_before("2027-12") == "2027-11");
+    for (const char* bad : {"", "2027", "2027-13", "2027-00", "2027-1", "202x-01", "2027/01"}) {
+        BOOST_CHECK_THROW(month_before(bad), error);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(decodes_what_it_encodes_and_refuses_the_rest) {
+    for (const month_record& record : sample_month()) {
+        BOOST_TEST((month_record::decode(record.encode()) == record));
+    }
+    for (const char* bad : {"", "{}", "[]", "{\"id\":\"a b\",\"month\":\"2027-01\"}", "{\"id\":\"a\",\"month\":\"x\"}",
+                            "{\"id\":\"a\",\"month\":\"2027-01\",\"verdict\":\"done\"}"}) {
+        BOOST_CHECK_THROW(month_record::decode(bad), error);
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
