--- a/src/daemon/mesh_daemon.cpp
+++ b/src/daemon/mesh_daemon.cpp
@@ -361,7 +361,8 @@
     std::thread m_control_loop;
 };
 
-mesh_daemon::mesh_daemon(const daemon_settings& settings) : m_implementation(std::make_unique<implementation>(settings)) {}
+mesh_daemon::mesh_daemon(const daemon_settings& settings)
+    : m_implementation(std::make_unique<implementation>(settings)) {}
 
 mesh_daemon::~mesh_daemon() = default;
 
