Copy refused lines without a null pointer

A refused line is served to inih as an empty one, and its empty view has a null pointer, which memcpy must not be given. Found by the ini_reader fuzz target with the undefined behaviour sanitizer; the rows 'line too long', 'NUL' and 'escape character' of ini_reader_test take the same path under the preset asan, so no new row is needed.

--- a/src/config/ini_reader.cpp
+++ b/src/config/ini_reader.cpp
@@ -5,7 +5,6 @@
 #include <ini.h>
 
 #include <algorithm>
-#include <cstring>
 #include <exception>
 #include <set>
 
@@ -108,7 +107,7 @@
         if (line.size() + 2 > size || !is_usable(line)) {
             line = {};
         }
-        std::memcpy(buffer, line.data(), line.size());
+        line.copy(buffer, line.size());
         buffer[line.size()] = '\n';
         buffer[line.size() + 1] = '\0';
         return buffer;
