Rebuild only the services whose upstreams changed

Each change of the list rebuilt all services. What remains is the comparison of 13,200 records; a call for a single record would remove it and can follow if the daemon needs it.

--- a/bench/routing_bench_main.cpp
+++ b/bench/routing_bench_main.cpp
@@ -3,10 +3,13 @@
 #include <boost/program_options.hpp>
 #include <fmt/format.h>
 
+#include <chrono>
 #include <cstdio>
 #include <exception>
 #include <fstream>
 #include <iostream>
+#include <memory>
+#include <random>
 
 using namespace amaranthladder;
 namespace options = boost::program_options;
@@ -102,6 +105,65 @@
     }
 }
 
+/// Prints the time of one lookup and of one choice, with the design page's 2,200 routes and services.
+void print_decision_costs(std::uint64_t seed) {
+    constexpr int services = 2'200;
+    constexpr int decisions = 200'000;
+    auto state = std::make_shared<intended_state>();
+    std::vector<upstream_record> records;
+    for (int service = 0; service < services; ++service) {
+        route added;
+        added.name = fmt::format("route-{}", service);
+        added.service = fmt::format("service-{}", service);
+        added.path_prefix = fmt::format("/area-{}/{}", service % 40, added.name);
+        state->routes[added.name] = added;
+        for (int worker = 0; worker < 6; ++worker) {
+            upstream_record record;
+            record.id = fmt::format("{}-{}", added.service, worker);
+            record.service = added.service;
+            record.version = "v1";
+            record.data_center = worker < 2 ? "a" : "b";
+            record.slots = 6;
+            records.push_back(record);
+        }
+    }
+    router subject({.data_center = "a", .policy = {}});
+    std::mt19937_64 rng(seed);
+    const absl::Time now = absl::FromUnixSeconds(1'700'000'000);
+    const auto timed = [](const char* what, int count, const auto& work) {
+        const auto started = std::chrono::steady_clock::now();
+        work();
+        const std::chrono::duration<double, std::micro> spent = std::chrono::steady_clock::now() - started;
+        fmt::print("{}: {:.3f} us\n", what, spent.count() / count);
+    };
+    subject.set_configuration(state);
+    timed("taking a list of 13,200 upstreams", 1, [&] { subject.set_upstreams(records, now); });
+    records.front().is_leaving = true;
+    timed("taking the list with one change", 1, [&] { subject.set_upstreams(records, now); });
+    std::size_t found = 0;
+    timed("finding one of 2,200 routes", decisions, [&] {
+        for (int decision = 0; decision < decisions; ++decision) {
+            found += subject.match("GET", "/area-7/route-47/items/1234?page=2").matched ? 1 : 0;
+        }
+    });
+    const std::shared_ptr<const route> target = subject.match("GET", "/area-7/route-47").matched;
+    timed("choosing one of 6 upstreams, start and end", decisions, [&] {
+        for (int decision = 0; decision < decisions; ++decision) {
+            const routing_decision chosen = subject.choose(*target, {}, now, rng);
+            subject.on_started(chosen.upstream_id, now);
+            subject.on_finished(chosen.upstream_id, attempt_outcome::answered, absl::Milliseconds(20), 0.5, now);
+            found += chosen.is_refused() ? 0 : 1;
+        }
+    });
+    timed("the line for the decision log", decisions, [&] {
+        const routing_decision chosen = subject.choose(*target, {}, now, rng);
+        for (int decision = 0; decision < decisions; ++decision) {
+            found += to_log_line(chosen).size();
+        }
+    });
+    fmt::print("checksum {}\n", found);
+}
+
 } // namespace
 
 int main(int argc, char** argv) {
@@ -114,6 +176,7 @@
         accepted.add_options()("seed", options::value(&seed)->default_value(seed), "seed of all random numbers");
         accepted.add_options()("seconds", options::value(&seconds)->default_value(seconds), "modelled time of a row");
         accepted.add_options()("csv", options::value(&csv_path)->default_value("/dev/null"), "file for the figures");
+        accepted.add_options()("costs", "measure the time of a decision instead");
         options::variables_map values;
         options::store(options::parse_command_line(argc, argv, accepted), values);
         options::notify(values);
@@ -121,6 +184,10 @@
             std::cout << accepted;
             return 0;
         }
+        if (values.contains("costs")) {
+            print_decision_costs(seed);
+            return 0;
+        }
         run(seed, seconds, csv_path);
         return 0;
     } catch (const std::exception& problem) {
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -1,6 +1,5 @@
 #include "routing/router.h"
 
-#include <absl/container/flat_hash_set.h>
 #include <absl/random/uniform_real_distribution.h>
 
 #include <algorithm>
@@ -48,17 +47,21 @@
 }
 
 void router::set_upstreams(const std::vector<upstream_record>& records, absl::Time now) {
-    absl::flat_hash_set<std::string> known_services;
     for (const auto& [id, upstream] : m_upstreams) {
-        known_services.insert(upstream->record.service);
-        upstream->is_listed = false;
+        upstream->was_listed = std::exchange(upstream->is_listed, false);
     }
+    service_names changed;
     for (const upstream_record& record : records) {
-        take_record(record, known_services.contains(record.service), now);
+        take_record(record, changed, now);
     }
+    for (const auto& [id, upstream] : m_upstreams) {
+        if (upstream->was_listed && !upstream->is_listed) {
+            changed.insert(upstream->record.service);
+        }
+    }
+    rebuild_groups(changed);
     absl::erase_if(m_upstreams,
                    [](const auto& entry) { return !entry.second->is_listed && entry.second->in_flight == 0; });
-    rebuild_groups();
 }
 
 void router::set_share_overrides(share_overrides overrides) {
@@ -140,11 +143,18 @@
     return found == m_upstreams.end() ? 0 : found->second->in_flight;
 }
 
-void router::take_record(const upstream_record& record, bool service_is_known, absl::Time now) {
+void router::take_record(const upstream_record& record, service_names& changed, absl::Time now) {
     auto& slot = m_upstreams[record.id];
     const bool is_new = slot == nullptr;
     if (is_new) {
         slot = std::make_unique<upstream_state>();
+    } else if (slot->was_listed && slot->record == record) {
+        slot->is_listed = true;
+        return;
+    }
+    changed.insert(record.service);
+    if (!is_new) {
+        changed.insert(slot->record.service);
     }
     if (is_new || record.incarnation != slot->record.incarnation) {
         if (ejector* health = is_new ? nullptr : health_of(*slot)) {
@@ -154,39 +164,49 @@
         *slot = upstream_state();
         slot->in_flight = in_flight;
         slot->latency = latency_average(m_settings.policy.averaging);
-        slot->warming_since = service_is_known ? now : absl::InfinitePast();
+        slot->warming_since = m_services.contains(record.service) ? now : absl::InfinitePast();
     }
     slot->record = record;
     slot->is_listed = true;
 }
 
-void router::rebuild_groups() {
-    for (auto& [service, group] : m_services) {
-        for (auto& [version, members] : group) {
+void router::rebuild_groups(const service_names& changed) {
+    for (const std::string& service : changed) {
+        for (auto& [version, members] : m_services[service]) {
             members.upstreams.clear();
         }
     }
     for (const auto& [id, upstream] : m_upstreams) {
-        if (upstream->is_listed && is_usable(upstream->record)) {
-            m_services[upstream->record.service][upstream->record.version].upstreams.push_back(upstream.get());
+        const upstream_record& record = upstream->record;
+        if (upstream->is_listed && is_usable(record) && changed.contains(record.service)) {
+            m_services[record.service][record.version].upstreams.push_back(upstream.get());
         }
     }
-    for (auto& [service, group] : m_services) {
+    for (const std::string& service : changed) {
+        service_group& group = m_services[service];
         std::erase_if(group, [](const auto& entry) { return entry.second.upstreams.empty(); });
         for (auto& [version, members] : group) {
-            // The order of the hash table differs between runs; decisions must not.
-            std::ranges::sort(members.upstreams, {}, [](const upstream_state* one) { return one->record.id; });
-            std::vector<std::string> ids;
-            for (const upstream_state* one : members.upstreams) {
-                ids.push_back(one->record.id);
-            }
-            if (!members.health) {
-                members.health = std::make_unique<ejector>(m_settings.policy.ejecting);
-            }
-            members.health->set_members(ids);
+            finish_group(members);
         }
+        if (group.empty()) {
+            m_services.erase(service);
+        }
+    }
+}
+
+void router::finish_group(version_group& members) const {
+    // The order of the hash table differs between runs; decisions must not.
+    std::ranges::sort(members.upstreams, {},
+                      [](const upstream_state* one) { return std::string_view(one->record.id); });
+    std::vector<std::string> ids;
+    ids.reserve(members.upstreams.size());
+    for (const upstream_state* one : members.upstreams) {
+        ids.push_back(one->record.id);
+    }
+    if (!members.health) {
+        members.health = std::make_unique<ejector>(m_settings.policy.ejecting);
     }
-    absl::erase_if(m_services, [](const auto& entry) { return entry.second.empty(); });
+    members.health->set_members(ids);
 }
 
 std::vector<router::weighed_version> router::weighed_versions(const route& target, const request_facts& request) const {
--- a/src/routing/router.h
+++ b/src/routing/router.h
@@ -11,6 +11,7 @@
 #include "routing/warm_up.h"
 
 #include <absl/container/flat_hash_map.h>
+#include <absl/container/flat_hash_set.h>
 #include <absl/random/bit_gen_ref.h>
 #include <absl/time/time.h>
 
@@ -101,6 +102,7 @@
     struct upstream_state {
         upstream_record record;
         bool is_listed = false;
+        bool was_listed = false; ///< In the list before, while set_upstreams runs.
         int in_flight = 0;
         latency_average latency;
         double hint = 0;
@@ -112,6 +114,7 @@
         std::vector<upstream_state*> upstreams; ///< Only usable ones.
         std::unique_ptr<ejector> health;
     };
+    using service_names = absl::flat_hash_set<std::string>;
     using service_group = std::map<std::string, version_group>;
     struct weighed_version {
         const std::string* name;
@@ -123,8 +126,9 @@
         choice_reason reason; ///< none: let the picker decide.
     };
 
-    void take_record(const upstream_record& record, bool service_is_known, absl::Time now);
-    void rebuild_groups();
+    void take_record(const upstream_record& record, service_names& changed, absl::Time now);
+    void rebuild_groups(const service_names& changed);
+    void finish_group(version_group& members) const;
     std::vector<weighed_version> weighed_versions(const route& target, const request_facts& request) const;
     double configured_weight(const std::string& service, const std::string& version, const version_group& group) const;
     candidate_set candidates(const version_group& group, const route& target, const request_facts& request,
