--- a/src/report/report_writer.cpp
+++ b/src/report/report_writer.cpp
@@ -84,7 +84,7 @@
     return found == figures.end() ? std::string() : fmt::format("{:.{}f}", found->second, figure.decimals);
 }
 
-std::string or_dash(std::string text) {
+std::string or_dash(const std::string& text) {
     return text.empty() ? "-" : text;
 }
 
--- a/src/tests/report_writer_test.cpp
+++ b/src/tests/report_writer_test.cpp
@@ -1,6 +1,8 @@
 #include "report/report_writer.h"
 
 #include "common/error.h"
+#include "fakes/report_store_fake.h"
+#include "report/month_report.h"
 
 #include <boost/test/data/monomorphic.hpp>
 #include <boost/test/data/test_case.hpp>
@@ -67,6 +69,22 @@
     BOOST_TEST(text.find("41.500") != std::string::npos);
 }
 
+// Guards the command `report --month`: the month before comes from the store, the comparison from its file.
+BOOST_AUTO_TEST_CASE(reads_both_months_from_the_store) {
+    fakes::report_store_fake store;
+    month_table<fakes::report_store_fake> table(store, "kufenbach", absl::Seconds(1));
+    for (const month_record& record : sample_month()) {
+        BOOST_REQUIRE((table.add(record) == store_outcome::ok));
+    }
+    report_request request{"kufenbach", "2027-02", true, "old.csv", "moves_late,3\n"};
+    BOOST_TEST(month_report(table, request).find("moves_late,,0,1,3\n") != std::string::npos);
+    request.comparison_text.reset();
+    request.is_csv = false;
+    BOOST_TEST(month_report(table, request).starts_with("Mesh kufenbach, 2027-02\n"));
+    request.month = "2027-2";
+    BOOST_CHECK_THROW(month_report(table, request), error);
+}
+
 struct bad_comparison_row {
     const char* name;
     const char* text;
