--- a/bench/peers_bench_main.cpp
+++ b/bench/peers_bench_main.cpp
@@ -81,6 +81,7 @@
     };
 
     std::vector<table_record> records;
+    records.reserve(std::size_t{2} * workers);
     for (int worker = 0; worker < workers; ++worker) {
         records.push_back({table_id::members, message_codec::encode(make_member(worker)), 0});
     }
--- a/src/peers/peer_server.cpp
+++ b/src/peers/peer_server.cpp
@@ -39,6 +39,9 @@
         stop(false);
     }
 
+    implementation(const implementation&) = delete;
+    implementation& operator=(const implementation&) = delete;
+
     void start() {
         m_rpc.start();
         m_is_running = true;
