State where a store call can exceed its deadline

The comment promised one deadline for connecting, sending and receiving together, but cpp-httplib applies its timeouts to each wait. A watchdog thread that closes the connection would make the deadline strict; it is left for later.

--- a/src/store/http_store.cpp
+++ b/src/store/http_store.cpp
@@ -69,7 +69,8 @@
 public:
     connections(endpoint address, call_counter& counter) : m_address(std::move(address)), m_counter(counter) {}
 
-    /// Sends one request. The deadline covers connecting, sending and receiving together.
+    /// Sends one request. cpp-httplib applies its timeouts to connecting and to each wait for the socket; the progress
+    /// function ends a body that arrives too slowly. Only a head that arrives byte by byte can exceed the deadline.
     answer call(store_call_kind kind, httplib::Request request, absl::Duration deadline) {
         answer result;
         const bool is_write = request.method != "GET";
