--- a/bench/fake_upstream.cpp
+++ b/bench/fake_upstream.cpp
@@ -32,7 +32,7 @@
 namespace {
 
 constexpr auto as_result = asio::as_tuple(asio::use_awaitable);
-constexpr std::size_t chunk_bytes = 16 * 1024;
+constexpr std::size_t chunk_bytes = std::size_t{16} * 1024;
 constexpr std::uint64_t max_body_bytes = 256ULL * 1024 * 1024;
 
 using string_request = http::request<http::string_body>;
--- a/src/daemon/upstream_announcement.h
+++ b/src/daemon/upstream_announcement.h
@@ -2,6 +2,7 @@
 
 #include "common/endpoint.h"
 
+#include <cstddef>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -23,7 +24,7 @@
 };
 
 /// Largest body of an announcement.
-inline constexpr std::size_t max_announcement_bytes = 64 * 1024;
+inline constexpr std::size_t max_announcement_bytes = std::size_t{64} * 1024;
 
 /// @param json the body of `PUT /v1/upstream`.
 /// @return the announcement.
--- a/src/http/private/caller_session.cpp
+++ b/src/http/private/caller_session.cpp
@@ -18,11 +18,11 @@
 
 namespace {
 
-constexpr std::size_t first_read_bytes = 8 * 1024;
+constexpr std::size_t first_read_bytes = std::size_t{8} * 1024;
 /// More daemons on one call's way than the deepest call chains have; a loop of upstreams and daemons ends here.
 constexpr int max_hops = 64;
 /// Bytes of an unread body that are discarded so that the peer can read the answer before the connection closes.
-constexpr std::size_t max_discarded_bytes = 1024 * 1024;
+constexpr std::size_t max_discarded_bytes = std::size_t{1024} * 1024;
 constexpr auto discard_timeout = std::chrono::seconds(2);
 constexpr std::string_view continue_response = "HTTP/1.1 100 Continue\r\n\r\n";
 
--- a/src/http/private/entry_call.cpp
+++ b/src/http/private/entry_call.cpp
@@ -16,7 +16,7 @@
 namespace {
 
 /// Owner refusals are small; a longer body is not one of ours.
-constexpr std::size_t max_refusal_bytes = 16 * 1024;
+constexpr std::size_t max_refusal_bytes = std::size_t{16} * 1024;
 
 std::optional<double> load_of(const http::fields& fields) {
     const std::string_view text = field_value(fields, header::load);
--- a/src/http/private/exchange.cpp
+++ b/src/http/private/exchange.cpp
@@ -11,7 +11,7 @@
 
 namespace {
 
-constexpr std::size_t stream_chunk_bytes = 64 * 1024;
+constexpr std::size_t stream_chunk_bytes = std::size_t{64} * 1024;
 
 bool is_timeout(error_code failure) {
     return failure == beast::error::timeout;
--- a/src/http/proxy_options.h
+++ b/src/http/proxy_options.h
@@ -15,9 +15,9 @@
     std::string worker;
     endpoint listen_address;
     std::size_t max_connections = 2000;
-    std::size_t max_header_bytes = 64 * 1024;
+    std::size_t max_header_bytes = std::size_t{64} * 1024;
     /// A body up to this size is held whole and can be sent again; a larger one is streamed.
-    std::size_t body_buffer_bytes = 64 * 1024;
+    std::size_t body_buffer_bytes = std::size_t{64} * 1024;
     absl::Duration connect_timeout = absl::Milliseconds(250);
     absl::Duration first_byte_timeout = absl::Seconds(5);
     /// Time for a request's headers once their first byte has arrived.
