Refuse a taken back version at its owner; measure fleets and moves with real processes

An entry that has not heard of the verdict still sends requests to the new version; its owner now answers them with a true not-run refusal as long as another version is known.

--- /dev/null
+++ b/bench/move.py
@@ -0,0 +1,91 @@
+#!/usr/bin/env python3
+"""Runs one bad and one good move with real processes on loopback and prints how each ended.
+
+Four daemons with an upstream each, two of version v1 and two of v2. Exits 0 if the bad version is taken back and the
+good one is done by its deadline.
+"""
+import argparse
+import json
+import pathlib
+import subprocess
+import sys
+import time
+from datetime import datetime, timedelta, timezone
+
+from fleet import Fleet, call, free_ports
+
+
+def apply(fleet, to_version, seconds, note):
+    deadline = (datetime.now(timezone.utc) + timedelta(seconds=seconds)).strftime("%Y-%m-%dT%H:%M:%SZ")
+    (fleet.folder / "10-tienda.ini").write_text(
+        "[service tienda]\ntimeout_ms = 2000\nqueue_limit = 16\n"
+        "[route kits]\nservice = tienda\npath_prefix = /kits\n"
+        f"[move tienda-{note}]\nservice = tienda\nfrom = v1\nto = {to_version}\ndeadline = {deadline}\n")
+    subprocess.run([fleet.binaries / "amaranthladder", "apply", str(fleet.folder), "--store",
+                    f"127.0.0.1:{fleet.store_port}"], check=True, stdout=subprocess.DEVNULL)
+
+
+def show(fleet, name):
+    return json.loads(call(fleet.control[0], "GET", f"/v1/explain?move={name}"))
+
+
+def follow(fleet, name, limit_s):
+    """Prints each change of the move's share and returns its last state."""
+    shown, started, last = None, time.monotonic(), {}
+    while time.monotonic() - started < limit_s:
+        try:
+            last = show(fleet, name)
+        except (OSError, ValueError):
+            continue
+        if (last.get("share"), last.get("verdict")) != shown:
+            shown = (last.get("share"), last.get("verdict"))
+            print(f"  {time.monotonic() - started:5.1f} s  share {last.get('share')}  verdict {last.get('verdict')}  "
+                  f"reason {last.get('reason')}", flush=True)
+        if last.get("verdict") in ("done", "done-late", "rolled-back", "taken-back") or last.get("share") == 1:
+            return last
+        time.sleep(0.1)
+    return last
+
+
+def run_move(binaries, note, fail_percent, seconds):
+    fleet = Fleet(binaries, 4, "info")
+    try:
+        fleet.start()
+        for index, port in enumerate(free_ports(4)):
+            version = "v1" if index < 2 else "v2"
+            fail = "0" if version == "v1" else str(fail_percent)
+            fleet.spawn(binaries / "bench/amaranthladder_fake_upstream", "--listen", f"127.0.0.1:{port}", "--daemon",
+                        f"127.0.0.1:{fleet.control[index]}", "--id", f"tienda-{index}", "--version", version,
+                        "--fail-percent", fail, "--slots", "12")
+        fleet.wait(lambda one: one["peers"].get("alive", 0) == 4, "all members known")
+        apply(fleet, "v2", seconds, note)
+        fleet.wait(lambda one: one["upstreams_known"] == 4, "all upstreams known")
+        load = subprocess.Popen([binaries / "bench/amaranthladder_load", "--target",
+                                 f"mesh=127.0.0.1:{fleet.requests[0]}", "--path", "/kits/1", "--rate", "100",
+                                 "--seconds", str(seconds + 10), "--connections", "20"],
+                                stdout=subprocess.PIPE, stderr=subprocess.STDOUT, text=True)
+        print(f"move tienda-{note}: v1 to v2 within {seconds} s, v2 fails {fail_percent}% of its calls", flush=True)
+        last = follow(fleet, f"tienda-{note}", seconds + 5)
+        load.kill()
+        load.wait()
+        return last
+    finally:
+        fleet.stop()
+
+
+def main():
+    parser = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter)
+    parser.add_argument("--build", default="build/release", help="folder with the programs")
+    parser.add_argument("--seconds", type=int, default=60, help="time from the edit to the deadline")
+    options = parser.parse_args()
+    binaries = pathlib.Path(options.build)
+    bad = run_move(binaries, "bad", 50, options.seconds)
+    good = run_move(binaries, "good", 0, options.seconds)
+    is_bad_taken_back = bad.get("verdict") not in ("under-way", "done", "done-late", None) and bad.get("share") == 0
+    is_good_done = good.get("share") == 1
+    print(f"bad version taken back: {is_bad_taken_back}; good version has the whole share: {is_good_done}")
+    return 0 if is_bad_taken_back and is_good_done else 1
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/src/daemon/mesh_daemon.cpp
+++ b/src/daemon/mesh_daemon.cpp
@@ -21,6 +21,7 @@
 #include <functional>
 #include <iterator>
 #include <optional>
+#include <set>
 #include <thread>
 #include <utility>
 
@@ -313,6 +314,7 @@
             m_overrides = overrides;
             m_proxy.set_share_overrides(std::move(overrides));
         }
+        refuse_taken_back_versions();
         bool are_upstreams_changed = false;
         bool is_drain_due = false;
         {
@@ -331,11 +333,41 @@
         }
     }
 
+    /// Stops the requests of entries that do not know yet that the version beside this daemon was taken back.
+    void refuse_taken_back_versions() {
+        const absl::MutexLock lock(&m_mutex);
+        for (const auto& [id, known] : m_announced.entries()) {
+            const std::string& service = known.announced.service;
+            const bool is_refused = m_moves.refuses(service, known.announced.version) &&
+                                    has_other_version(service, known.announced.version);
+            if (is_refused != m_refused_upstreams.contains(id)) {
+                m_proxy.set_version_refused(id, is_refused);
+                m_log.warning(fmt::format("placement upstream={} version={} taken_back={}", id, known.announced.version,
+                                          is_refused));
+                if (is_refused) {
+                    m_refused_upstreams.insert(id);
+                } else {
+                    m_refused_upstreams.erase(id);
+                }
+            }
+        }
+    }
+
+    bool has_other_version(const std::string& service, const std::string& version) const {
+        for (const auto& one : m_peers.usable_upstreams(service)) {
+            if (one.version != version) {
+                return true;
+            }
+        }
+        return false;
+    }
+
     void expire_announcements() {
         const absl::MutexLock lock(&m_mutex);
         for (const auto& id : m_announced.expire(m_clock.now())) {
             m_peers.withdraw_upstream(id);
             m_proxy.remove_local_upstream(id);
+            m_refused_upstreams.erase(id);
             m_log.warning(fmt::format("upstream-silent upstream={}", id));
             m_are_upstreams_changed = true;
         }
@@ -412,6 +444,7 @@
     announced_upstreams m_announced ABSL_GUARDED_BY(m_mutex);
     bool m_are_upstreams_changed ABSL_GUARDED_BY(m_mutex) = false;
     std::optional<absl::Time> m_applied_at ABSL_GUARDED_BY(m_mutex);
+    std::set<std::string> m_refused_upstreams ABSL_GUARDED_BY(m_mutex); ///< Ids whose version was taken back.
     std::optional<absl::Time> m_drain_at ABSL_GUARDED_BY(m_mutex);
 
     move_service m_moves;
--- a/src/daemon/move_service.cpp
+++ b/src/daemon/move_service.cpp
@@ -53,6 +53,11 @@
     return m_engine.share_override();
 }
 
+bool move_service::refuses(const std::string& service, const std::string& version) const {
+    const absl::MutexLock lock(&m_mutex);
+    return m_engine.refuses(service, version);
+}
+
 std::vector<move_status> move_service::statuses() const {
     const absl::MutexLock lock(&m_mutex);
     return m_engine.statuses(m_clock.now());
--- a/src/daemon/move_service.h
+++ b/src/daemon/move_service.h
@@ -35,6 +35,7 @@
     std::vector<move_record> tick();
 
     std::map<std::string, std::map<std::string, double>> share_override() const;
+    bool refuses(const std::string& service, const std::string& version) const;
     std::vector<move_status> statuses() const;
     std::optional<move_status> status(const std::string& move_name) const;
 
--- a/src/daemon/store_follower.cpp
+++ b/src/daemon/store_follower.cpp
@@ -16,7 +16,8 @@
 namespace {
 
 constexpr absl::Duration loop_interval = absl::Milliseconds(100);
-/// A watch ends early enough for the lease to be renewed between two of them.
+/// A watch ends when the lease is due for renewal, which is long before it lapses. The lower limit keeps a renewal that
+/// is put off from causing a row of short watches, each a store call.
 constexpr absl::Duration shortest_watch = absl::Milliseconds(200);
 /// Time for all pieces of one version.
 constexpr absl::Duration read_limit = absl::Seconds(5);
@@ -123,8 +124,7 @@
     for (const seat& one : m_seats) {
         renewal = std::min(renewal, one.next_time());
     }
-    const absl::Duration limit =
-        std::clamp(renewal - m_clock.now() - m_settings.call_timeout, shortest_watch, m_settings.watch);
+    const absl::Duration limit = std::clamp(renewal - m_clock.now(), shortest_watch, m_settings.watch);
     const auto found = m_store.watch(config_head_key, m_revision, limit);
     note(found.outcome);
     if (found.is_ok()) {
--- a/src/http/private/caller_session.cpp
+++ b/src/http/private/caller_session.cpp
@@ -168,7 +168,8 @@
                                          "the request belongs to another mesh");
     }
     const local_upstream* upstream = m_core.find_local(request.info.upstream);
-    if (upstream == nullptr) {
+    if (upstream == nullptr || upstream->is_version_refused) {
+        // Entries that do not know of the taken back version yet send the request to another one.
         request.keeps_connection = request.keeps_connection && request.body.is_at_end();
         co_return co_await write_refusal(request, result_code::no_upstream, execution::not_run, request.info.upstream);
     }
--- a/src/http/private/local_upstream.h
+++ b/src/http/private/local_upstream.h
@@ -12,6 +12,7 @@
 /// An upstream beside this daemon, with the limit of its slots.
 struct local_upstream {
     upstream_record record;
+    bool is_version_refused = false; ///< Its version was taken back; other versions serve the requests.
     std::shared_ptr<slot_gate> gate; ///< Shared with the requests that hold or wait for a slot.
 };
 
--- a/src/http/private/owner_call.cpp
+++ b/src/http/private/owner_call.cpp
@@ -29,7 +29,7 @@
       m_exchange(core.pool, core.options, core.clock) {}
 
 asio::awaitable<exchange_start> owner_call::open() {
-    const result_code granted = co_await m_gate->acquire(m_id, m_deadline);
+    const result_code granted = co_await m_gate->acquire(m_id, m_deadline, m_route);
     if (m_core.log.is_enabled(log_level::info)) {
         m_core.log.info(fmt::format("admission request={} upstream={} route={} result={} running={} queued={}",
                                     m_request.info.request_id, m_upstream.id, m_route, name(granted),
--- a/src/http/private/slot_gate.cpp
+++ b/src/http/private/slot_gate.cpp
@@ -5,8 +5,8 @@
 slot_gate::slot_gate(asio::io_context& context, const steady_clock& clock, int slots, int queue_limit)
     : m_context(context), m_clock(clock), m_limiter(slots, queue_limit) {}
 
-asio::awaitable<result_code> slot_gate::acquire(request_id id, absl::Time deadline) {
-    const admission offered = m_limiter.offer(id, deadline, m_clock.now());
+asio::awaitable<result_code> slot_gate::acquire(request_id id, absl::Time deadline, std::string kind) {
+    const admission offered = m_limiter.offer(id, deadline, m_clock.now(), kind);
     if (offered.result == admission::verdict::run) {
         co_return result_code::ok;
     }
--- a/src/http/private/slot_gate.h
+++ b/src/http/private/slot_gate.h
@@ -9,6 +9,7 @@
 
 #include <map>
 #include <optional>
+#include <string>
 #include <vector>
 
 namespace amaranthladder {
@@ -19,8 +20,9 @@
     slot_gate(asio::io_context& context, const steady_clock& clock, int slots, int queue_limit);
 
     /// Waits for a slot.
+    /// @param kind the route: its requests take similar time, by which the wait is judged.
     /// @return ok if the request now holds a slot, which release() frees; otherwise the refusal: it did not run.
-    asio::awaitable<result_code> acquire(request_id id, absl::Time deadline);
+    asio::awaitable<result_code> acquire(request_id id, absl::Time deadline, std::string kind);
 
     void release(request_id id);
 
--- a/src/http/request_proxy.cpp
+++ b/src/http/request_proxy.cpp
@@ -237,6 +237,14 @@
     });
 }
 
+void request_proxy::set_version_refused(const std::string& id, bool is_refused) {
+    m_implementation->post([this, id, is_refused] {
+        if (local_upstream* const known = m_implementation->core().find_local(id)) {
+            known->is_version_refused = is_refused;
+        }
+    });
+}
+
 void request_proxy::remove_local_upstream(const std::string& id) {
     m_implementation->post([this, id] { m_implementation->core().local_upstreams.erase(id); });
 }
--- a/src/http/request_proxy.h
+++ b/src/http/request_proxy.h
@@ -51,6 +51,10 @@
     /// @param queue_limit requests that may wait for a slot.
     void set_local_upstream(upstream_record record, int queue_limit);
 
+    /// Refuses requests of other daemons for an upstream beside this one, because its version was taken back, or takes
+    /// them again. The refusal is "not run", so they go to another upstream.
+    void set_version_refused(const std::string& id, bool is_refused);
+
     /// Takes no more requests for an upstream that is gone.
     void remove_local_upstream(const std::string& id);
 
--- /dev/null
+++ b/src/tests/announced_upstreams_test.cpp
@@ -0,0 +1,124 @@
+#include "common/error.h"
+#include "daemon/announced_upstreams.h"
+#include "daemon/seat_record.h"
+
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include <ostream>
+#include <string>
+
+using namespace amaranthladder;
+
+BOOST_AUTO_TEST_SUITE(announced_upstreams_test)
+
+namespace {
+
+const absl::Time start = absl::FromUnixSeconds(1'000'000);
+
+upstream_announcement announcement(const std::string& id, std::uint16_t port) {
+    return {id, "tienda", "v1", {"127.0.0.1", port}, 12, {}, 0, false};
+}
+
+} // namespace
+
+struct bad_announcement {
+    const char* name;
+    const char* json;
+    const char* key; ///< Named in the error.
+
+    friend std::ostream& operator<<(std::ostream& out, const bad_announcement& row) {
+        return out << row.name;
+    }
+};
+
+const bad_announcement bad_announcements[] = {
+    {"no JSON", "hello", "JSON"},
+    {"list", "[]", "JSON"},
+    {"no id", R"({"service":"s","version":"v","address":"127.0.0.1:1","slots":1})", "id"},
+    {"bad id", R"({"id":"a b","service":"s","version":"v","address":"127.0.0.1:1","slots":1})", "id"},
+    {"host name", R"({"id":"a","service":"s","version":"v","address":"host:1","slots":1})", "address"},
+    {"port 0", R"({"id":"a","service":"s","version":"v","address":"127.0.0.1:0","slots":1})", "address"},
+    {"no slots", R"({"id":"a","service":"s","version":"v","address":"127.0.0.1:1"})", "slots"},
+    {"too many slots", R"({"id":"a","service":"s","version":"v","address":"127.0.0.1:1","slots":10001})", "slots"},
+    {"routes of numbers", R"({"id":"a","service":"s","version":"v","address":"127.0.0.1:1","slots":1,"routes":[1]})",
+     "routes"},
+    {"negative load", R"({"id":"a","service":"s","version":"v","address":"127.0.0.1:1","slots":1,"load":-1})", "load"},
+    {"leaving as text", R"({"id":"a","service":"s","version":"v","address":"127.0.0.1:1","slots":1,"leaving":"no"})",
+     "leaving"},
+};
+
+// Guards against announcements that are taken in part or refused without naming the wrong key.
+BOOST_DATA_TEST_CASE(refuses_bad_announcements, bad_announcements, row) {
+    BOOST_CHECK_EXCEPTION(parse_announcement(row.json), error, [&](const error& problem) {
+        return problem.code() == result_code::announcement_malformed &&
+               std::string(problem.what()).find(row.key) != std::string::npos;
+    });
+}
+
+// Guards against gossip for announcements that change nothing, and against changes that are not passed on.
+BOOST_AUTO_TEST_CASE(reports_changes_only) {
+    announced_upstreams known("rosario-a", absl::Seconds(3));
+    upstream_announcement one = announcement("a", 1);
+    BOOST_TEST(known.announce(one, start));
+    one.load = 0.9;
+    BOOST_TEST(!known.announce(one, start));
+    one.slots = 6;
+    BOOST_TEST(known.announce(one, start));
+    one.is_leaving = true;
+    BOOST_TEST(known.announce(one, start));
+    BOOST_TEST(known.record("a").is_leaving);
+    BOOST_TEST(known.record("a").data_center == "rosario-a");
+    one.is_leaving = false;
+    BOOST_TEST(known.announce(one, start));
+    BOOST_TEST(!known.record("a").is_leaving);
+}
+
+// Guards against requests to an upstream that is gone, and against the loss of one that still announces itself.
+BOOST_AUTO_TEST_CASE(forgets_silent_upstreams) {
+    announced_upstreams known("rosario-a", absl::Seconds(3));
+    known.announce(announcement("a", 1), start);
+    known.announce(announcement("b", 2), start);
+    known.announce(announcement("b", 2), start + absl::Seconds(2));
+    BOOST_TEST(known.expire(start + absl::Milliseconds(2999)).empty());
+    BOOST_TEST(known.expire(start + absl::Seconds(3)) == std::vector<std::string>{"a"});
+    BOOST_TEST(known.entries().size() == 1U);
+}
+
+// Guards against two upstreams that share one limit of slots.
+BOOST_AUTO_TEST_CASE(refuses_a_taken_address) {
+    announced_upstreams known("rosario-a", absl::Seconds(3));
+    known.announce(announcement("a", 1), start);
+    BOOST_CHECK_EXCEPTION(known.announce(announcement("b", 1), start), error,
+                          [](const error& problem) { return problem.code() == result_code::announcement_conflict; });
+}
+
+// Guards against an upstream that takes new work again while its daemon shuts down.
+BOOST_AUTO_TEST_CASE(shutdown_outlasts_announcements) {
+    announced_upstreams known("rosario-a", absl::Seconds(3));
+    known.announce(announcement("a", 1), start);
+    known.set_all_leaving();
+    known.announce(announcement("a", 1), start + absl::Seconds(1));
+    BOOST_TEST(known.record("a").is_leaving);
+}
+
+// Guards against daemons that disagree on the holder of a seat: the merge is a join, and damage changes nothing.
+BOOST_AUTO_TEST_CASE(seat_records_merge) {
+    const std::string first = seat_record{5, endpoint{"127.0.0.1", 1}}.encode();
+    const std::string second = seat_record{5, endpoint{"127.0.0.1", 2}}.encode();
+    const std::string given_up = seat_record{6, std::nullopt}.encode();
+    for (const auto& left : {first, second, given_up}) {
+        for (const auto& right : {first, second, given_up}) {
+            BOOST_TEST(merge_seat_records(left, right) == merge_seat_records(right, left));
+            BOOST_TEST(merge_seat_records(left, left) == left);
+        }
+        BOOST_TEST(merge_seat_records(left, given_up) == given_up);
+        for (const char* const damaged : {"", "x", "5", "5 host:1", "-1 -"}) {
+            BOOST_TEST(merge_seat_records(left, damaged) == left);
+        }
+    }
+    BOOST_TEST((seat_record::decode(given_up) == seat_record{6, std::nullopt}));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
