Fix the random bytes row of the bad input table and the linter's include path

The row's literal ended at its first zero byte, so it sent four bytes instead of random ones; it now sends all of them.

--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -16,7 +16,7 @@
 lint_one() {
   local file=$1 key
   [ -f "$file" ] || return 0
-  key=$({ cat .clang-tidy; clang-tidy --version; clang++ -std=c++20 -E -P -Isrc -isystem thrift/gen -DBOOST_TEST_DYN_LINK \
+  key=$({ cat .clang-tidy; clang-tidy --version; clang++ -std=c++20 -E -P -Isrc -Ibench -isystem thrift/gen -DBOOST_TEST_DYN_LINK \
       -DTEST_TRACES_FOLDER='""' -DTEST_PROGRAMS_FOLDER='""' -DAMARANTHLADDER_VERSION='""' "$file"; } | sha256sum | cut -d' ' -f1)
   [ -e "$cache/$key" ] && return 0
   if clang-tidy -p "$build" --quiet "$file" 2>/dev/null; then
--- a/src/tests/request_proxy_test.cpp
+++ b/src/tests/request_proxy_test.cpp
@@ -127,7 +127,7 @@
 BOOST_DATA_TEST_CASE(passes_whole_answers, boost::unit_test::data::make({true, false}), through_entry) {
     const two_daemons mesh;
     auto client = mesh.client(through_entry);
-    const std::string large(32 * 1024 * 1024, 'b');
+    const std::string large(std::size_t{32} * 1024 * 1024, 'b');
     for (int round = 0; round < 2; ++round) {
         BOOST_TEST(client.Get("/x")->body == "version v1\n");
         const auto head = client.Head("/bytes/1000");
@@ -255,7 +255,8 @@
 };
 
 const bad_input bad_inputs[] = {
-    {"random bytes", "\x16\x03\x01\x02\x00\x01\xff\xfe\x00\x80 garbage\r\n\r\n", "1412"},
+    {"random bytes", std::string("\x16\x03\x01\x02", 4) + std::string(4, '\0') + "\xff\xfe\x80 garbage\r\n\r\n",
+     "1412"},
     {"another protocol", "SSH-2.0-OpenSSH_9.2\r\n\r\n", "1412"},
     {"headers beyond the limit", "GET / HTTP/1.1\r\nx-large: " + std::string(200'000, 'h') + "\r\n\r\n", "1413"},
     {"two lengths", "POST / HTTP/1.1\r\nContent-Length: 3\r\nContent-Length: 5\r\n\r\nabcde", "1412"},
