Record the month's figures from seat holders and add the report command

Holders of a seat write outcomes (same id at each daemon, so they count once) and samples of their own control bytes and convergence times; other daemons write nothing, so the store's writes do not grow with the fleet.

--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -154,14 +154,14 @@
     return sorted(values)[min(len(values) - 1, int(share * len(values)))]
 
 
-def measure(fleet, edits, seconds):
+def measure(fleet, edits, seconds, settle):
     fleet.start()
     fleet.announce()
     fleet.wait(lambda one: one["peers"].get("alive", 0) == fleet.count, "all members known")
     fleet.apply(0)
     fleet.convergence_ms(1)
     fleet.wait(lambda one: one["upstreams_known"] == fleet.count, "all upstreams known")
-    time.sleep(5)
+    time.sleep(settle)
     before, usage_before, started = fleet.statuses(), fleet.usage(), time.monotonic()
     time.sleep(seconds)
     after, usage_after, passed = fleet.statuses(), fleet.usage(), time.monotonic() - started
@@ -218,6 +218,8 @@
     parser.add_argument("--daemons", type=int, nargs="+", default=[10, 25, 50, 100])
     parser.add_argument("--edits", type=int, default=10)
     parser.add_argument("--seconds", type=int, default=20, help="time of each steady measurement")
+    parser.add_argument("--settle", type=int, default=90,
+                        help="seconds before it; daemons that have just joined compare their tables more often")
     parser.add_argument("--latency", type=float, nargs="+", help="calls a second; measures added latency instead")
     options = parser.parse_args()
     binaries = pathlib.Path(options.build)
@@ -229,7 +231,7 @@
     for count in options.daemons:
         fleet = Fleet(binaries, count, "warning")
         try:
-            print(",".join(str(value) for value in measure(fleet, options.edits, options.seconds)), flush=True)
+            print(",".join(str(value) for value in measure(fleet, options.edits, options.seconds, options.settle)), flush=True)
         finally:
             fleet.stop()
 
--- a/bench/move.py
+++ b/bench/move.py
@@ -47,6 +47,20 @@
     return last
 
 
+def show_report(fleet):
+    """Prints the month's lines about moves once the outcome is in the store."""
+    month = datetime.now(timezone.utc).strftime("%Y-%m")
+    command = [fleet.binaries / "amaranthladder", "report", "--mesh", "litoral", "--month", month, "--csv", "--store",
+               f"127.0.0.1:{fleet.store_port}"]
+    for _ in range(20):
+        text = subprocess.run(command, check=True, capture_output=True, text=True).stdout
+        rows = [line for line in text.splitlines() if "rolled_back" in line or "rollback" in line]
+        if any("rolled_back" in line and ",1" in line for line in rows):
+            break
+        time.sleep(1)
+    print("  report: " + "; ".join(rows), flush=True)
+
+
 def run_move(binaries, note, fail_percent, seconds):
     fleet = Fleet(binaries, 4, "info")
     try:
@@ -68,6 +82,8 @@
         last = follow(fleet, f"tienda-{note}", seconds + 5)
         load.kill()
         load.wait()
+        if last.get("verdict") == "rolled-back":
+            show_report(fleet)
         return last
     finally:
         fleet.stop()
--- a/src/daemon/mesh_daemon.cpp
+++ b/src/daemon/mesh_daemon.cpp
@@ -7,6 +7,7 @@
 #include "daemon/configuration_keeper.h"
 #include "daemon/control_server.h"
 #include "daemon/move_service.h"
+#include "daemon/report_collector.h"
 #include "daemon/seat_record.h"
 #include "daemon/status_text.h"
 #include "daemon/store_follower.h"
@@ -106,7 +107,7 @@
     explicit implementation(const daemon_settings& settings)
         : m_settings(settings), m_log(make_log_options(settings)), m_started_at(m_clock.now()),
           m_announced(settings.daemon.data_center, settings.requests.announcement_timeout),
-          m_moves(settings.daemon.worker, m_clock),
+          m_report(settings.daemon.worker, m_started_at), m_moves(settings.daemon.worker, m_clock),
           m_keeper([this](const std::shared_ptr<const snapshot>& applied) { on_applied(applied); }),
           m_proxy(make_proxy_options(settings), make_router_settings(settings), make_budget(settings), m_clock, m_log,
                   [this](const owned_call& call) { m_moves.observe(call); }),
@@ -114,8 +115,8 @@
                   make_callbacks()) {
         m_peers.start();
         const std::string holder = fmt::format("{}-{}", settings.daemon.worker, absl::ToUnixMillis(m_started_at));
-        m_store = std::make_unique<store_follower>(settings.store, settings.daemon.data_center, holder,
-                                                   make_store_peers(), m_keeper, m_clock, m_log);
+        m_store = std::make_unique<store_follower>(settings.store, settings.daemon, holder, make_store_peers(),
+                                                   m_keeper, m_clock, m_log);
         m_control = std::make_unique<control_server>(settings.listen.control, make_handlers());
         m_control_loop = std::thread([this] { run_control_loop(); });
         m_log.info(fmt::format("daemon-started mesh={} worker={} data_center={} requests={} control={} peers={}",
@@ -195,6 +196,7 @@
             return count;
         };
         peers.has_peers = [this] { return m_peers.members(member_state::alive).size() > 1; };
+        peers.new_records = [this] { return new_records(); };
         peers.announce_seat = [this](int seat_number, bool is_held) {
             const seat_record changed{static_cast<std::uint64_t>(absl::ToUnixMillis(m_clock.now())),
                                       is_held ? std::optional(m_peers.address()) : std::nullopt};
@@ -203,6 +205,13 @@
         return peers;
     }
 
+    std::vector<month_record> new_records() {
+        const std::uint64_t bytes = control_bytes(m_peers.counters());
+        const std::vector<move_status> moves = m_moves.statuses();
+        const absl::MutexLock lock(&m_mutex);
+        return m_report.collect(moves, bytes, m_clock.now());
+    }
+
     /// @return true if another living daemon holds the seat, as its record says.
     bool is_seat_taken(int seat_number) const {
         const std::string key = seat_record_key(m_settings.daemon.data_center, seat_number);
@@ -236,6 +245,7 @@
                                absl::ToInt64Milliseconds(now - applied->publish_time())));
         const absl::MutexLock lock(&m_mutex);
         m_applied_at = now;
+        m_report.note_convergence(now - applied->publish_time());
         m_are_upstreams_changed = true;
     }
 
@@ -442,6 +452,7 @@
 
     mutable absl::Mutex m_mutex;
     announced_upstreams m_announced ABSL_GUARDED_BY(m_mutex);
+    report_collector m_report ABSL_GUARDED_BY(m_mutex);
     bool m_are_upstreams_changed ABSL_GUARDED_BY(m_mutex) = false;
     std::optional<absl::Time> m_applied_at ABSL_GUARDED_BY(m_mutex);
     std::set<std::string> m_refused_upstreams ABSL_GUARDED_BY(m_mutex); ///< Ids whose version was taken back.
--- a/src/daemon/status_text.cpp
+++ b/src/daemon/status_text.cpp
@@ -7,6 +7,7 @@
 
 #include <iterator>
 #include <string_view>
+#include <utility>
 
 namespace amaranthladder {
 
@@ -59,6 +60,17 @@
     return result;
 }
 
+/// @return control-plane bytes sent and received.
+std::pair<std::uint64_t, std::uint64_t> bytes_of(const peer_counters& traffic) {
+    std::uint64_t sent = traffic.pulls.sent_bytes + traffic.repairs.sent_bytes;
+    std::uint64_t received = traffic.pulls.received_bytes + traffic.repairs.received_bytes;
+    for (const auto& kind : traffic.datagrams) {
+        sent += kind.sent_bytes;
+        received += kind.received_bytes;
+    }
+    return {sent, received};
+}
+
 json::object peers_json(const daemon_status& status) {
     std::map<std::string, int> counts;
     for (const auto& one : status.members) {
@@ -68,12 +80,7 @@
     for (const auto& [state, count] : counts) {
         result[state] = count;
     }
-    std::uint64_t sent = status.traffic.pulls.sent_bytes + status.traffic.repairs.sent_bytes;
-    std::uint64_t received = status.traffic.pulls.received_bytes + status.traffic.repairs.received_bytes;
-    for (const auto& kind : status.traffic.datagrams) {
-        sent += kind.sent_bytes;
-        received += kind.received_bytes;
-    }
+    const auto [sent, received] = bytes_of(status.traffic);
     result["sent_bytes"] = sent;
     result["received_bytes"] = received;
     return result;
@@ -142,6 +149,11 @@
 
 } // namespace
 
+std::uint64_t control_bytes(const peer_counters& traffic) {
+    const auto [sent, received] = bytes_of(traffic);
+    return sent + received;
+}
+
 std::string status_json(const daemon_status& status) {
     json::array moves;
     for (const auto& one : status.moves) {
--- a/src/daemon/status_text.h
+++ b/src/daemon/status_text.h
@@ -44,6 +44,9 @@
     std::uint64_t dropped_log_lines = 0;
 };
 
+/// @return control-plane bytes sent and received.
+std::uint64_t control_bytes(const peer_counters& traffic);
+
 /// @return @p status as JSON; docs/interfaces.md gives the shape.
 std::string status_json(const daemon_status& status);
 
--- a/src/daemon/store_follower.cpp
+++ b/src/daemon/store_follower.cpp
@@ -15,6 +15,8 @@
 
 namespace {
 
+/// A day of outage: outcomes of moves and a sample every ten minutes.
+constexpr std::size_t max_pending_records = 1024;
 constexpr absl::Duration loop_interval = absl::Milliseconds(100);
 /// A watch ends when the lease is due for renewal, which is long before it lapses. The lower limit keeps a renewal that
 /// is put off from causing a row of short watches, each a store call.
@@ -37,13 +39,15 @@
 
 } // namespace
 
-store_follower::store_follower(const daemon_settings::store_section& settings, const std::string& data_center,
-                               const std::string& holder, store_follower_peers peers, configuration_keeper& keeper,
-                               const steady_clock& clock, event_log& log)
+store_follower::store_follower(const daemon_settings::store_section& settings,
+                               const daemon_settings::daemon_section& identity, const std::string& holder,
+                               store_follower_peers peers, configuration_keeper& keeper, const steady_clock& clock,
+                               event_log& log)
     : m_settings(settings), m_peers(std::move(peers)), m_keeper(keeper), m_clock(clock), m_log(log),
-      m_store(settings.address, m_calls), m_read_backoff(first_read_delay, longest_read_delay) {
+      m_store(settings.address, m_calls), m_months(m_store, identity.mesh, settings.call_timeout),
+      m_recorder(m_months, max_pending_records), m_read_backoff(first_read_delay, longest_read_delay) {
     for (int number = 1; number <= seats_per_data_center; ++number) {
-        m_seats.emplace_back(make_seat_settings(data_center, holder, number, settings.lease), clock.now());
+        m_seats.emplace_back(make_seat_settings(identity.data_center, holder, number, settings.lease), clock.now());
         m_announced.push_back(false);
     }
     m_next_read = clock.now() + absl::Uniform(m_random, 0.0, 1.0) * first_read_spread;
@@ -73,6 +77,7 @@
     while (!is_stopped()) {
         update_seats();
         if (is_holder()) {
+            write_records();
             follow_head();
         } else {
             m_revision = 0;
@@ -134,6 +139,14 @@
     }
 }
 
+void store_follower::write_records() {
+    for (auto& record : m_peers.new_records()) {
+        m_log.info(fmt::format("month-record id={} month={}", record.id, record.month));
+        m_recorder.add(std::move(record));
+    }
+    m_recorder.run(m_clock.now(), m_random);
+}
+
 void store_follower::read_alone() {
     if (m_keeper.current() || m_peers.has_peers() || m_clock.now() < m_next_read) {
         return;
--- a/src/daemon/store_follower.h
+++ b/src/daemon/store_follower.h
@@ -3,6 +3,9 @@
 #include "common/event_log.h"
 #include "common/steady_clock.h"
 #include "daemon/configuration_keeper.h"
+#include "report/month_record.h"
+#include "report/month_table.h"
+#include "report/report_recorder.h"
 #include "settings/daemon_settings.h"
 #include "store/call_counter.h"
 #include "store/http_store.h"
@@ -38,6 +41,8 @@
     std::function<bool()> has_peers;
     /// Tells the other daemons that this one holds the seat, or has given it up.
     std::function<void(int seat_number, bool is_held)> announce_seat;
+    /// @return month records that were not returned before; asked for only while a seat is held.
+    std::function<std::vector<month_record>()> new_records;
 };
 
 /// Follows the configuration in the store with one thread.
@@ -47,11 +52,11 @@
 class store_follower {
 public:
     /// @param settings address and timeouts.
-    /// @param data_center whose seats to take.
+    /// @param identity the daemon's mesh, whose month records are written, and its data centre, whose seats are taken.
     /// @param holder unique to this run of the daemon.
     /// @param peers functions of the daemon; called from the follower's thread.
     /// @param keeper takes each version that is read.
-    store_follower(const daemon_settings::store_section& settings, const std::string& data_center,
+    store_follower(const daemon_settings::store_section& settings, const daemon_settings::daemon_section& identity,
                    const std::string& holder, store_follower_peers peers, configuration_keeper& keeper,
                    const steady_clock& clock, event_log& log);
     ~store_follower();
@@ -68,6 +73,7 @@
     /// @return true while a seat is held.
     bool is_holder() const;
     void follow_head();
+    void write_records();
     void read_alone();
     void take_head(const versioned_value& head);
     std::uint64_t failed_calls() const;
@@ -81,6 +87,8 @@
     event_log& m_log;
     call_counter m_calls;
     http_store m_store;
+    month_table<http_store> m_months;
+    report_recorder<http_store> m_recorder;
     absl::BitGen m_random;
     std::vector<seat> m_seats;
     std::vector<bool> m_announced;
--- a/src/tests/tool_options_test.cpp
+++ b/src/tests/tool_options_test.cpp
@@ -28,6 +28,11 @@
 const line_row bad_lines[] = {
     {{}, result_code::usage},
     {{"report"}, result_code::usage},
+    {{"report", "--mesh", "litoral"}, result_code::usage},
+    {{"report", "--month", "2026-12"}, result_code::usage},
+    {{"status", "--month", "2026-12"}, result_code::usage},
+    {{"status", "--csv"}, result_code::usage},
+    {{"apply", "folder", "--compare", "old.csv"}, result_code::usage},
     {{"apply"}, result_code::usage},
     {{"status", "folder"}, result_code::usage},
     {{"apply", "folder", "more"}, result_code::usage},
--- a/src/tool/tool_commands.cpp
+++ b/src/tool/tool_commands.cpp
@@ -4,6 +4,8 @@
 #include "common/error.h"
 #include "config/folder_merger.h"
 #include "config/state_builder.h"
+#include "report/month_report.h"
+#include "report/month_table.h"
 #include "store/call_counter.h"
 #include "store/http_store.h"
 #include "tool/daemon_client.h"
@@ -15,7 +17,9 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <fstream>
 #include <ostream>
+#include <sstream>
 #include <utility>
 
 namespace amaranthladder {
@@ -84,6 +88,9 @@
     if (m_options.command == "status") {
         return guarded([this] { return status(); });
     }
+    if (m_options.command == "report") {
+        return guarded([this] { return report(); });
+    }
     return guarded([this] { return explain(); });
 }
 
@@ -161,6 +168,27 @@
     return result_code::ok;
 }
 
+result_code tool_commands::report() {
+    report_request request;
+    request.mesh = m_options.mesh;
+    request.month = m_options.month;
+    request.is_csv = m_options.is_csv;
+    if (m_options.compare_file) {
+        std::ifstream file(*m_options.compare_file);
+        std::ostringstream text;
+        if (!file || !(text << file.rdbuf())) {
+            throw error(result_code::file_unreadable, *m_options.compare_file);
+        }
+        request.comparison_name = *m_options.compare_file;
+        request.comparison_text = text.str();
+    }
+    call_counter calls;
+    http_store store(m_options.store, calls);
+    month_table<http_store> table(store, request.mesh, m_options.deadline);
+    m_out << month_report(table, request) << std::flush;
+    return result_code::ok;
+}
+
 result_code tool_commands::guarded(const std::function<result_code()>& body) {
     try {
         return body();
--- a/src/tool/tool_commands.h
+++ b/src/tool/tool_commands.h
@@ -26,6 +26,7 @@
     result_code watch(const std::function<bool()>& is_stopped);
     result_code status();
     result_code explain();
+    result_code report();
     result_code guarded(const std::function<result_code()>& body);
     void print_result(result_code code, const std::string& text);
 
--- a/src/tool/tool_options.cpp
+++ b/src/tool/tool_options.cpp
@@ -17,7 +17,7 @@
 namespace options = boost::program_options;
 
 const std::set<std::string> folder_commands{"check", "apply", "watch"};
-const std::set<std::string> daemon_commands{"status", "explain"};
+const std::set<std::string> other_commands{"status", "explain", "report"};
 
 std::string default_operator() {
     const char* const user = std::getenv("USER");
@@ -36,7 +36,11 @@
         "poll", options::value<std::string>()->default_value("1s"), "watch: time between two looks at the folder")(
         "request", options::value<std::string>(), "explain: METHOD PATH, for instance 'GET /orders'")(
         "move", options::value<std::string>(), "explain: name of a move")("route", options::value<std::string>(),
-                                                                          "explain: name of a route");
+                                                                          "explain: name of a route")(
+        "mesh", options::value<std::string>()->default_value(""),
+        "report: name of the mesh")("month", options::value<std::string>()->default_value(""), "report: YYYY-MM")(
+        "compare", options::value<std::string>(),
+        "report: CSV file with the old system's figures")("csv", "report: print CSV");
     return described;
 }
 
@@ -49,7 +53,7 @@
         return;
     }
     const bool needs_folder = folder_commands.contains(parsed.command);
-    if (!needs_folder && !daemon_commands.contains(parsed.command)) {
+    if (!needs_folder && !other_commands.contains(parsed.command)) {
         throw error(result_code::usage, parsed.command.empty() ? "no command" : "unknown command " + parsed.command);
     }
     if (needs_folder == parsed.folder.empty()) {
@@ -59,6 +63,13 @@
     if (questions != (parsed.command == "explain" ? 1 : 0)) {
         throw error(result_code::usage, "explain, and no other command, takes one of --request, --move and --route");
     }
+    const bool has_report_options = !parsed.mesh.empty() || !parsed.month.empty();
+    if (parsed.command == "report" ? parsed.mesh.empty() || parsed.month.empty() : has_report_options) {
+        throw error(result_code::usage, "report, and no other command, takes --mesh and --month");
+    }
+    if ((parsed.is_csv || parsed.compare_file) && parsed.command != "report") {
+        throw error(result_code::usage, "only report takes --csv and --compare");
+    }
     if (parsed.expected_version && parsed.command != "apply") {
         throw error(result_code::usage, "only apply takes --expect-version");
     }
@@ -97,6 +108,10 @@
     parsed.request = text_of(values, "request");
     parsed.move = text_of(values, "move");
     parsed.route = text_of(values, "route");
+    parsed.mesh = values["mesh"].as<std::string>();
+    parsed.month = values["month"].as<std::string>();
+    parsed.compare_file = text_of(values, "compare");
+    parsed.is_csv = values.contains("csv");
     check(parsed);
     return parsed;
 }
@@ -108,6 +123,7 @@
            "  watch FOLDER    apply each change of a folder until stopped\n"
            "  status          show a daemon's status\n"
            "  explain         show what a daemon knows of a request, move or route\n"
+           "  report          show a month's figures: --mesh NAME --month YYYY-MM [--compare FILE.csv] [--csv]\n"
            "Exit codes: 0 done, 1 refused, 2 usage, 3 store or daemon unavailable, 4 another operator published "
            "first,\n"
            "5 unknown whether published, 6 other errors. docs/tool.md describes them.\n"
--- a/src/tool/tool_options.h
+++ b/src/tool/tool_options.h
@@ -28,6 +28,10 @@
     std::optional<std::string> request;
     std::optional<std::string> move;
     std::optional<std::string> route;
+    std::string mesh;                        ///< report
+    std::string month;                       ///< report, YYYY-MM
+    std::optional<std::string> compare_file; ///< report
+    bool is_csv = false;                     ///< report
 
     /// @param arguments the arguments without the program's name.
     /// @return the options.
