Let connection_health decide about pooled connections

Cause: the data path had a rule of its own for idle connections and for those in doubt after a first-byte timeout, while the tested decisions of connection_health were unused. New rows: one request waits on silent connections and the next four are answered; an answer with another request's id is refused (1416).

--- a/bench/fake_upstream.cpp
+++ b/bench/fake_upstream.cpp
@@ -19,6 +19,7 @@
 #include <boost/json.hpp>
 
 #include <algorithm>
+#include <atomic>
 #include <charconv>
 #include <utility>
 #include <vector>
@@ -101,6 +102,10 @@
         return m_running;
     }
 
+    int accepted_connections() const {
+        return m_accepted;
+    }
+
 private:
     asio::awaitable<void> accept() {
         while (true) {
@@ -109,11 +114,11 @@
                 continue;
             }
             socket.set_option(asio::ip::tcp::no_delay(true));
-            asio::co_spawn(m_context, serve(beast::tcp_stream(std::move(socket))), asio::detached);
+            asio::co_spawn(m_context, serve(beast::tcp_stream(std::move(socket)), m_accepted++), asio::detached);
         }
     }
 
-    asio::awaitable<void> serve(beast::tcp_stream stream) {
+    asio::awaitable<void> serve(beast::tcp_stream stream, int number) {
         beast::flat_buffer buffer;
         bool is_open = true;
         while (is_open) {
@@ -129,13 +134,23 @@
                 break;
             }
             const auto [failure, bytes] = co_await http::async_read(stream, buffer, parser, as_result);
-            if (failure) {
+            if (failure || number < behavior.silent_connections) {
+                co_await wait_for_close(stream, !failure);
                 break;
             }
             is_open = co_await answer(stream, parser.get(), behavior);
         }
     }
 
+    /// Keeps a silent connection open until its peer closes it.
+    static asio::awaitable<void> wait_for_close(beast::tcp_stream& stream, bool is_open) {
+        char byte = 0;
+        while (is_open) {
+            const auto [failure, size] = co_await stream.async_read_some(asio::buffer(&byte, 1), as_result);
+            is_open = !failure;
+        }
+    }
+
     asio::awaitable<bool> answer(beast::tcp_stream& stream, const string_request& request,
                                  const fake_upstream_behavior& behavior) {
         const std::string path(request.target());
@@ -186,7 +201,7 @@
         response.set("x-version", m_version);
         const auto id = request["x-amaranthladder-request-id"];
         if (!id.empty()) {
-            response.set("x-amaranthladder-request-id", id);
+            response.set("x-amaranthladder-request-id", current_behavior().answers_other_id ? "another" : id);
         }
         response.keep_alive(request.keep_alive());
         response.body() = std::move(body);
@@ -304,6 +319,7 @@
     fake_upstream_behavior m_behavior ABSL_GUARDED_BY(m_mutex);
     std::map<std::string, int> m_executed ABSL_GUARDED_BY(m_mutex);
     int m_running ABSL_GUARDED_BY(m_mutex) = 0;
+    std::atomic<int> m_accepted = 0;
     absl::BitGen m_random;
     asio::io_context m_context{1};
     asio::ip::tcp::acceptor m_acceptor;
@@ -335,6 +351,10 @@
     return m_server->executed();
 }
 
+int fake_upstream::accepted_connections() const {
+    return m_server->accepted_connections();
+}
+
 int fake_upstream::running() const {
     return m_server->running();
 }
--- a/src/http/private/connection_pool.cpp
+++ b/src/http/private/connection_pool.cpp
@@ -2,6 +2,7 @@
 
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <utility>
 
 namespace amaranthladder {
@@ -21,11 +22,10 @@
 
 } // namespace
 
-connection_pool::connection_pool(asio::io_context& context, std::size_t max_idle_per_target)
-    : m_context(context), m_max_idle_per_target(max_idle_per_target) {}
+connection_pool::connection_pool(asio::io_context& context, std::size_t max_idle_per_target, connection_limits limits)
+    : m_context(context), m_max_idle_per_target(max_idle_per_target), m_health(limits) {}
 
-std::unique_ptr<upstream_connection> connection_pool::take(const endpoint& target, absl::Duration max_idle,
-                                                           absl::Time now) {
+std::unique_ptr<upstream_connection> connection_pool::take(const endpoint& target, bool is_idempotent, absl::Time now) {
     const auto found = m_idle.find(target);
     if (found == m_idle.end()) {
         return nullptr;
@@ -33,13 +33,13 @@
     idle_list& idle = found->second;
     while (!idle.empty()) {
         // The last one was used last, so all others have been idle for longer.
-        if (now - idle.back()->last_used_at > max_idle) {
+        if (!m_health.is_expired(idle.back()->facts(), now) &&
+            !m_health.may_reuse(idle.back()->facts(), is_idempotent, now)) {
             return nullptr;
         }
         auto connection = std::move(idle.back());
         idle.pop_back();
-        if (is_quiet(*connection)) {
-            connection->is_reused = true;
+        if (!m_health.is_expired(connection->facts(), now) && is_quiet(*connection)) {
             return connection;
         }
     }
@@ -47,7 +47,9 @@
 }
 
 std::unique_ptr<upstream_connection> connection_pool::create(const endpoint& target) {
-    return std::make_unique<upstream_connection>(m_context, target);
+    auto connection = std::make_unique<upstream_connection>(m_context, target);
+    connection->id = m_next_id++;
+    return connection;
 }
 
 void connection_pool::put(std::unique_ptr<upstream_connection> connection, absl::Time now) {
@@ -55,22 +57,30 @@
     if (idle.size() >= m_max_idle_per_target) {
         return;
     }
-    connection->last_used_at = now;
+    connection->last_received_at = now;
     connection->stream.expires_never();
     idle.push_back(std::move(connection));
 }
 
-std::size_t connection_pool::retire(const endpoint& target, absl::Time opened_until) {
-    const auto found = m_idle.find(target);
+std::size_t connection_pool::retire(const upstream_connection& timed_out, absl::Time request_sent) {
+    const auto found = m_idle.find(timed_out.target);
     if (found == m_idle.end()) {
         return 0;
     }
-    return std::erase_if(found->second, [&](const auto& connection) { return connection->opened_at <= opened_until; });
+    std::vector<connection_facts> others;
+    others.reserve(found->second.size());
+    for (const auto& connection : found->second) {
+        others.push_back(connection->facts());
+    }
+    const auto doubtful = connection_health::to_retire(timed_out.facts(), request_sent, others);
+    return std::erase_if(found->second, [&](const auto& connection) {
+        return std::ranges::find(doubtful, connection->id) != doubtful.end();
+    });
 }
 
-void connection_pool::close_idle(absl::Duration max_idle, absl::Time now) {
+void connection_pool::close_expired(absl::Time now) {
     for (auto& [target, idle] : m_idle) {
-        std::erase_if(idle, [&](const auto& connection) { return now - connection->last_used_at > max_idle; });
+        std::erase_if(idle, [&](const auto& connection) { return m_health.is_expired(connection->facts(), now); });
     }
     std::erase_if(m_idle, [](const auto& entry) { return entry.second.empty(); });
 }
--- a/src/http/private/connection_pool.h
+++ b/src/http/private/connection_pool.h
@@ -2,10 +2,12 @@
 
 #include "common/endpoint.h"
 #include "http/private/asio_types.h"
+#include "routing/connection_health.h"
 
 #include <absl/time/time.h>
 
 #include <cstddef>
+#include <cstdint>
 #include <map>
 #include <memory>
 #include <vector>
@@ -20,24 +22,30 @@
     beast::tcp_stream stream;
     beast::flat_buffer buffer;
     endpoint target;
+    /// @return what connection_health needs to know.
+    connection_facts facts() const {
+        return {id, opened_at, last_received_at};
+    }
+
+    std::uint64_t id = 0;
     absl::Time opened_at;
-    absl::Time last_used_at;
-    bool is_reused = false;
+    absl::Time last_received_at; ///< End of the last response.
 };
 
-/// Keeps idle connections for reuse, the most recently used first.
+/// Keeps idle connections for reuse, the most recently used first. connection_health decides which may be used.
 ///
 /// Not thread safe: used by the event loop's thread only.
 class connection_pool {
 public:
     /// @param context the event loop that the connections belong to.
     /// @param max_idle_per_target connections kept for one target at the most.
-    connection_pool(asio::io_context& context, std::size_t max_idle_per_target);
+    /// @param limits constants of connection_health.
+    connection_pool(asio::io_context& context, std::size_t max_idle_per_target, connection_limits limits);
 
     /// @param target where the connection leads.
-    /// @param max_idle idle time after which a connection is not reused.
+    /// @param is_idempotent true if the request may be sent again when the connection proves dead.
     /// @return an idle connection that its peer has not closed, or null.
-    std::unique_ptr<upstream_connection> take(const endpoint& target, absl::Duration max_idle, absl::Time now);
+    std::unique_ptr<upstream_connection> take(const endpoint& target, bool is_idempotent, absl::Time now);
 
     /// @return a connection that is not open yet.
     std::unique_ptr<upstream_connection> create(const endpoint& target);
@@ -45,12 +53,18 @@
     /// Keeps @p connection for reuse. Its last response must have been read to the end.
     void put(std::unique_ptr<upstream_connection> connection, absl::Time now);
 
-    /// Closes the idle connections to @p target that were opened at or before @p opened_until.
-    /// @return how many.
-    std::size_t retire(const endpoint& target, absl::Time opened_until);
+    /// Closes the idle connections that a first-byte timeout puts in doubt. One in use proves itself by its response.
+    /// @param timed_out the connection with the timeout.
+    /// @param request_sent when its request was sent.
+    /// @return how many were closed.
+    std::size_t retire(const upstream_connection& timed_out, absl::Time request_sent);
+
+    /// Closes connections that no request will use any more.
+    void close_expired(absl::Time now);
 
-    /// Closes connections that have been idle for longer than @p max_idle.
-    void close_idle(absl::Duration max_idle, absl::Time now);
+    const connection_health& health() const {
+        return m_health;
+    }
 
     std::size_t idle_count() const;
 
@@ -59,6 +73,8 @@
 
     asio::io_context& m_context;
     std::size_t m_max_idle_per_target;
+    connection_health m_health;
+    std::uint64_t m_next_id = 1;
     std::map<endpoint, idle_list> m_idle;
 };
 
--- a/src/http/private/exchange.cpp
+++ b/src/http/private/exchange.cpp
@@ -28,10 +28,7 @@
     : m_pool(pool), m_options(options), m_clock(clock) {}
 
 asio::awaitable<exchange_start> exchange::connect(const endpoint& target, bool is_idempotent, absl::Time deadline) {
-    // A connection that was silent for long may be dead without a sign; a request that must not run twice does not
-    // use it, since it could not be sent again.
-    const absl::Duration max_idle = is_idempotent ? m_options.keep_alive_timeout : m_options.idle_connection;
-    m_connection = m_pool.take(target, max_idle, m_clock.now());
+    m_connection = m_pool.take(target, is_idempotent, m_clock.now());
     if (m_connection) {
         co_return exchange_start{};
     }
@@ -50,6 +47,7 @@
     }
     m_connection->stream.socket().set_option(asio::ip::tcp::no_delay(true), failure);
     m_connection->opened_at = m_clock.now();
+    m_connection->last_received_at = m_connection->opened_at;
     co_return exchange_start{};
 }
 
@@ -60,6 +58,7 @@
             co_return connected;
         }
     }
+    m_sent_at = m_clock.now();
     const exchange_start sending = co_await send(sent);
     if (sending.code != result_code::ok || (m_response && m_response->is_header_done())) {
         co_return sending;
@@ -143,8 +142,8 @@
         if (failure) {
             exchange_start failed = failed_before_response(failure, std::numeric_limits<std::size_t>::max());
             if (failed.code == result_code::response_timeout && m_clock.now() < sent.deadline) {
-                // The connection may have gone silent; those of the same age to the same target may have too.
-                m_pool.retire(m_connection->target, m_connection->opened_at);
+                // The connection may have gone silent; those that existed when the request was sent may have too.
+                m_pool.retire(*m_connection, m_sent_at);
             }
             co_return failed;
         }
--- a/src/http/private/exchange.h
+++ b/src/http/private/exchange.h
@@ -64,15 +64,6 @@
     /// Closes the connection at once; pending operations fail.
     void abort();
 
-    /// @return the time at which the connection in use was opened.
-    absl::Time opened_at() const {
-        return m_connection ? m_connection->opened_at : absl::InfinitePast();
-    }
-
-    bool is_on_reused_connection() const {
-        return m_connection && m_connection->is_reused;
-    }
-
 private:
     asio::awaitable<exchange_start> send(const request& sent);
     asio::awaitable<exchange_start> send_whole(const request& sent);
@@ -86,6 +77,7 @@
     const steady_clock& m_clock;
     std::unique_ptr<upstream_connection> m_connection;
     std::optional<response_parser> m_response;
+    absl::Time m_sent_at;
     bool m_is_continued = false;
     bool m_is_request_sent = false;
 };
--- a/src/http/private/owner_call.cpp
+++ b/src/http/private/owner_call.cpp
@@ -4,6 +4,7 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <string_view>
 #include <utility>
 
@@ -49,6 +50,7 @@
         co_return exchange_start{result_code::caller_disconnected, started.request_execution};
     }
     if (started.code == result_code::ok) {
+        m_core.latency_by_route[m_route].observe(m_latency);
         report(outcome_of(status()));
     } else if (started.code != result_code::caller_disconnected) {
         report(owned_call::outcome::failed);
@@ -108,6 +110,14 @@
     return head;
 }
 
+absl::Duration owner_call::first_byte_timeout() const {
+    const auto known = m_core.latency_by_route.find(m_route);
+    const first_byte_latency latency = known == m_core.latency_by_route.end() ? first_byte_latency{} : known->second;
+    const absl::Duration remaining = m_deadline - m_core.clock.now();
+    return std::min(m_core.options.first_byte_timeout,
+                    m_core.pool.health().first_byte_timeout(latency, m_is_idempotent, remaining));
+}
+
 asio::awaitable<relay_result> owner_call::relay_answer() {
     const bool is_for_entry = m_request.info.is_from_entry();
     const std::string load_text = fmt::format("{:.3f}", load());
--- a/src/http/private/owner_call.h
+++ b/src/http/private/owner_call.h
@@ -54,6 +54,7 @@
     asio::awaitable<exchange_start> run();
     asio::awaitable<bool> send_continue();
     http::request_header<> make_head() const;
+    absl::Duration first_byte_timeout() const;
     void report(owned_call::outcome outcome);
 
     proxy_core& m_core;
--- a/src/http/private/proxy_core.h
+++ b/src/http/private/proxy_core.h
@@ -27,11 +27,17 @@
                const steady_clock& time, event_log& lines, std::function<void(const owned_call&)> report)
         : options(proxy_settings), clock(time), log(lines), report_call(std::move(report)),
           requests(std::move(routing)), budget(budget_policy), relay(options),
-          pool(context, max_idle_connections_per_target) {}
+          pool(context, max_idle_connections_per_target, limits_of(proxy_settings)) {}
 
     /// As many as requests that a daemon commonly has under way to one target.
     static constexpr std::size_t max_idle_connections_per_target = 128;
 
+    static connection_limits limits_of(const proxy_options& settings) {
+        connection_limits limits;
+        limits.max_idle_other = settings.idle_connection;
+        return limits;
+    }
+
     /// @return the upstream beside this daemon with that id, or null.
     local_upstream* find_local(const std::string& id) {
         const auto found = local_upstreams.find(id);
@@ -48,6 +54,7 @@
     retry_budget budget;
     response_relay relay;
     std::map<std::string, local_upstream> local_upstreams;
+    std::map<std::string, first_byte_latency> latency_by_route; ///< Of calls to upstreams beside this daemon.
     std::shared_ptr<const intended_state> state = std::make_shared<intended_state>();
     absl::BitGen random;
     proxy_counters counters;
--- a/src/http/request_proxy.cpp
+++ b/src/http/request_proxy.cpp
@@ -157,7 +157,7 @@
         while (true) {
             timer.expires_after(idle_sweep_interval);
             co_await timer.async_wait(as_result);
-            m_core.pool.close_idle(m_options.keep_alive_timeout, m_core.clock.now());
+            m_core.pool.close_expired(m_core.clock.now());
             m_core.counters.connections_open = m_sessions.size();
             m_core.counters.idle_upstream_connections = m_core.pool.idle_count();
             const absl::MutexLock lock(&m_mutex);
@@ -214,6 +214,8 @@
 void request_proxy::set_configuration(std::shared_ptr<const intended_state> state) {
     m_implementation->post([this, state = std::move(state)] {
         m_implementation->core().state = state;
+        std::erase_if(m_implementation->core().latency_by_route,
+                      [&](const auto& entry) { return !state->routes.contains(entry.first); });
         m_implementation->core().requests.set_configuration(state);
     });
 }
--- a/src/tests/request_proxy_test.cpp
+++ b/src/tests/request_proxy_test.cpp
@@ -15,6 +15,7 @@
 #include <ostream>
 #include <string>
 #include <thread>
+#include <vector>
 
 using namespace amaranthladder;
 
@@ -208,6 +209,43 @@
     }
 }
 
+// Guards against an answer that belongs to another request.
+BOOST_AUTO_TEST_CASE(refuses_the_answer_to_another_request) {
+    two_daemons mesh;
+    fake_upstream_behavior behavior;
+    behavior.answers_other_id = true;
+    mesh.upstream.set_behavior(behavior);
+    auto client = mesh.client();
+    const auto answer = client.Get("/x");
+    BOOST_REQUIRE(answer);
+    BOOST_TEST(code_of(answer) == "1416");
+    BOOST_TEST(answer->get_header_value("x-amaranthladder-outcome") == "may-have-run");
+}
+
+// Guards against requests that wait one after the other on connections that have gone silent while new ones work.
+BOOST_AUTO_TEST_CASE(one_request_waits_for_silent_connections) {
+    two_daemons mesh;
+    fake_upstream_behavior behavior;
+    behavior.delay = absl::Milliseconds(100);
+    mesh.upstream.set_behavior(behavior);
+    std::vector<std::thread> callers;
+    for (int index = 0; index < 4; ++index) {
+        callers.emplace_back([&mesh] { BOOST_TEST(mesh.client().Get("/x")->status == 200); });
+    }
+    for (auto& caller : callers) {
+        caller.join();
+    }
+    BOOST_REQUIRE(mesh.upstream.accepted_connections() >= 2);
+    behavior.delay = absl::ZeroDuration();
+    behavior.silent_connections = mesh.upstream.accepted_connections();
+    mesh.upstream.set_behavior(behavior);
+    auto client = mesh.client();
+    BOOST_TEST(code_of(client.Get("/x")) == "1406");
+    for (int index = 0; index < 4; ++index) {
+        BOOST_TEST(client.Get("/x")->status == 200);
+    }
+}
+
 // Guards against a refusal "not run" for a request that ran: compared with the upstream's own record.
 BOOST_AUTO_TEST_CASE(refusals_say_not_run) {
     two_daemons mesh(1, 0);
