Pass all settings on to the parts of the daemon and drop three without effect

Cause: header_timeout, keep_alive_timeout, body_idle_timeout and warm_up were checked but never used, and suspicion, tombstone and gossip_bytes named quantities that the peers module derives from the fleet's size or fixes together. The first four now reach the data path and the router; the last three are gone, with their two test rows replaced by rows of the same checks for other settings.

--- /dev/null
+++ b/src/daemon/component_settings.cpp
@@ -0,0 +1,53 @@
+#include "daemon/component_settings.h"
+
+namespace amaranthladder {
+
+event_log_options make_log_options(const daemon_settings& settings) {
+    return {settings.log.level, settings.log.file, settings.log.queue_lines};
+}
+
+proxy_options make_proxy_options(const daemon_settings& settings) {
+    proxy_options options;
+    options.mesh = settings.daemon.mesh;
+    options.worker = settings.daemon.worker;
+    options.listen_address = settings.listen.requests;
+    options.max_connections = static_cast<std::size_t>(settings.requests.max_connections);
+    options.max_header_bytes = settings.requests.max_header_bytes;
+    options.body_buffer_bytes = settings.requests.body_buffer_bytes;
+    options.connect_timeout = settings.requests.connect_timeout;
+    options.first_byte_timeout = settings.requests.first_byte_timeout;
+    options.header_timeout = settings.requests.header_timeout;
+    options.keep_alive_timeout = settings.requests.keep_alive_timeout;
+    options.body_idle_timeout = settings.requests.body_idle_timeout;
+    options.idle_connection = settings.requests.idle_connection;
+    options.default_timeout = settings.requests.default_timeout;
+    options.drain_timeout = settings.requests.drain_timeout;
+    return options;
+}
+
+router_settings make_router_settings(const daemon_settings& settings) {
+    router_settings result;
+    result.data_center = settings.daemon.data_center;
+    result.policy.warming.period = settings.requests.warm_up;
+    return result;
+}
+
+retry_budget_policy make_retry_budget(const daemon_settings& settings) {
+    retry_budget_policy policy;
+    policy.service_share = settings.requests.retry_budget_percent / 100.0;
+    return policy;
+}
+
+peer_settings make_peer_settings(const daemon_settings& settings, const endpoint& http_address) {
+    peer_settings result;
+    result.mesh = settings.daemon.mesh;
+    result.address = settings.listen.peers;
+    result.http_address = http_address;
+    result.data_center = settings.daemon.data_center;
+    result.seeds = settings.peers.seeds;
+    result.probe_interval = settings.peers.probe_interval;
+    result.probe_timeout = settings.peers.probe_timeout;
+    return result;
+}
+
+} // namespace amaranthladder
--- a/src/daemon/mesh_daemon.cpp
+++ b/src/daemon/mesh_daemon.cpp
@@ -4,6 +4,7 @@
 #include "common/event_log.h"
 #include "common/steady_clock.h"
 #include "daemon/announced_upstreams.h"
+#include "daemon/component_settings.h"
 #include "daemon/configuration_keeper.h"
 #include "daemon/control_server.h"
 #include "daemon/move_service.h"
@@ -36,46 +37,6 @@
 /// all daemons in about this time; until then they still send requests here.
 constexpr absl::Duration leave_notice = absl::Seconds(3);
 
-proxy_options make_proxy_options(const daemon_settings& settings) {
-    proxy_options options;
-    options.mesh = settings.daemon.mesh;
-    options.worker = settings.daemon.worker;
-    options.listen_address = settings.listen.requests;
-    options.max_connections = static_cast<std::size_t>(settings.requests.max_connections);
-    options.max_header_bytes = settings.requests.max_header_bytes;
-    options.body_buffer_bytes = settings.requests.body_buffer_bytes;
-    options.connect_timeout = settings.requests.connect_timeout;
-    options.first_byte_timeout = settings.requests.first_byte_timeout;
-    options.idle_connection = settings.requests.idle_connection;
-    options.default_timeout = settings.requests.default_timeout;
-    options.drain_timeout = settings.requests.drain_timeout;
-    return options;
-}
-
-router_settings make_router_settings(const daemon_settings& settings) {
-    router_settings result;
-    result.data_center = settings.daemon.data_center;
-    return result;
-}
-
-retry_budget_policy make_budget(const daemon_settings& settings) {
-    retry_budget_policy policy;
-    policy.service_share = settings.requests.retry_budget_percent / 100.0;
-    return policy;
-}
-
-peer_settings make_peer_settings(const daemon_settings& settings, const endpoint& http_address) {
-    peer_settings result;
-    result.mesh = settings.daemon.mesh;
-    result.address = settings.listen.peers;
-    result.http_address = http_address;
-    result.data_center = settings.daemon.data_center;
-    result.seeds = settings.peers.seeds;
-    result.probe_interval = settings.peers.probe_interval;
-    result.probe_timeout = settings.peers.probe_timeout;
-    return result;
-}
-
 std::string merge_records(const std::string& key, const std::string& held, const std::string& heard) {
     if (key.starts_with(seat_record_prefix)) {
         return merge_seat_records(held, heard);
@@ -109,8 +70,8 @@
           m_announced(settings.daemon.data_center, settings.requests.announcement_timeout),
           m_report(settings.daemon.worker, m_started_at), m_moves(settings.daemon.worker, m_clock),
           m_keeper([this](const std::shared_ptr<const snapshot>& applied) { on_applied(applied); }),
-          m_proxy(make_proxy_options(settings), make_router_settings(settings), make_budget(settings), m_clock, m_log,
-                  [this](const owned_call& call) { m_moves.observe(call); }),
+          m_proxy(make_proxy_options(settings), make_router_settings(settings), make_retry_budget(settings), m_clock,
+                  m_log, [this](const owned_call& call) { m_moves.observe(call); }),
           m_peers(make_peer_settings(settings, m_proxy.address()), {merge_records, nullptr, is_urgent_record},
                   make_callbacks()) {
         m_peers.start();
@@ -162,10 +123,6 @@
     }
 
 private:
-    static event_log_options make_log_options(const daemon_settings& settings) {
-        return {settings.log.level, settings.log.file, settings.log.queue_lines};
-    }
-
     peer_callbacks make_callbacks() {
         peer_callbacks callbacks;
         callbacks.snapshot_bytes = [this](const configuration_digest& held) { return m_keeper.update_since(held); };
--- a/src/settings/daemon_settings.cpp
+++ b/src/settings/daemon_settings.cpp
@@ -32,10 +32,8 @@
                      values.address("listen", "peers")};
     result.store = {values.address("store", "address"), values.duration("store", "call_timeout"),
                     values.duration("store", "lease"), values.duration("store", "watch")};
-    result.peers = {
-        values.addresses("peers", "seeds"),        values.duration("peers", "probe_interval"),
-        values.duration("peers", "probe_timeout"), values.duration("peers", "suspicion"),
-        values.duration("peers", "tombstone"),     static_cast<std::size_t>(values.integer("peers", "gossip_bytes"))};
+    result.peers = {values.addresses("peers", "seeds"), values.duration("peers", "probe_interval"),
+                    values.duration("peers", "probe_timeout")};
     result.requests = {static_cast<int>(values.integer("requests", "max_connections")),
                        static_cast<std::size_t>(values.integer("requests", "max_header_bytes")),
                        static_cast<std::size_t>(values.integer("requests", "body_buffer_bytes")),
@@ -76,10 +74,6 @@
             "must be shorter than [store] lease, or a renewal cannot be repeated in time");
     require(settings.peers.probe_timeout < settings.peers.probe_interval, "peers", "probe_timeout",
             "must be shorter than [peers] probe_interval");
-    require(settings.peers.suspicion > settings.peers.probe_interval, "peers", "suspicion",
-            "must be longer than [peers] probe_interval, or a suspected member cannot answer in time");
-    require(settings.peers.tombstone > settings.peers.suspicion, "peers", "tombstone",
-            "must be longer than [peers] suspicion, or dead members return");
     require(settings.requests.first_byte_timeout <= settings.requests.default_timeout, "requests", "first_byte_timeout",
             "must not be longer than [requests] default_timeout");
     require(settings.requests.connect_timeout <= settings.requests.first_byte_timeout, "requests", "connect_timeout",
--- a/src/settings/daemon_settings.h
+++ b/src/settings/daemon_settings.h
@@ -43,9 +43,6 @@
         std::vector<endpoint> seeds;
         absl::Duration probe_interval;
         absl::Duration probe_timeout;
-        absl::Duration suspicion;
-        absl::Duration tombstone;
-        std::size_t gossip_bytes = 0;
 
         friend bool operator==(const peers_section&, const peers_section&) = default;
     };
--- a/src/settings/settings_table.cpp
+++ b/src/settings/settings_table.cpp
@@ -20,11 +20,6 @@
 
 // Upstream calls stay under 1.1 times caller calls; at 9 percent, rounding and bursts still fit.
 constexpr std::int64_t max_retry_budget_percent = 9;
-// A datagram over 1,472 bytes is split on Ethernet, and the loss of one part loses it.
-constexpr std::int64_t max_gossip_bytes = 1'472;
-// Probe and digest alone take up to about 400 bytes.
-constexpr std::int64_t min_gossip_bytes = 512;
-
 // clang-format off
 constexpr auto daemon_table = std::to_array<setting_row>({
     {"daemon", "mesh", setting_type::name, true, "", 0, 0, "Name of the mesh. Messages of other meshes are dropped."},
@@ -41,9 +36,6 @@
     {"peers", "seeds", setting_type::endpoint_list, false, "", 0, 0, "Peer addresses that a daemon joins through. Empty: the join page in the store."},
     {"peers", "probe_interval", setting_type::duration, false, "1s", 50, 1 * minute, "Time between two probes."},
     {"peers", "probe_timeout", setting_type::duration, false, "300ms", 10, 30 * second, "Wait for an answer before indirect probes are sent."},
-    {"peers", "suspicion", setting_type::duration, false, "4s", 100, 10 * minute, "Time from suspicion until a member counts as dead."},
-    {"peers", "tombstone", setting_type::duration, false, "10m", 1 * minute, 24 * hour, "Time for which records of dead members and upstreams are kept."},
-    {"peers", "gossip_bytes", setting_type::size, false, "1200B", min_gossip_bytes, max_gossip_bytes, "Largest datagram."},
     {"requests", "max_connections", setting_type::integer, false, "2000", 1, 100'000, "Connections accepted on the request port."},
     {"requests", "max_header_bytes", setting_type::size, false, "64KiB", 1 * kibibyte, 1 * mebibyte, "Largest header block of a request or an answer."},
     {"requests", "body_buffer_bytes", setting_type::size, false, "64KiB", 1 * kibibyte, 16 * mebibyte, "A body up to this size is held whole and can be sent again; a larger one is streamed."},
--- a/src/tests/request_proxy_test.cpp
+++ b/src/tests/request_proxy_test.cpp
@@ -228,8 +228,10 @@
     fake_upstream_behavior behavior;
     behavior.delay = absl::Milliseconds(100);
     mesh.upstream.set_behavior(behavior);
+    constexpr int caller_count = 4;
     std::vector<std::thread> callers;
-    for (int index = 0; index < 4; ++index) {
+    callers.reserve(caller_count);
+    for (int index = 0; index < caller_count; ++index) {
         callers.emplace_back([&mesh] { BOOST_TEST(mesh.client().Get("/x")->status == 200); });
     }
     for (auto& caller : callers) {
--- a/src/tests/settings_reader_test.cpp
+++ b/src/tests/settings_reader_test.cpp
@@ -61,7 +61,7 @@
     {"no value", "lease\n", "11 1007 store.;"},
     {"unit missing", "lease = 10\n", "11 1005 store.lease;"},
     {"unit of a size for a duration", "lease = 10KiB\n", "11 1005 store.lease;"},
-    {"unit of a duration for a size", "[peers]\ngossip_bytes = 1s\n", "12 1005 peers.gossip_bytes;"},
+    {"unit of a duration for a size", "[requests]\nbody_buffer_bytes = 1s\n", "12 1005 requests.body_buffer_bytes;"},
     {"space before the unit", "lease = 10 s\n", "11 1005 store.lease;"},
     {"unit in upper case", "lease = 10S\n", "11 1005 store.lease;"},
     {"fraction", "lease = 1.5s\n", "11 1005 store.lease;"},
@@ -79,7 +79,8 @@
     {"list with an empty item", "[peers]\nseeds = 127.0.0.1:1,,127.0.0.1:2\n", "12 1004 peers.seeds;"},
     {"seed with port 0", "[peers]\nseeds = 127.0.0.1:0\n", "12 1006 peers.seeds;"},
     {"probe timeout as long as the interval", "[peers]\nprobe_timeout = 1s\n", "0 1010 peers.probe_timeout;"},
-    {"suspicion shorter than a probe", "[peers]\nsuspicion = 1s\n", "0 1010 peers.suspicion;"},
+    {"connecting longer than answering", "[requests]\nfirst_byte_timeout = 100ms\n",
+     "0 1010 requests.connect_timeout;"},
     {"lease shorter than a call", "call_timeout=10s\nlease=10s\n", "0 1010 store.call_timeout;"},
     {"several", "x=1\nlease=1\n[peers]\nseeds=a\n", "11 1001 store.x;12 1005 store.lease;14 1004 peers.seeds;"},
 };
