Look an upstream up after its request's body was read

Cause: the owner held a pointer to the upstream's entry while it waited for the body; an upstream withdrawn in that time left the pointer dangling. Found by reading. The new test failed with an abort before the change and passes after it; the request is refused with 1401, not run.

--- a/src/http/private/caller_session.cpp
+++ b/src/http/private/caller_session.cpp
@@ -167,28 +167,36 @@
         co_return co_await write_refusal(request, result_code::request_malformed, execution::not_run,
                                          "the request belongs to another mesh");
     }
+    if (!request.expects_continue) {
+        if (const error_code failure = co_await request.body.read_prefix()) {
+            request.keeps_connection = false;
+            co_return serve_result{result_code::caller_disconnected, 0};
+        }
+    }
+    // Looked up after the body was read: the upstream may be withdrawn while this coroutine is suspended.
     const local_upstream* upstream = m_core.find_local(request.info.upstream);
     if (upstream == nullptr || upstream->is_version_refused) {
         // Entries that do not know of the taken back version yet send the request to another one.
         request.keeps_connection = request.keeps_connection && request.body.is_at_end();
         co_return co_await write_refusal(request, result_code::no_upstream, execution::not_run, request.info.upstream);
     }
-    const auto method = request.head.method_string();
-    const auto found = m_core.state->routes.find(request.info.route);
-    const bool is_idempotent = retry_policy::is_idempotent_method({method.data(), method.size()}) ||
-                               (found != m_core.state->routes.end() && found->second.is_idempotent);
     const absl::Time deadline = m_received_at + request.info.time_left.value_or(m_core.options.default_timeout);
-    if (!request.expects_continue) {
-        if (const error_code failure = co_await request.body.read_prefix()) {
-            request.keeps_connection = false;
-            co_return serve_result{result_code::caller_disconnected, 0};
-        }
-    }
-    owner_call call(m_core, *upstream, request, request.info.route, is_idempotent, deadline);
+    owner_call call(m_core, *upstream, request, request.info.route, may_run_twice(request), deadline);
     std::optional<disconnect_watch> watch;
     if (request.body.is_whole()) {
         watch.emplace(m_stream, [&call] { call.abandon(); });
     }
+    co_return co_await answer_as_owner(request, call);
+}
+
+bool caller_session::may_run_twice(const served_request& request) const {
+    const auto method = request.head.method_string();
+    const auto found = m_core.state->routes.find(request.info.route);
+    return retry_policy::is_idempotent_method({method.data(), method.size()}) ||
+           (found != m_core.state->routes.end() && found->second.is_idempotent);
+}
+
+asio::awaitable<serve_result> caller_session::answer_as_owner(served_request& request, owner_call& call) {
     const exchange_start started = co_await call.open();
     relay_result relayed{started.code, false};
     execution request_execution = started.request_execution;
--- a/src/http/private/caller_session.h
+++ b/src/http/private/caller_session.h
@@ -9,6 +9,8 @@
 
 namespace amaranthladder {
 
+class owner_call;
+
 /// One connection of a caller or of an entry daemon: reads requests one after the other and serves them.
 class caller_session {
 public:
@@ -30,6 +32,8 @@
     asio::awaitable<bool> serve_one();
     asio::awaitable<serve_result> serve_as_entry(served_request& request);
     asio::awaitable<serve_result> serve_as_owner(served_request& request);
+    asio::awaitable<serve_result> answer_as_owner(served_request& request, owner_call& call);
+    bool may_run_twice(const served_request& request) const;
     asio::awaitable<bool> accept_expected_body(served_request& request);
     asio::awaitable<void> close_after_answer();
     std::string make_request_id();
--- a/src/tests/request_proxy_test.cpp
+++ b/src/tests/request_proxy_test.cpp
@@ -10,6 +10,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <chrono>
 #include <memory>
 #include <ostream>
@@ -320,6 +321,33 @@
     BOOST_TEST(next->status == 200);
 }
 
+// Guards against the use of an upstream that is withdrawn while the body of its request is still arriving.
+BOOST_AUTO_TEST_CASE(upstream_may_go_while_a_body_arrives) {
+    two_daemons mesh;
+    const int socket = ::socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in remote{};
+    remote.sin_family = AF_INET;
+    remote.sin_port = htons(mesh.owner->address().port);
+    inet_pton(AF_INET, "127.0.0.1", &remote.sin_addr);
+    BOOST_REQUIRE(::connect(socket, reinterpret_cast<const sockaddr*>(&remote), sizeof(remote)) == 0);
+    const std::string head = "POST /x HTTP/1.1\r\nx-amaranthladder-mesh: litoral\r\nConnection: close\r\n"
+                             "x-amaranthladder-upstream: tienda-1\r\nx-amaranthladder-route: orders\r\n"
+                             "Content-Length: 5\r\n\r\nor";
+    BOOST_REQUIRE(::send(socket, head.data(), head.size(), MSG_NOSIGNAL) > 0);
+    // The event loop reads the header before it removes the upstream: both run on its thread, in this order.
+    while (mesh.owner->counters().owner_requests == 0) {
+        std::this_thread::sleep_for(std::chrono::milliseconds(20));
+    }
+    mesh.owner->remove_local_upstream("tienda-1");
+    std::this_thread::sleep_for(std::chrono::milliseconds(50));
+    BOOST_REQUIRE(::send(socket, "der", 3, MSG_NOSIGNAL) == 3);
+    std::string answer(4096, '\0');
+    answer.resize(static_cast<std::size_t>(std::max<ssize_t>(0, ::recv(socket, answer.data(), answer.size(), 0))));
+    ::close(socket);
+    BOOST_TEST(answer.find("x-amaranthladder-code: 1401") != std::string::npos, answer);
+    BOOST_TEST(mesh.upstream.executed().empty());
+}
+
 // Guards against a drain that cuts a request, a long download included.
 BOOST_AUTO_TEST_CASE(drain_ends_no_request_early) {
     two_daemons mesh;
