--- a/src/http/private/asio_types.h
+++ b/src/http/private/asio_types.h
@@ -21,6 +21,9 @@
 
 #include <absl/time/time.h>
 
+#include <cstddef>
+#include <string_view>
+
 namespace amaranthladder {
 
 namespace asio = boost::asio;
@@ -31,6 +34,14 @@
 /// Completion token: an operation returns (error_code, result) and does not throw.
 inline constexpr auto as_result = asio::as_tuple(asio::use_awaitable);
 
+/// Bytes of a body that are passed on at a time when it is streamed.
+inline constexpr std::size_t stream_chunk_bytes = std::size_t{64} * 1024;
+
+/// @return @p text in the type that Beast takes; it does not convert from std::string_view.
+inline beast::string_view beast_view(std::string_view text) {
+    return {text.data(), text.size()};
+}
+
 using request_parser = http::request_parser<http::buffer_body>;
 using response_parser = http::response_parser<http::buffer_body>;
 
--- a/src/http/private/caller_session.cpp
+++ b/src/http/private/caller_session.cpp
@@ -8,8 +8,6 @@
 #include <absl/cleanup/cleanup.h>
 #include <absl/random/distributions.h>
 
-#include <boost/asio/write.hpp>
-
 #include <fmt/format.h>
 
 #include <utility>
@@ -24,7 +22,6 @@
 /// Bytes of an unread body that are discarded so that the peer can read the answer before the connection closes.
 constexpr std::size_t max_discarded_bytes = std::size_t{1024} * 1024;
 constexpr auto discard_timeout = std::chrono::seconds(2);
-constexpr std::string_view continue_response = "HTTP/1.1 100 Continue\r\n\r\n";
 
 bool expects_continue(const http::request_header<>& head) {
     return beast::iequals(head[http::field::expect], "100-continue");
@@ -142,7 +139,7 @@
         request.keeps_connection = false;
         co_return co_await write_refusal(request, result_code::too_many_hops, execution::not_run, "");
     }
-    if (request.expects_continue && !(co_await accept_expected_body(request))) {
+    if (request.expects_continue && !(co_await write_continue(request, m_core.options.body_idle_timeout))) {
         request.keeps_connection = false;
         co_return serve_result{result_code::caller_disconnected, 0};
     }
@@ -190,9 +187,8 @@
 }
 
 bool caller_session::may_run_twice(const served_request& request) const {
-    const auto method = request.head.method_string();
     const auto found = m_core.state->routes.find(request.info.route);
-    return retry_policy::is_idempotent_method({method.data(), method.size()}) ||
+    return retry_policy::is_idempotent_method(request.method()) ||
            (found != m_core.state->routes.end() && found->second.is_idempotent);
 }
 
@@ -213,14 +209,6 @@
     co_return co_await write_refusal(request, relayed.code, request_execution, request.info.upstream);
 }
 
-asio::awaitable<bool> caller_session::accept_expected_body(served_request& request) {
-    request.expects_continue = false;
-    m_stream.expires_after(absl::ToChronoNanoseconds(m_core.options.body_idle_timeout));
-    const auto [failure, size] = co_await asio::async_write(
-        m_stream, asio::buffer(continue_response.data(), continue_response.size()), as_result);
-    co_return !failure;
-}
-
 asio::awaitable<void> caller_session::close_after_answer() {
     // Closing with unread data resets the connection, and the peer may lose the answer that was just sent.
     error_code ignored;
--- a/src/http/private/caller_session.h
+++ b/src/http/private/caller_session.h
@@ -34,7 +34,6 @@
     asio::awaitable<serve_result> serve_as_owner(served_request& request);
     asio::awaitable<serve_result> answer_as_owner(served_request& request, owner_call& call);
     bool may_run_twice(const served_request& request) const;
-    asio::awaitable<bool> accept_expected_body(served_request& request);
     asio::awaitable<void> close_after_answer();
     std::string make_request_id();
 
--- a/src/http/private/entry_call.cpp
+++ b/src/http/private/entry_call.cpp
@@ -44,17 +44,11 @@
 
 asio::awaitable<serve_result> entry_call::serve() {
     ++m_core.counters.entry_requests;
-    const auto method = m_request.head.method_string();
     const auto path = m_request.head.target();
-    const route_match found = m_core.requests.match({method.data(), method.size()}, {path.data(), path.size()});
+    const route_match found = m_core.requests.match(m_request.method(), {path.data(), path.size()});
     if (found.refusal != result_code::ok) {
         co_return co_await refuse(found.refusal, execution::not_run,
-                                  fmt::format("{} {}", std::string_view(method.data(), method.size()),
-                                              std::string_view(path.data(), path.size())));
-    }
-    if (const error_code failure = co_await m_request.body.read_prefix()) {
-        m_request.keeps_connection = false;
-        co_return co_await refuse(result_code::request_malformed, execution::not_run, failure.message());
+                                  fmt::format("{} {}", m_request.method(), std::string_view(path.data(), path.size())));
     }
     co_return co_await serve_route(*found.matched);
 }
@@ -174,9 +168,7 @@
     const unsigned status = sent.response().get().result_int();
     const std::optional<double> load = load_of(fields);
     const std::string& id = m_request.info.request_id;
-    const auto set_headers = [&id](http::fields& out) {
-        out.set(beast::string_view(header::request_id.data(), header::request_id.size()), id);
-    };
+    const auto set_headers = [&id](http::fields& out) { out.set(beast_view(header::request_id), id); };
     const relay_result relayed = co_await m_core.relay.relay(sent, m_request, set_headers);
     attempt_end ended = end_of(relayed, status);
     ended.latency = latency;
@@ -257,8 +249,7 @@
 }
 
 bool entry_call::is_idempotent(const route& target) const {
-    const auto method = m_request.head.method_string();
-    return target.is_idempotent || retry_policy::is_idempotent_method({method.data(), method.size()});
+    return target.is_idempotent || retry_policy::is_idempotent_method(m_request.method());
 }
 
 absl::Time entry_call::deadline_of(const route& target) const {
@@ -274,10 +265,9 @@
 }
 
 bool entry_call::may_retry(const route& target, const attempt_end& ended, int attempts) {
-    const auto method = m_request.head.method_string();
     failed_attempt failed;
     failed.service = target.service;
-    failed.method = {method.data(), method.size()};
+    failed.method = m_request.method();
     failed.route_is_idempotent = target.is_idempotent;
     failed.outcome = ended.outcome;
     failed.body_is_replayable = m_request.body.is_replayable();
--- a/src/http/private/entry_call.h
+++ b/src/http/private/entry_call.h
@@ -17,7 +17,7 @@
 public:
     entry_call(proxy_core& core, served_request& request);
 
-    /// Serves the request to its end.
+    /// Serves the request to its end. The prefix of its body has been read.
     asio::awaitable<serve_result> serve();
 
     /// Ends the call because its caller has left.
--- a/src/http/private/exchange.cpp
+++ b/src/http/private/exchange.cpp
@@ -11,8 +11,6 @@
 
 namespace {
 
-constexpr std::size_t stream_chunk_bytes = std::size_t{64} * 1024;
-
 bool is_timeout(error_code failure) {
     return failure == beast::error::timeout;
 }
--- a/src/http/private/forwarding_headers.cpp
+++ b/src/http/private/forwarding_headers.cpp
@@ -19,10 +19,6 @@
                                        http::field::te,         http::field::trailer,    http::field::transfer_encoding,
                                        http::field::upgrade,    http::field::expect};
 
-beast::string_view beast_view(std::string_view text) {
-    return {text.data(), text.size()};
-}
-
 /// @return the number in header @p name, or nothing if there is no such header.
 std::optional<std::int64_t> number_field(const http::fields& fields, std::string_view name) {
     const std::string_view text = field_value(fields, name);
--- a/src/http/private/owner_call.cpp
+++ b/src/http/private/owner_call.cpp
@@ -1,7 +1,5 @@
 #include "http/private/owner_call.h"
 
-#include <boost/asio/write.hpp>
-
 #include <fmt/format.h>
 
 #include <algorithm>
@@ -12,8 +10,6 @@
 
 namespace {
 
-constexpr std::string_view continue_response = "HTTP/1.1 100 Continue\r\n\r\n";
-
 owned_call::outcome outcome_of(unsigned status) {
     if (status == static_cast<unsigned>(http::status::service_unavailable)) {
         return owned_call::outcome::refused;
@@ -63,7 +59,7 @@
     if (connected.code != result_code::ok) {
         co_return connected;
     }
-    if (m_request.expects_continue && !(co_await send_continue())) {
+    if (m_request.expects_continue && !(co_await write_continue(m_request, m_core.options.body_idle_timeout))) {
         co_return exchange_start{result_code::caller_disconnected, execution::not_run};
     }
     if (const error_code failure = co_await m_request.body.read_prefix()) {
@@ -89,14 +85,6 @@
     co_return started;
 }
 
-asio::awaitable<bool> owner_call::send_continue() {
-    m_request.expects_continue = false;
-    m_request.stream.expires_after(absl::ToChronoNanoseconds(m_core.options.body_idle_timeout));
-    const auto [failure, bytes] = co_await asio::async_write(
-        m_request.stream, asio::buffer(continue_response.data(), continue_response.size()), as_result);
-    co_return !failure;
-}
-
 http::request_header<> owner_call::make_head() const {
     http::request_header<> head(m_request.head);
     remove_hop_by_hop_headers(head);
@@ -123,9 +111,9 @@
     const std::string load_text = fmt::format("{:.3f}", load());
     const std::string& id = m_request.info.request_id;
     const auto set_headers = [&](http::fields& fields) {
-        fields.set(beast::string_view(header::request_id.data(), header::request_id.size()), id);
+        fields.set(beast_view(header::request_id), id);
         if (is_for_entry) {
-            fields.set(beast::string_view(header::load.data(), header::load.size()), load_text);
+            fields.set(beast_view(header::load), load_text);
         }
     };
     const relay_result relayed = co_await m_core.relay.relay(m_exchange, m_request, set_headers);
--- a/src/http/private/owner_call.h
+++ b/src/http/private/owner_call.h
@@ -52,7 +52,6 @@
 
 private:
     asio::awaitable<exchange_start> run();
-    asio::awaitable<bool> send_continue();
     http::request_header<> make_head() const;
     absl::Duration first_byte_timeout() const;
     void report(owned_call::outcome outcome);
--- a/src/http/private/response_relay.cpp
+++ b/src/http/private/response_relay.cpp
@@ -7,8 +7,6 @@
 
 namespace {
 
-constexpr std::size_t stream_chunk_bytes = std::size_t{64} * 1024;
-
 bool has_body(const response_parser& parser, const served_request& request) {
     const unsigned status = parser.get().result_int();
     return !request.is_head_only() && status != 204 && status != 304;
--- a/src/http/private/served_request.cpp
+++ b/src/http/private/served_request.cpp
@@ -1,5 +1,6 @@
 #include "http/private/served_request.h"
 
+#include <boost/asio/write.hpp>
 #include <boost/json.hpp>
 
 #include <fmt/format.h>
@@ -8,12 +9,9 @@
 
 namespace {
 
+constexpr std::string_view continue_response = "HTTP/1.1 100 Continue\r\n\r\n";
 constexpr auto refusal_write_timeout = std::chrono::seconds(5);
 
-beast::string_view beast_view(std::string_view text) {
-    return {text.data(), text.size()};
-}
-
 std::string refusal_body(const served_request& request, result_code code, execution request_execution,
                          const std::string& detail) {
     boost::json::object body;
@@ -50,6 +48,14 @@
     co_return serve_result{code, failure ? 0U : response.result_int()};
 }
 
+asio::awaitable<bool> write_continue(served_request& request, absl::Duration limit) {
+    request.expects_continue = false;
+    request.stream.expires_after(absl::ToChronoNanoseconds(limit));
+    const auto [failure, bytes] = co_await asio::async_write(
+        request.stream, asio::buffer(continue_response.data(), continue_response.size()), as_result);
+    co_return !failure;
+}
+
 void reset_connection(beast::tcp_stream& stream) {
     error_code ignored;
     stream.socket().set_option(asio::socket_base::linger(true, 0), ignored);
--- a/src/http/private/served_request.h
+++ b/src/http/private/served_request.h
@@ -8,6 +8,7 @@
 #include <absl/time/time.h>
 
 #include <string>
+#include <string_view>
 
 namespace amaranthladder {
 
@@ -21,6 +22,11 @@
     bool expects_continue = false; ///< The sender waits for 100 (Continue) before it sends the body.
     bool keeps_connection = true;  ///< The connection can carry another request after this one.
 
+    std::string_view method() const {
+        const auto text = head.method_string();
+        return {text.data(), text.size()};
+    }
+
     bool is_head_only() const {
         return head.method() == http::verb::head;
     }
@@ -37,6 +43,11 @@
 asio::awaitable<serve_result> write_refusal(served_request& request, result_code code, execution request_execution,
                                             std::string detail);
 
+/// Answers 100 (Continue) to a sender that waits for it before it sends the body.
+/// @param limit time for the write.
+/// @return false if the sender is gone.
+asio::awaitable<bool> write_continue(served_request& request, absl::Duration limit);
+
 /// Closes a connection so that its peer sees an error and not a complete answer.
 void reset_connection(beast::tcp_stream& stream);
 
