--- a/bench/routing_bench_main.cpp
+++ b/bench/routing_bench_main.cpp
@@ -143,10 +143,10 @@
     std::size_t found = 0;
     timed("finding one of 2,200 routes", decisions, [&] {
         for (int decision = 0; decision < decisions; ++decision) {
-            found += subject.match("GET", "/area-7/route-47/items/1234?page=2").matched ? 1 : 0;
+            found += subject.match("h", "GET", "/area-7/route-47/items/1234?page=2").matched ? 1 : 0;
         }
     });
-    const std::shared_ptr<const route> target = subject.match("GET", "/area-7/route-47").matched;
+    const std::shared_ptr<const route> target = subject.match("h", "GET", "/area-7/route-47").matched;
     timed("choosing one of 6 upstreams, start and end", decisions, [&] {
         for (int decision = 0; decision < decisions; ++decision) {
             const routing_decision chosen = subject.choose(*target, {}, now, rng);
--- a/bench/routing_model.cpp
+++ b/bench/routing_model.cpp
@@ -112,7 +112,7 @@
 class entry_daemon {
 public:
     entry_daemon(std::string data_center, const router_policy& policy)
-        : routes({std::move(data_center), policy}), latency(2) {}
+        : routes(router_settings{.data_center = std::move(data_center), .policy = policy}), latency(2) {}
 
     router routes;
     retry_budget budget;
@@ -308,7 +308,7 @@
         if (m_scenario.is_baseline) {
             started->worker = std::uniform_int_distribution<int>(0, m_scenario.shape.workers - 1)(m_rng);
         } else {
-            const request_facts facts{!of->is_order, of->deadline, of->tried};
+            const request_facts facts{.is_idempotent = !of->is_order, .deadline = of->deadline, .tried = of->tried};
             const routing_decision decision = entry_of(*of).routes.choose(m_route, facts, now, m_rng);
             if (decision.is_refused()) {
                 ++m_outcome.refused;
--- a/fuzz/snapshot_delta_fuzz.cpp
+++ b/fuzz/snapshot_delta_fuzz.cpp
@@ -16,7 +16,7 @@
 std::shared_ptr<const snapshot> make_base() {
     intended_state state;
     state.services["s"] = {"s", absl::Seconds(1), 1, {"a.ini", 1}};
-    state.routes["r"] = {"r", "s", "/r", {"GET"}, false, absl::ZeroDuration(), {"a.ini", 4}};
+    state.routes["r"] = {"r", "s", "/r", {"GET"}, route_kind::by_method, absl::ZeroDuration(), {"a.ini", 4}};
     state.shares["s"] = {"s", {{"1", 1}}, {"b.ini", 1}};
     state.moves["m"] = {"m", "s", "1", "2", absl::FromUnixSeconds(2'000'000'000), 1, {"b.ini", 3}};
     return snapshot::create(1, absl::UnixEpoch(), "p", state);
--- a/src/common/event_log.cpp
+++ b/src/common/event_log.cpp
@@ -24,6 +24,9 @@
     if (file.empty()) {
         return std::make_shared<spdlog::sinks::stderr_sink_mt>();
     }
+    if (file == "-") {
+        return std::make_shared<spdlog::sinks::stdout_sink_mt>();
+    }
     return std::make_shared<spdlog::sinks::basic_file_sink_mt>(file);
 }
 
--- a/src/common/event_log.h
+++ b/src/common/event_log.h
@@ -20,7 +20,7 @@
 /// Where log lines go.
 struct event_log_options {
     log_level level = log_level::info;
-    std::string file;               ///< Empty: standard error.
+    std::string file;               ///< Empty: standard error; `-`: standard output.
     std::size_t queue_lines = 8192; ///< Lines that may wait to be written; older ones are dropped beyond that.
 };
 
--- a/src/common/result_code.h
+++ b/src/common/result_code.h
@@ -92,6 +92,8 @@
     too_many_connections = 1418,
     response_malformed = 1419,
     overloaded = 1420,
+    no_configuration = 1421,
+    body_too_large = 1422,
 
     // Moves and state charts.
     move_taken_back_failures = 1500,
--- a/src/config/config_table.h
+++ b/src/config/config_table.h
@@ -15,6 +15,9 @@
     path,
     methods, ///< HTTP methods separated by commas.
     time,    ///< RFC 3339.
+    kind,    ///< A route_kind by name.
+    weights, ///< `NAME WEIGHT`, separated by commas.
+    host,    ///< Name or address, without a port.
 };
 
 /// One key of the configuration folder. The reader, the validator and docs/configuration.md use these rows.
--- a/src/config/intended_state.h
+++ b/src/config/intended_state.h
@@ -2,9 +2,12 @@
 
 #include <absl/time/time.h>
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace amaranthladder {
@@ -23,19 +26,46 @@
     absl::Duration timeout; ///< Default deadline of a request whose caller gives none.
     int queue_limit = 0;    ///< Requests that may wait at one upstream when its slots are taken.
     source_line origin;
+    int max_connections = 0;      ///< Connections that one upstream accepts from all callers; 0: no limit.
+    std::string health_path = {}; ///< Path that answers whether an upstream is healthy; empty: none.
 
     friend bool operator==(const service&, const service&) = default;
 };
 
+/// What a route says about repeating its requests.
+enum class route_kind {
+    by_method,      ///< The HTTP method decides.
+    idempotent,     ///< Any method may be repeated.
+    non_idempotent, ///< No method may be repeated once it may have run.
+    download,       ///< Large answers; may be repeated.
+};
+
+/// @return the stable name of @p kind.
+std::string_view name(route_kind kind);
+
+/// @return the kind with that name, or nothing.
+std::optional<route_kind> parse_route_kind(std::string_view text);
+
 /// Sends requests with a path prefix to a service.
 struct route {
     std::string name;
-    std::string service;
+    std::string service;              ///< The service, or the first one of a split.
     std::string path_prefix;          ///< Matches whole path segments; the longest matching prefix wins.
     std::vector<std::string> methods; ///< Empty: every method.
-    bool is_idempotent = false;       ///< True: any method may be retried.
-    absl::Duration timeout;           ///< Zero: the service's timeout.
+    route_kind kind = route_kind::by_method;
+    absl::Duration timeout; ///< Zero: the service's timeout.
     source_line origin;
+    std::string host = {};                             ///< Host that the request names; empty: every host.
+    std::map<std::string, int> weight_by_service = {}; ///< Divides the requests; empty: all to `service`.
+    bool needs_subpath = false;                        ///< The prefix itself, without a slash after it, does not match.
+    absl::Duration target_latency = {}; ///< Time in which an answer is worth most to its caller; zero: not stated.
+    int max_attempts = 0;               ///< Upstreams that one request may be sent to; 0: the daemon's limit.
+    int priority = 0;                   ///< 0 is the most urgent.
+
+    /// @return true if a request with this method may be sent again although it may have run.
+    bool may_repeat(bool is_idempotent_method) const {
+        return kind == route_kind::by_method ? is_idempotent_method : kind != route_kind::non_idempotent;
+    }
 
     friend bool operator==(const route&, const route&) = default;
 };
@@ -53,21 +83,42 @@
 struct move {
     std::string name;
     std::string service;
-    std::string from_version;
+    std::string from_version; ///< Empty, for an order out of the store: every other version.
     std::string to_version;
     absl::Time deadline;
     std::uint64_t introduced_in = 0; ///< Configuration version that introduced the present text.
     source_line origin;
 
+    /// @return true if @p version is the one, or one of those, that the service is shifted from.
+    bool is_from(std::string_view version) const {
+        return from_version.empty() ? version != to_version : version == from_version;
+    }
+
     friend bool operator==(const move&, const move&) = default;
 };
 
+/// What callers may send and how long they may take. A value of 0 stands for the daemon's own setting.
+struct caller_limits {
+    std::string name; ///< Always caller_limits_name.
+    std::size_t max_header_bytes = 0;
+    std::uint64_t max_body_bytes = 0;
+    absl::Duration header_timeout; ///< From the first byte of a request to the end of its headers.
+    absl::Duration idle_timeout;   ///< Between two requests of a connection.
+    source_line origin;
+
+    friend bool operator==(const caller_limits&, const caller_limits&) = default;
+};
+
+/// Name of the only section of caller limits.
+inline constexpr std::string_view caller_limits_name = "callers";
+
 /// The merged content of a configuration folder.
 struct intended_state {
     std::map<std::string, service> services;
     std::map<std::string, route> routes;
     std::map<std::string, share> shares; ///< By service.
     std::map<std::string, move> moves;
+    std::map<std::string, caller_limits> limits; ///< At most the one named caller_limits_name.
 
     friend bool operator==(const intended_state&, const intended_state&) = default;
 };
--- a/src/config/name_rules.cpp
+++ b/src/config/name_rules.cpp
@@ -12,6 +12,8 @@
 constexpr std::size_t max_name_bytes = 64;
 constexpr std::size_t max_file_name_bytes = 128;
 constexpr std::size_t max_path_bytes = 512;
+// The longest name of the domain name system.
+constexpr std::size_t max_host_bytes = 253;
 
 bool is_word_character(char letter) {
     return absl::ascii_isalnum(static_cast<unsigned char>(letter)) || letter == '-' || letter == '_' || letter == '.';
@@ -34,6 +36,13 @@
     return !name.empty() && name.size() <= max_file_name_bytes && std::ranges::all_of(name, is_word_character);
 }
 
+bool is_valid_host(std::string_view host) {
+    const auto is_host_character = [](char letter) {
+        return is_word_character(letter) && !absl::ascii_isupper(static_cast<unsigned char>(letter));
+    };
+    return !host.empty() && host.size() <= max_host_bytes && std::ranges::all_of(host, is_host_character);
+}
+
 bool is_valid_path(std::string_view path) {
     if (path == "/") {
         return true;
--- a/src/config/name_rules.h
+++ b/src/config/name_rules.h
@@ -15,6 +15,12 @@
 /// @return true if @p name has letters, digits and -_. and at most 128 characters.
 bool is_valid_file_name(std::string_view name);
 
+/// What a host must look like, for messages.
+inline constexpr std::string_view host_rule = "a host has 1 to 253 lower-case letters, digits and -_.";
+
+/// @return true if @p host follows host_rule.
+bool is_valid_host(std::string_view host);
+
 /// What a path prefix must look like, for messages.
 inline constexpr std::string_view path_rule =
     "a path starts with '/', has no empty, '.' or '..' segment, no final '/' (except for '/' alone), no '%', '?', '#' "
--- a/src/config/private/row_codec.cpp
+++ b/src/config/private/row_codec.cpp
@@ -8,6 +8,8 @@
 
 #include <array>
 #include <limits>
+#include <map>
+#include <optional>
 
 namespace amaranthladder {
 
@@ -39,16 +41,44 @@
     service result;
     result.name = row.text();
     result.timeout = row.duration();
-    result.queue_limit = static_cast<int>(row.integer(0, std::numeric_limits<int>::max()));
+    result.queue_limit = row.count();
+    result.max_connections = row.count();
+    result.health_path = row.text();
     result.origin = row.origin();
     return result;
 }
 
+std::map<std::string, int> read_weights(row_reader& row) {
+    const json::object* weights = row.next().if_object();
+    if (weights == nullptr) {
+        throw malformed("a row has no weights");
+    }
+    std::map<std::string, int> result;
+    for (const auto& [key, weight] : *weights) {
+        if (!weight.is_int64() || weight.get_int64() < 0 || weight.get_int64() > std::numeric_limits<int>::max()) {
+            throw malformed("a row has a weight that is not a number");
+        }
+        result.emplace(std::string(key.data(), key.size()), static_cast<int>(weight.get_int64()));
+    }
+    return result;
+}
+
+json::object write_weights(const std::map<std::string, int>& values, const json::storage_ptr& memory) {
+    json::object weights(memory);
+    for (const auto& [key, weight] : values) {
+        weights.emplace(view(key), weight);
+    }
+    return weights;
+}
+
 route read_route(row_reader& row) {
     route result;
     result.name = row.text();
+    result.host = row.text();
     result.service = row.text();
+    result.weight_by_service = read_weights(row);
     result.path_prefix = row.text();
+    result.needs_subpath = row.boolean();
     const json::array* methods = row.next().if_array();
     if (methods == nullptr) {
         throw malformed("a route row has no list of methods");
@@ -56,8 +86,15 @@
     for (const json::value& method : *methods) {
         result.methods.push_back(text_of(method));
     }
-    result.is_idempotent = row.boolean();
+    const std::optional<route_kind> kind = parse_route_kind(row.text());
+    if (!kind) {
+        throw malformed("a route row has an unknown kind");
+    }
+    result.kind = *kind;
     result.timeout = row.duration();
+    result.target_latency = row.duration();
+    result.max_attempts = row.count();
+    result.priority = row.count();
     result.origin = row.origin();
     return result;
 }
@@ -65,17 +102,7 @@
 share read_share(row_reader& row) {
     share result;
     result.service = row.text();
-    const json::object* weights = row.next().if_object();
-    if (weights == nullptr) {
-        throw malformed("a share row has no weights");
-    }
-    for (const auto& [version, weight] : *weights) {
-        if (!weight.is_int64() || weight.get_int64() < 0 || weight.get_int64() > std::numeric_limits<int>::max()) {
-            throw malformed("a share row has a weight that is not a number");
-        }
-        result.weight_by_version.emplace(std::string(version.data(), version.size()),
-                                         static_cast<int>(weight.get_int64()));
-    }
+    result.weight_by_version = read_weights(row);
     result.origin = row.origin();
     return result;
 }
@@ -92,6 +119,17 @@
     return result;
 }
 
+caller_limits read_limits(row_reader& row) {
+    caller_limits result;
+    result.name = row.text();
+    result.max_header_bytes = row.unsigned_integer();
+    result.max_body_bytes = row.unsigned_integer();
+    result.header_timeout = row.duration();
+    result.idle_timeout = row.duration();
+    result.origin = row.origin();
+    return result;
+}
+
 } // namespace
 
 std::int64_t to_milliseconds(absl::Time value) {
@@ -135,7 +173,7 @@
 void row_writer::write(const service& value) {
     json::monotonic_resource memory(m_scratch->buffer.data(), m_scratch->buffer.size());
     write(json::array({"service", view(value.name), absl::ToInt64Milliseconds(value.timeout), value.queue_limit,
-                       view(value.origin.file), value.origin.line},
+                       value.max_connections, view(value.health_path), view(value.origin.file), value.origin.line},
                       &memory));
 }
 
@@ -145,10 +183,17 @@
     for (const std::string& method : value.methods) {
         methods.emplace_back(view(method));
     }
-    json::array row({"route", view(value.name), view(value.service), view(value.path_prefix)}, &memory);
+    const std::string_view kind = name(value.kind);
+    json::array row({"route", view(value.name), view(value.host), view(value.service)}, &memory);
+    row.emplace_back(write_weights(value.weight_by_service, &memory));
+    row.emplace_back(view(value.path_prefix));
+    row.emplace_back(value.needs_subpath);
     row.emplace_back(std::move(methods));
-    row.emplace_back(value.is_idempotent);
+    row.emplace_back(json::string_view(kind.data(), kind.size()));
     row.emplace_back(absl::ToInt64Milliseconds(value.timeout));
+    row.emplace_back(absl::ToInt64Milliseconds(value.target_latency));
+    row.emplace_back(value.max_attempts);
+    row.emplace_back(value.priority);
     row.emplace_back(view(value.origin.file));
     row.emplace_back(value.origin.line);
     write(row);
@@ -156,12 +201,8 @@
 
 void row_writer::write(const share& value) {
     json::monotonic_resource memory(m_scratch->buffer.data(), m_scratch->buffer.size());
-    json::object weights(&memory);
-    for (const auto& [version, weight] : value.weight_by_version) {
-        weights.emplace(view(version), weight);
-    }
     json::array row({"share", view(value.service)}, &memory);
-    row.emplace_back(std::move(weights));
+    row.emplace_back(write_weights(value.weight_by_version, &memory));
     row.emplace_back(view(value.origin.file));
     row.emplace_back(value.origin.line);
     write(row);
@@ -175,6 +216,14 @@
                     &memory));
 }
 
+void row_writer::write(const caller_limits& value) {
+    json::monotonic_resource memory(m_scratch->buffer.data(), m_scratch->buffer.size());
+    write(json::array({"limits", view(value.name), value.max_header_bytes, value.max_body_bytes,
+                       absl::ToInt64Milliseconds(value.header_timeout), absl::ToInt64Milliseconds(value.idle_timeout),
+                       view(value.origin.file), value.origin.line},
+                      &memory));
+}
+
 void row_writer::write(const intended_state& state) {
     for (const auto& [name, value] : state.services) {
         write(value);
@@ -188,6 +237,9 @@
     for (const auto& [name, value] : state.moves) {
         write(value);
     }
+    for (const auto& [name, value] : state.limits) {
+        write(value);
+    }
 }
 
 row_reader::row_reader(const json::array& row) : m_row(row) {}
@@ -230,6 +282,10 @@
     return element.get_bool();
 }
 
+int row_reader::count() {
+    return static_cast<int>(integer(0, std::numeric_limits<int>::max()));
+}
+
 absl::Time row_reader::time() {
     return absl::FromUnixMillis(integer(0, latest_milliseconds));
 }
@@ -259,7 +315,7 @@
 
     static json::parse_options parse_options() {
         json::parse_options result;
-        result.max_depth = 3;
+        result.max_depth = 4;
         return result;
     }
 };
@@ -318,6 +374,10 @@
         move value = read_move(reader);
         std::string key = value.name;
         target.moves.insert_or_assign(std::move(key), std::move(value));
+    } else if (kind == "limits") {
+        caller_limits value = read_limits(reader);
+        std::string key = value.name;
+        target.limits.insert_or_assign(std::move(key), std::move(value));
     } else {
         throw malformed("a row is of an unknown kind");
     }
--- a/src/config/private/row_codec.h
+++ b/src/config/private/row_codec.h
@@ -39,7 +39,8 @@
     void write(const route& value);
     void write(const share& value);
     void write(const move& value);
-    /// Writes each section of @p state: services, routes, shares and moves, each in the order of their names.
+    void write(const caller_limits& value);
+    /// Writes each section of @p state: services, routes, shares, moves and limits, each in the order of their names.
     void write(const intended_state& state);
     /// Writes a row of another kind.
     void write(const boost::json::array& row);
@@ -60,6 +61,8 @@
     std::int64_t integer(std::int64_t low, std::int64_t high);
     std::uint64_t unsigned_integer();
     bool boolean();
+    /// @return an integer of at least 0.
+    int count();
     absl::Time time();
     absl::Duration duration();
     source_line origin();
--- a/src/config/snapshot.cpp
+++ b/src/config/snapshot.cpp
@@ -11,7 +11,7 @@
 namespace {
 
 constexpr std::string_view format_name = "amaranthladder-snapshot";
-constexpr std::int64_t format_number = 1;
+constexpr std::int64_t format_number = 2;
 constexpr std::size_t max_publish_id_bytes = 128;
 
 std::string encode(std::uint64_t version, absl::Time publish_time, const std::string& publish_id,
@@ -59,6 +59,11 @@
     }
     for (auto& [name, value] : state.routes) {
         value.timeout = absl::Trunc(value.timeout, absl::Milliseconds(1));
+        value.target_latency = absl::Trunc(value.target_latency, absl::Milliseconds(1));
+    }
+    for (auto& [name, value] : state.limits) {
+        value.header_timeout = absl::Trunc(value.header_timeout, absl::Milliseconds(1));
+        value.idle_timeout = absl::Trunc(value.idle_timeout, absl::Milliseconds(1));
     }
     for (auto& [name, value] : state.moves) {
         value.deadline = absl::FromUnixMillis(to_milliseconds(value.deadline));
@@ -72,7 +77,7 @@
 std::shared_ptr<const snapshot> snapshot::decode(std::string_view bytes) {
     row_parser parser(bytes);
     row_reader header(parser.next());
-    if (header.text() != format_name || header.integer(1, format_number) != format_number) {
+    if (header.text() != format_name || header.integer(format_number, format_number) != format_number) {
         throw error(result_code::snapshot_malformed, "the first row names another format");
     }
     const std::uint64_t version = header.unsigned_integer();
--- a/src/config/snapshot_delta.cpp
+++ b/src/config/snapshot_delta.cpp
@@ -16,7 +16,7 @@
 namespace {
 
 constexpr std::string_view format_name = "amaranthladder-update";
-constexpr std::int64_t format_number = 1;
+constexpr std::int64_t format_number = 2;
 constexpr std::string_view shift_kind = "shift";
 constexpr std::string_view remove_kind = "remove";
 
@@ -88,6 +88,7 @@
     action("route", states.routes...);
     action("share", states.shares...);
     action("move", states.moves...);
+    action("limits", states.limits...);
 }
 
 line_shifts find_shifts(const intended_state& base, const intended_state& target) {
@@ -171,7 +172,7 @@
 
 update_header read_header(const json::array& row) {
     row_reader reader(row);
-    if (reader.text() != format_name || reader.integer(1, format_number) != format_number) {
+    if (reader.text() != format_name || reader.integer(format_number, format_number) != format_number) {
         throw malformed("the first row names another format");
     }
     update_header result;
--- a/src/config/state_builder.cpp
+++ b/src/config/state_builder.cpp
@@ -95,6 +95,37 @@
         return result;
     }
 
+    /// @param is_idempotent the value of the older key `idempotent`, which holds when @p key is absent.
+    route_kind kind(const std::string& key, bool is_idempotent) const {
+        const merged_value* value = find(key);
+        if (value == nullptr) {
+            return is_idempotent ? route_kind::idempotent : route_kind::by_method;
+        }
+        const std::optional<route_kind> result = parse_route_kind(value->text);
+        if (!result) {
+            add(result_code::config_bad_value, key, value->origin, fmt::format("'{}' is no kind", value->text));
+        }
+        return result.value_or(route_kind::by_method);
+    }
+
+    /// Reads `NAME WEIGHT, NAME WEIGHT, ...`.
+    std::map<std::string, int> weights(const std::string& key) const {
+        std::map<std::string, int> result;
+        for (const std::string& item : list(key)) {
+            const std::size_t space = item.find_last_of(' ');
+            const std::string name = boost::algorithm::trim_copy(item.substr(0, space));
+            int weight = 0;
+            const char* const end = item.data() + item.size();
+            const char* const begin = space == std::string::npos ? end : item.data() + space + 1;
+            const auto [parsed_end, failure] = std::from_chars(begin, end, weight);
+            if (failure != std::errc{} || parsed_end != end || !result.emplace(name, weight).second) {
+                add(result_code::config_bad_value, key, find(key)->origin,
+                    fmt::format("'{}' is not NAME WEIGHT, each name once", item));
+            }
+        }
+        return result;
+    }
+
     absl::Time time(const std::string& key) const {
         const merged_value* value = find(key);
         absl::Time result = absl::UnixEpoch();
@@ -159,6 +190,8 @@
             read_route(section);
         } else if (section.kind == "share") {
             read_share(section);
+        } else if (section.kind == "limits") {
+            read_limits(section);
         } else {
             read_move(section);
         }
@@ -173,6 +206,8 @@
     value.name = section.name;
     value.timeout = reader.milliseconds("timeout_ms");
     value.queue_limit = reader.integer("queue_limit", default_queue_limit);
+    value.max_connections = reader.integer("max_connections", 0);
+    value.health_path = reader.text("health_path");
     value.origin = section.origin;
     m_state.services.emplace(section.name, std::move(value));
 }
@@ -181,11 +216,17 @@
     const section_reader reader(section, m_problems);
     route value;
     value.name = section.name;
+    value.host = reader.text("host");
     value.service = reader.text("service");
+    value.weight_by_service = reader.weights("split");
     value.path_prefix = reader.text("path_prefix");
+    value.needs_subpath = reader.boolean("needs_subpath");
     value.methods = reader.list("methods");
-    value.is_idempotent = reader.boolean("idempotent");
+    value.kind = reader.kind("kind", reader.boolean("idempotent"));
     value.timeout = reader.milliseconds("timeout_ms");
+    value.target_latency = reader.milliseconds("target_latency_ms");
+    value.max_attempts = reader.integer("max_attempts", 0);
+    value.priority = reader.integer("priority", 0);
     value.origin = section.origin;
     m_state.routes.emplace(section.name, std::move(value));
 }
@@ -201,6 +242,18 @@
     m_state.shares.emplace(section.name, std::move(value));
 }
 
+void state_builder::read_limits(const merged_section& section) {
+    const section_reader reader(section, m_problems);
+    caller_limits value;
+    value.name = section.name;
+    value.max_header_bytes = static_cast<std::size_t>(reader.integer("max_header_bytes", 0));
+    value.max_body_bytes = static_cast<std::uint64_t>(reader.integer("max_body_bytes", 0));
+    value.header_timeout = reader.milliseconds("header_timeout_ms");
+    value.idle_timeout = reader.milliseconds("idle_timeout_ms");
+    value.origin = section.origin;
+    m_state.limits.emplace(section.name, std::move(value));
+}
+
 void state_builder::read_move(const merged_section& section) {
     const section_reader reader(section, m_problems);
     move value;
--- a/src/config/validator.cpp
+++ b/src/config/validator.cpp
@@ -37,6 +37,9 @@
             check_move(name, value);
         }
         check_moves_of_one_service();
+        for (const auto& [name, value] : m_state.limits) {
+            check_limits(name, value);
+        }
         return std::move(m_problems);
     }
 
@@ -46,12 +49,20 @@
         check_names(name, value.name);
         check_range("timeout_ms", absl::ToInt64Milliseconds(value.timeout));
         check_range("queue_limit", value.queue_limit);
+        check_range("max_connections", value.max_connections);
+        if (!value.health_path.empty() && !is_valid_path(value.health_path)) {
+            add(result_code::config_bad_value, "health_path", path_rule);
+        }
     }
 
     void check_route(const std::string& name, const route& value) {
         start("route", name, value.origin);
         check_names(name, value.name);
         check_service_reference("service", value.service);
+        check_split(value);
+        if (!value.host.empty() && !is_valid_host(value.host)) {
+            add(result_code::config_bad_value, "host", host_rule);
+        }
         if (!is_valid_path(value.path_prefix)) {
             add(result_code::config_bad_value, "path_prefix", path_rule);
         }
@@ -66,6 +77,44 @@
         if (value.timeout != absl::ZeroDuration()) {
             check_range("timeout_ms", absl::ToInt64Milliseconds(value.timeout));
         }
+        if (value.target_latency != absl::ZeroDuration()) {
+            check_range("target_latency_ms", absl::ToInt64Milliseconds(value.target_latency));
+        }
+        check_range("max_attempts", value.max_attempts);
+        check_range("priority", value.priority);
+    }
+
+    void check_split(const route& value) {
+        if (value.weight_by_service.empty()) {
+            return;
+        }
+        std::int64_t total = 0;
+        for (const auto& [service, weight] : value.weight_by_service) {
+            check_service_reference("split", service);
+            total += weight;
+        }
+        if (!value.weight_by_service.contains(value.service)) {
+            add(result_code::config_bad_value, "split", "must include the route's service");
+        }
+        if (total <= 0) {
+            add(result_code::config_share_without_weight, "split", "at least one service must have a weight above 0");
+        }
+    }
+
+    void check_limits(const std::string& name, const caller_limits& value) {
+        start("limits", name, value.origin);
+        check_names(name, value.name);
+        if (name != caller_limits_name) {
+            add(result_code::config_bad_name, "", fmt::format("the only section is [limits {}]", caller_limits_name));
+        }
+        check_range("max_header_bytes", static_cast<std::int64_t>(value.max_header_bytes));
+        check_range("max_body_bytes", static_cast<std::int64_t>(value.max_body_bytes));
+        if (value.header_timeout != absl::ZeroDuration()) {
+            check_range("header_timeout_ms", absl::ToInt64Milliseconds(value.header_timeout));
+        }
+        if (value.idle_timeout != absl::ZeroDuration()) {
+            check_range("idle_timeout_ms", absl::ToInt64Milliseconds(value.idle_timeout));
+        }
     }
 
     static bool overlap(const route& left, const route& right) {
@@ -76,9 +125,9 @@
     }
 
     void check_ambiguous_routes() {
-        std::unordered_map<std::string_view, std::vector<const route*>> by_prefix;
+        std::unordered_map<std::string, std::vector<const route*>> by_prefix;
         for (const auto& [name, value] : m_state.routes) {
-            std::vector<const route*>& others = by_prefix[value.path_prefix];
+            std::vector<const route*>& others = by_prefix[value.host + value.path_prefix];
             for (const route* other : others) {
                 if (overlap(*other, value)) {
                     start("route", name, value.origin);
--- a/src/daemon/announced_upstreams.cpp
+++ b/src/daemon/announced_upstreams.cpp
@@ -4,15 +4,28 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <utility>
 
 namespace amaranthladder {
 
+namespace {
+
+/// Announcements are delayed by some seconds at the most.
+constexpr absl::Duration ended_retention = absl::Minutes(2);
+
+} // namespace
+
 announced_upstreams::announced_upstreams(std::string data_center, absl::Duration timeout)
     : m_chart(state_chart::embedded("upstream")), m_data_center(std::move(data_center)), m_timeout(timeout) {}
 
-bool announced_upstreams::announce(const upstream_announcement& announced, absl::Time now) {
-    require_free_address(announced);
+announced_upstreams::change announced_upstreams::announce(const upstream_announcement& announced, absl::Time now) {
+    if (is_outdated(announced)) {
+        return {};
+    }
+    change result;
+    result.replaced = release_address(announced, now);
+    m_ended.erase(announced.id);
     auto [found, is_new] = m_entries.try_emplace(announced.id);
     entry& known = found->second;
     if (is_new) {
@@ -22,10 +35,22 @@
     step(known, announced.is_leaving || m_are_all_leaving ? "leaving" : "announced");
     upstream_announcement comparable = announced;
     comparable.load = known.announced.load;
-    const bool is_changed = is_new || known.state != state_before || !(comparable == known.announced);
+    comparable.sequence = known.announced.sequence;
+    comparable.warm_up_left = known.announced.warm_up_left;
+    result.is_changed = is_new || known.state != state_before || !(comparable == known.announced);
     known.announced = announced;
     known.last_heard = now;
-    return is_changed;
+    return result;
+}
+
+bool announced_upstreams::withdraw(const std::string& id, absl::Time now) {
+    if (m_entries.contains(id)) {
+        forget(id, now);
+        return true;
+    }
+    // A daemon that was restarted may hear of an upstream's end before its delayed announcements.
+    m_ended.try_emplace(id, ended_upstream{{now, 0}, now});
+    return false;
 }
 
 std::vector<std::string> announced_upstreams::expire(absl::Time now) {
@@ -37,6 +62,7 @@
     }
     for (const auto& id : gone) {
         step(m_entries.at(id), "silent");
+        // It may only be slow: unlike one that said it has ended, it may announce itself again.
         m_entries.erase(id);
     }
     return gone;
@@ -63,13 +89,50 @@
     return result;
 }
 
-void announced_upstreams::require_free_address(const upstream_announcement& announced) const {
+announced_upstreams::position announced_upstreams::position_of(const upstream_announcement& announced) {
+    return {announced.started_at, announced.sequence};
+}
+
+bool announced_upstreams::is_outdated(const upstream_announcement& announced) const {
+    if (announced.sequence == 0) {
+        return false;
+    }
+    if (const auto known = m_entries.find(announced.id); known != m_entries.end()) {
+        return position_of(announced) < position_of(known->second.announced);
+    }
+    if (const auto ended = m_ended.find(announced.id); ended != m_ended.end()) {
+        // An upstream that ended announces itself again only after another start.
+        return announced.started_at <= ended->second.last.started_at;
+    }
+    return std::ranges::any_of(m_entries, [&](const auto& entry) {
+        return entry.second.announced.address == announced.address &&
+               announced.started_at < entry.second.announced.started_at;
+    });
+}
+
+std::vector<std::string> announced_upstreams::release_address(const upstream_announcement& announced, absl::Time now) {
+    std::vector<std::string> replaced;
     for (const auto& [id, known] : m_entries) {
-        if (id != announced.id && known.announced.address == announced.address) {
+        if (id == announced.id || known.announced.address != announced.address) {
+            continue;
+        }
+        if (announced.started_at <= known.announced.started_at) {
             throw error(result_code::announcement_conflict,
                         fmt::format("{} is the address of {}", to_string(announced.address), id));
         }
+        replaced.push_back(id);
+    }
+    for (const std::string& id : replaced) {
+        forget(id, now);
     }
+    return replaced;
+}
+
+void announced_upstreams::forget(const std::string& id, absl::Time now) {
+    const auto known = m_entries.find(id);
+    m_ended[id] = {position_of(known->second.announced), now};
+    m_entries.erase(known);
+    std::erase_if(m_ended, [now](const auto& ended) { return now - ended.second.ended_at > ended_retention; });
 }
 
 void announced_upstreams::step(entry& changed, const std::string& event) const {
--- a/src/daemon/announced_upstreams.h
+++ b/src/daemon/announced_upstreams.h
@@ -28,10 +28,21 @@
     /// @param timeout silence after which an upstream is gone.
     announced_upstreams(std::string data_center, absl::Duration timeout);
 
-    /// Takes an announcement.
-    /// @return true if it changes the record that other daemons need.
-    /// @throws error with result_code::announcement_conflict if another upstream holds the same address.
-    bool announce(const upstream_announcement& announced, absl::Time now);
+    /// What an announcement changed.
+    struct change {
+        bool is_changed = false;           ///< The record that other daemons need has changed.
+        std::vector<std::string> replaced; ///< Ids of upstreams that had the address before; they are forgotten.
+    };
+
+    /// Takes an announcement. One that is older than what is known, by the upstream's start and its sequence, changes
+    /// nothing: it was delayed on its way.
+    /// @throws error with result_code::announcement_conflict if another upstream holds the same address and neither
+    ///         started later.
+    change announce(const upstream_announcement& announced, absl::Time now);
+
+    /// Forgets an upstream that says it has ended. Its announcements that are still on their way are ignored.
+    /// @return true if it was known.
+    bool withdraw(const std::string& id, absl::Time now);
 
     /// @return ids of upstreams that were silent for too long; they are forgotten.
     std::vector<std::string> expire(absl::Time now);
@@ -48,7 +59,20 @@
     }
 
 private:
-    void require_free_address(const upstream_announcement& announced) const;
+    /// Which announcement of an upstream an other one follows.
+    struct position {
+        absl::Time started_at;
+        std::uint64_t sequence = 0;
+
+        bool operator<(const position& other) const {
+            return started_at != other.started_at ? started_at < other.started_at : sequence < other.sequence;
+        }
+    };
+
+    static position position_of(const upstream_announcement& announced);
+    bool is_outdated(const upstream_announcement& announced) const;
+    std::vector<std::string> release_address(const upstream_announcement& announced, absl::Time now);
+    void forget(const std::string& id, absl::Time now);
     void step(entry& changed, const std::string& event) const;
 
     state_chart m_chart;
@@ -56,6 +80,11 @@
     absl::Duration m_timeout;
     bool m_are_all_leaving = false;
     std::map<std::string, entry> m_entries;
+    struct ended_upstream {
+        position last;
+        absl::Time ended_at;
+    };
+    std::map<std::string, ended_upstream> m_ended; ///< Upstreams that ended or were replaced.
 };
 
 } // namespace amaranthladder
--- a/src/daemon/component_settings.cpp
+++ b/src/daemon/component_settings.cpp
@@ -11,6 +11,8 @@
     options.mesh = settings.daemon.mesh;
     options.worker = settings.daemon.worker;
     options.listen_address = settings.listen.requests;
+    options.owner_address = settings.listen.owner;
+    options.caller_service = settings.daemon.service;
     options.max_connections = static_cast<std::size_t>(settings.requests.max_connections);
     options.max_header_bytes = settings.requests.max_header_bytes;
     options.body_buffer_bytes = settings.requests.body_buffer_bytes;
@@ -25,8 +27,17 @@
     return options;
 }
 
-router_settings make_router_settings(const daemon_settings& settings) {
+proxy_options make_proxy_options(const daemon_settings& settings, const platform_interface* platform) {
+    proxy_options options = make_proxy_options(settings);
+    if (platform != nullptr) {
+        options.headers = platform->headers;
+    }
+    return options;
+}
+
+router_settings make_router_settings(const daemon_settings& settings, bool is_ordered) {
     router_settings result;
+    result.holds_new_versions = is_ordered;
     result.data_center = settings.daemon.data_center;
     result.policy.warming.period = settings.requests.warm_up;
     return result;
--- a/src/daemon/component_settings.h
+++ b/src/daemon/component_settings.h
@@ -2,6 +2,7 @@
 
 #include "common/endpoint.h"
 #include "common/event_log.h"
+#include "daemon/platform_interface.h"
 #include "http/proxy_options.h"
 #include "peers/peer_settings.h"
 #include "routing/retry_budget.h"
@@ -14,7 +15,11 @@
 /// @{
 event_log_options make_log_options(const daemon_settings& settings);
 proxy_options make_proxy_options(const daemon_settings& settings);
-router_settings make_router_settings(const daemon_settings& settings);
+
+/// As make_proxy_options(settings), with the names and limits of a platform, if there is one.
+proxy_options make_proxy_options(const daemon_settings& settings, const platform_interface* platform);
+/// @param is_ordered versions get requests only by orders, not by being announced.
+router_settings make_router_settings(const daemon_settings& settings, bool is_ordered = false);
 retry_budget_policy make_retry_budget(const daemon_settings& settings);
 
 /// @param http_address address of the data path, which other daemons send requests to.
--- a/src/daemon/configuration_keeper.cpp
+++ b/src/daemon/configuration_keeper.cpp
@@ -24,6 +24,11 @@
     }
 }
 
+pull_outcome configuration_keeper::offer(std::shared_ptr<const snapshot> offered) {
+    const absl::MutexLock applying(&m_apply_mutex);
+    return finish(m_holder.offer(std::move(offered)));
+}
+
 std::string configuration_keeper::update_since(const configuration_digest& held) const {
     std::shared_ptr<const snapshot> base;
     std::shared_ptr<const snapshot> target;
--- a/src/daemon/configuration_keeper.h
+++ b/src/daemon/configuration_keeper.h
@@ -34,6 +34,9 @@
     /// Applies canonical bytes, as the store holds them.
     pull_outcome offer_whole(std::string_view bytes, std::string_view hash);
 
+    /// Applies a configuration that an adapter has translated.
+    pull_outcome offer(std::shared_ptr<const snapshot> offered);
+
     /// @param held what the peer holds.
     /// @return the update from there, or empty bytes if nothing newer is in force.
     std::string update_since(const configuration_digest& held) const;
--- a/src/daemon/main/main.cpp
+++ b/src/daemon/main/main.cpp
@@ -1,12 +1,16 @@
 #include "common/error.h"
 #include "daemon/mesh_daemon.h"
+#include "platform/adapter.h"
 #include "settings/daemon_settings.h"
 
 #include <boost/program_options.hpp>
 
+#include <fmt/format.h>
+
 #include <atomic>
 #include <csignal>
 #include <iostream>
+#include <optional>
 #include <string>
 #include <thread>
 
@@ -26,7 +30,12 @@
     constexpr timespec poll_interval{0, 50'000'000};
     bool is_draining = false;
     while (!is_ended) {
-        if (sigtimedwait(&signals, nullptr, &poll_interval) < 0) {
+        const int received = sigtimedwait(&signals, nullptr, &poll_interval);
+        if (received < 0) {
+            continue;
+        }
+        if (received == SIGHUP) {
+            served.note_reload();
             continue;
         }
         if (is_draining) {
@@ -38,15 +47,28 @@
     }
 }
 
+/// @return the adapter that the settings name, or nothing for the project's own interface.
+std::optional<platform_interface> make_platform(const daemon_settings& settings) {
+    if (settings.platform.interface == "own") {
+        return std::nullopt;
+    }
+    if (settings.platform.interface != platform::interface_name) {
+        throw error(result_code::setting_bad_value,
+                    fmt::format("[platform] interface: '{}' is unknown", settings.platform.interface));
+    }
+    return platform::make_adapter(settings);
+}
+
 int serve(const daemon_settings& settings) {
     sigset_t signals;
     sigemptyset(&signals);
     sigaddset(&signals, SIGTERM);
     sigaddset(&signals, SIGINT);
+    sigaddset(&signals, SIGHUP);
     // Blocked before any thread starts, so that only handle_signals takes them.
     pthread_sigmask(SIG_BLOCK, &signals, nullptr);
     std::signal(SIGPIPE, SIG_IGN);
-    mesh_daemon served(settings);
+    mesh_daemon served(settings, make_platform(settings));
     const daemon_addresses addresses = served.addresses();
     std::cout << "requests=" << to_string(addresses.requests) << " control=" << to_string(addresses.control)
               << " peers=" << to_string(addresses.peers) << std::endl;
--- a/src/daemon/mesh_daemon.cpp
+++ b/src/daemon/mesh_daemon.cpp
@@ -8,6 +8,7 @@
 #include "daemon/configuration_keeper.h"
 #include "daemon/control_server.h"
 #include "daemon/move_service.h"
+#include "daemon/order_service.h"
 #include "daemon/report_collector.h"
 #include "daemon/seat_record.h"
 #include "daemon/status_text.h"
@@ -19,6 +20,7 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <atomic>
 #include <functional>
 #include <iterator>
@@ -37,7 +39,31 @@
 /// all daemons in about this time; until then they still send requests here.
 constexpr absl::Duration leave_notice = absl::Seconds(3);
 
+/// Time that the old version's last requests and the report of an order need before its deadline.
+constexpr absl::Duration order_margin = absl::Milliseconds(2500);
+/// Key prefix of records by which an owner says that its upstream of an old version is idle.
+constexpr std::string_view idle_key_prefix = "idle/";
+
+std::string idle_key(const move_order& order, const std::string& upstream_id) {
+    return fmt::format("{}{}/{}/{}", idle_key_prefix, order.service, order.introduced_in, upstream_id);
+}
+
+std::string merge_orders(const std::string& held, const std::string& heard) {
+    try {
+        const move_order heard_order = move_order::decode(heard);
+        return held.empty() ? heard : merge(move_order::decode(held), heard_order).encode();
+    } catch (const error&) {
+        return held;
+    }
+}
+
 std::string merge_records(const std::string& key, const std::string& held, const std::string& heard) {
+    if (key.starts_with(order_key_prefix)) {
+        return merge_orders(held, heard);
+    }
+    if (key.starts_with(idle_key_prefix)) {
+        return held.empty() ? heard : held;
+    }
     if (key.starts_with(seat_record_prefix)) {
         return merge_seat_records(held, heard);
     }
@@ -54,6 +80,9 @@
     if (record.key.starts_with(seat_record_prefix)) {
         return false;
     }
+    if (record.key.starts_with(order_key_prefix) || record.key.starts_with(idle_key_prefix)) {
+        return true;
+    }
     try {
         return move_record::decode(record.bytes).is_urgent();
     } catch (const error&) {
@@ -65,19 +94,27 @@
 
 class mesh_daemon::implementation {
 public:
-    explicit implementation(const daemon_settings& settings)
-        : m_settings(settings), m_log(make_log_options(settings)), m_started_at(m_clock.now()),
-          m_announced(settings.daemon.data_center, settings.requests.announcement_timeout),
-          m_report(settings.daemon.worker, m_started_at), m_moves(settings.daemon.worker, m_clock),
+    implementation(const daemon_settings& settings, std::optional<platform_interface> platform)
+        : m_settings(settings), m_platform(std::move(platform)), m_log(make_log_options(settings)),
+          m_started_at(m_clock.now()), m_announced(settings.daemon.data_center, settings.requests.announcement_timeout),
+          m_report(settings.daemon.worker, m_started_at), m_orders(order_margin),
+          m_moves(settings.daemon.worker, m_clock),
           m_keeper([this](const std::shared_ptr<const snapshot>& applied) { on_applied(applied); }),
-          m_proxy(make_proxy_options(settings), make_router_settings(settings), make_retry_budget(settings), m_clock,
-                  m_log, [this](const owned_call& call) { m_moves.observe(call); }),
-          m_peers(make_peer_settings(settings, m_proxy.address()), {merge_records, nullptr, is_urgent_record},
+          m_proxy(make_proxy_options(settings, m_platform ? &*m_platform : nullptr),
+                  make_router_settings(settings, m_platform.has_value()), make_retry_budget(settings), m_clock, m_log,
+                  [this](const owned_call& call) { m_moves.observe(call); }),
+          m_peers(make_peer_settings(settings, m_proxy.owner_address()), {merge_records, nullptr, is_urgent_record},
                   make_callbacks()) {
         m_peers.start();
-        const std::string holder = fmt::format("{}-{}", settings.daemon.worker, absl::ToUnixMillis(m_started_at));
-        m_store = std::make_unique<store_follower>(settings.store, settings.daemon, holder, make_store_peers(),
-                                                   m_keeper, m_clock, m_log);
+        if (m_platform) {
+            m_peers.add_contacts(m_platform->seeds);
+            serve_platform();
+            m_store = m_platform->connect_store(make_intent_peers(), m_clock, m_log);
+        } else {
+            const std::string holder = fmt::format("{}-{}", settings.daemon.worker, absl::ToUnixMillis(m_started_at));
+            m_store = std::make_unique<store_follower>(settings.store, settings.daemon, holder, make_store_peers(),
+                                                       m_keeper, m_clock, m_log);
+        }
         m_control = std::make_unique<control_server>(settings.listen.control, make_handlers());
         m_control_loop = std::thread([this] { run_control_loop(); });
         m_log.info(fmt::format("daemon-started mesh={} worker={} data_center={} requests={} control={} peers={}",
@@ -119,7 +156,13 @@
         for (const auto& [id, known] : m_announced.entries()) {
             spread(id);
         }
-        m_drain_at = m_clock.now() + (m_announced.entries().empty() ? absl::ZeroDuration() : leave_notice);
+        // A platform's callers take a while to notice that this daemon is not ready any more.
+        const bool is_noticed_at_once = m_announced.entries().empty() && !m_platform;
+        m_drain_at = m_clock.now() + (is_noticed_at_once ? absl::ZeroDuration() : leave_notice);
+    }
+
+    void note_reload() {
+        m_log.info("settings-changed effect=next-start");
     }
 
 private:
@@ -162,6 +205,80 @@
         return peers;
     }
 
+    intent_link_peers make_intent_peers() {
+        intent_link_peers peers;
+        peers.self = m_peers.address();
+        peers.apply = [this](const std::shared_ptr<const snapshot>& offered) {
+            if (m_keeper.offer(offered) != pull_outcome::applied) {
+                const auto refusal = m_keeper.last_refusal();
+                m_log.error(fmt::format("configuration-refused version={} reason=\"{}\"", offered->version(),
+                                        refusal ? refusal->detail : ""));
+            }
+        };
+        peers.take_order = [this](const move_order& order) { take_order(order); };
+        peers.due_reports = [this] { return m_orders.due_reports(m_clock.now()); };
+        peers.add_contacts = [this](const std::vector<endpoint>& contacts) { m_peers.add_contacts(contacts); };
+        peers.has_peers = [this] { return m_peers.members(member_state::alive).size() > 1; };
+        return peers;
+    }
+
+    void serve_platform() {
+        const auto answer = [this](const control_request& request) {
+            const control_reply reply = m_platform->answer(request, m_actions);
+            if (reply.status >= 400 && !request.body.empty()) {
+                m_log.warning(fmt::format("announcement-refused target={} status={} reason={}", request.target,
+                                          reply.status, reply.body));
+            }
+            return reply;
+        };
+        m_actions.is_ready = [this] { return !m_is_draining && m_keeper.current() != nullptr; };
+        m_actions.announce = [this](const upstream_announcement& announced) { announce(announced); };
+        m_actions.withdraw = [this](const std::string& id) { withdraw(id); };
+        for (const endpoint& address : {m_settings.listen.readiness, m_settings.listen.announcements}) {
+            if (!address.address.empty()) {
+                m_proxy.serve_control(address, answer);
+            }
+        }
+    }
+
+    /// Takes an order from the store or from a peer, and tells the others of what changed.
+    void take_order(const move_order& order) {
+        const std::optional<move_order> changed = m_orders.merge(order);
+        if (!changed) {
+            return;
+        }
+        m_log.info(fmt::format("order service={} to={} introduced_in={} deadline_in_ms={} reported={}",
+                               changed->service, changed->to_version, changed->introduced_in,
+                               absl::ToInt64Milliseconds(changed->deadline - m_clock.now()), name(changed->reported)));
+        m_peers.put_opaque({std::string(order_key_prefix) + changed->service, changed->encode()});
+        update_moves();
+    }
+
+    void update_moves() {
+        std::map<std::string, move> moves = m_orders.moves();
+        if (const auto configuration = m_keeper.current()) {
+            moves.insert(configuration->state().moves.begin(), configuration->state().moves.end());
+        }
+        m_moves.set_moves(moves);
+    }
+
+    void withdraw(const std::string& id) {
+        const absl::MutexLock lock(&m_mutex);
+        if (m_announced.withdraw(id, m_clock.now())) {
+            forget(id, "withdrawn");
+        }
+    }
+
+    /// Takes no more requests for an upstream beside this daemon.
+    void forget(const std::string& id, std::string_view reason) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex) {
+        m_peers.withdraw_upstream(id);
+        m_proxy.remove_local_upstream(id);
+        m_refused_upstreams.erase(id);
+        m_superseded.erase(id);
+        m_log.warning(fmt::format("upstream-gone upstream={} reason={}", id, reason));
+        m_are_upstreams_changed = true;
+    }
+
     std::vector<month_record> new_records() {
         const std::uint64_t bytes = control_bytes(m_peers.counters());
         const std::vector<move_status> moves = m_moves.statuses();
@@ -194,7 +311,7 @@
     void on_applied(const std::shared_ptr<const snapshot>& applied) {
         // Shares the snapshot's lifetime.
         m_proxy.set_configuration({applied, &applied->state()});
-        m_moves.set_moves(applied->state().moves);
+        update_moves();
         m_peers.set_configuration({applied->version(), applied->hash()});
         const absl::Time now = m_clock.now();
         m_log.info(fmt::format("configuration-applied version={} hash={} publish_id={} after_ms={}", applied->version(),
@@ -202,7 +319,10 @@
                                absl::ToInt64Milliseconds(now - applied->publish_time())));
         const absl::MutexLock lock(&m_mutex);
         m_applied_at = now;
-        m_report.note_convergence(now - applied->publish_time());
+        // A platform's operators do not state when they published.
+        if (applied->publish_time() != absl::UnixEpoch()) {
+            m_report.note_convergence(now - applied->publish_time());
+        }
         m_are_upstreams_changed = true;
     }
 
@@ -229,6 +349,15 @@
             return;
         }
         try {
+            if (record.key.starts_with(order_key_prefix)) {
+                take_order(move_order::decode(record.bytes));
+                return;
+            }
+            if (record.key.starts_with(idle_key_prefix)) {
+                const move_order order = move_order::decode(record.bytes);
+                m_orders.note_idle(order.service, order.introduced_in, record.key.substr(record.key.rfind('/') + 1));
+                return;
+            }
             m_moves.merge_remote(move_record::decode(record.bytes));
         } catch (const error& problem) {
             m_log.warning(fmt::format("move-record-refused key={} reason=\"{}\"", record.key, problem.what()));
@@ -237,7 +366,11 @@
 
     void announce(const upstream_announcement& announced) {
         const absl::MutexLock lock(&m_mutex);
-        if (m_announced.announce(announced, m_clock.now())) {
+        const announced_upstreams::change changed = m_announced.announce(announced, m_clock.now());
+        for (const std::string& id : changed.replaced) {
+            forget(id, "replaced");
+        }
+        if (changed.is_changed) {
             spread(announced.id);
             m_moves.set_upstream(announced.service, announced.version);
         }
@@ -245,7 +378,9 @@
 
     /// Tells the data path and the other daemons of an upstream beside this daemon.
     void spread(const std::string& id) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex) {
-        const upstream_record spread_record = m_peers.announce_upstream(m_announced.record(id));
+        upstream_record announced = m_announced.record(id);
+        announced.is_leaving = announced.is_leaving || m_superseded.contains(id);
+        const upstream_record spread_record = m_peers.announce_upstream(announced);
         m_proxy.set_local_upstream(spread_record, queue_limit(spread_record.service));
         m_log.info(fmt::format("placement upstream={} service={} version={} address={} slots={} leaving={}", id,
                                spread_record.service, spread_record.version, to_string(spread_record.address),
@@ -277,11 +412,17 @@
             m_peers.put_opaque({changed.key(), changed.encode()});
         }
         auto overrides = m_moves.share_override();
+        for (const auto& [service, shares] : m_orders.final_shares()) {
+            overrides[service] = shares;
+        }
         if (overrides != m_overrides) {
             m_overrides = overrides;
             m_proxy.set_share_overrides(std::move(overrides));
         }
         refuse_taken_back_versions();
+        if (m_platform) {
+            follow_orders();
+        }
         bool are_upstreams_changed = false;
         bool is_drain_due = false;
         {
@@ -300,6 +441,57 @@
         }
     }
 
+    void follow_orders() {
+        std::vector<upstream_record> upstreams;
+        for (const upstream_record& one : m_peers.upstreams()) {
+            if (!one.is_withdrawn && is_living_owner(one.owner)) {
+                upstreams.push_back(one);
+            }
+        }
+        m_orders.follow(m_moves.statuses(), upstreams, reporting_turn(), m_clock.now());
+        supersede_old_versions();
+    }
+
+    bool is_living_owner(const endpoint& owner) const {
+        return std::ranges::any_of(m_peers.members(member_state::alive),
+                                   [&](const member& one) { return one.http_address == owner; });
+    }
+
+    /// @return how many living daemons report the outcome of an order before this one.
+    int reporting_turn() const {
+        return static_cast<int>(std::ranges::count_if(
+            m_peers.members(member_state::alive), [&](const member& one) { return one.address < m_peers.address(); }));
+    }
+
+    /// Takes no more requests for an upstream whose version is replaced, and tells the others once it is idle.
+    void supersede_old_versions() {
+        const absl::MutexLock lock(&m_mutex);
+        for (const auto& [id, known] : m_announced.entries()) {
+            const auto order = m_orders.superseding(known.announced.service, known.announced.version);
+            if (order.has_value() != m_superseded.contains(id)) {
+                m_log.info(fmt::format("placement upstream={} version={} superseded={}", id, known.announced.version,
+                                       order.has_value()));
+                if (order) {
+                    m_superseded.insert(id);
+                } else {
+                    m_superseded.erase(id);
+                }
+                spread(id);
+            }
+            if (order) {
+                m_proxy.query_load(id, [this, id = id, order = *order](int load) { note_load(id, order, load); });
+            }
+        }
+    }
+
+    /// Called on the event loop's thread with the load of a superseded upstream.
+    void note_load(const std::string& id, const move_order& order, int load) {
+        if (load == 0 && m_orders.note_idle(order.service, order.introduced_in, id)) {
+            m_log.info(fmt::format("upstream-idle upstream={} order={}", id, order.introduced_in));
+            m_peers.put_opaque({idle_key(order, id), order.encode()});
+        }
+    }
+
     /// Stops the requests of entries that do not know yet that the version beside this daemon was taken back.
     void refuse_taken_back_versions() {
         const absl::MutexLock lock(&m_mutex);
@@ -332,11 +524,7 @@
     void expire_announcements() {
         const absl::MutexLock lock(&m_mutex);
         for (const auto& id : m_announced.expire(m_clock.now())) {
-            m_peers.withdraw_upstream(id);
-            m_proxy.remove_local_upstream(id);
-            m_refused_upstreams.erase(id);
-            m_log.warning(fmt::format("upstream-silent upstream={}", id));
-            m_are_upstreams_changed = true;
+            forget(id, "silent");
         }
     }
 
@@ -401,6 +589,8 @@
     }
 
     const daemon_settings m_settings;
+    std::optional<platform_interface> m_platform;
+    control_actions m_actions;
     event_log m_log;
     steady_clock m_clock;
     absl::Time m_started_at;
@@ -415,18 +605,21 @@
     std::set<std::string> m_refused_upstreams ABSL_GUARDED_BY(m_mutex); ///< Ids whose version was taken back.
     std::optional<absl::Time> m_drain_at ABSL_GUARDED_BY(m_mutex);
 
+    std::set<std::string> m_superseded ABSL_GUARDED_BY(m_mutex); ///< Ids whose version an order has replaced.
+
+    order_service m_orders;
     move_service m_moves;
     share_overrides m_overrides; ///< Used by the control loop's thread only.
     configuration_keeper m_keeper;
     request_proxy m_proxy;
     peer_server m_peers;
-    std::unique_ptr<store_follower> m_store;
+    std::unique_ptr<store_link> m_store;
     std::unique_ptr<control_server> m_control;
     std::thread m_control_loop;
 };
 
-mesh_daemon::mesh_daemon(const daemon_settings& settings)
-    : m_implementation(std::make_unique<implementation>(settings)) {}
+mesh_daemon::mesh_daemon(const daemon_settings& settings, std::optional<platform_interface> platform)
+    : m_implementation(std::make_unique<implementation>(settings, std::move(platform))) {}
 
 mesh_daemon::~mesh_daemon() = default;
 
@@ -438,6 +631,10 @@
     m_implementation->run();
 }
 
+void mesh_daemon::note_reload() {
+    m_implementation->note_reload();
+}
+
 void mesh_daemon::drain() {
     m_implementation->drain();
 }
--- /dev/null
+++ b/src/daemon/order_service.cpp
@@ -0,0 +1,94 @@
+#include "daemon/order_service.h"
+
+#include "moves/move_policy.h"
+
+#include <algorithm>
+
+namespace amaranthladder {
+
+order_service::order_service(absl::Duration margin) : m_board(margin) {}
+
+std::optional<move_order> order_service::merge(const move_order& order) {
+    const absl::MutexLock lock(&m_mutex);
+    return m_board.merge(order);
+}
+
+std::map<std::string, move> order_service::moves() const {
+    const absl::MutexLock lock(&m_mutex);
+    return m_board.moves();
+}
+
+std::map<std::string, std::map<std::string, double>> order_service::final_shares() const {
+    const absl::MutexLock lock(&m_mutex);
+    return m_board.final_shares();
+}
+
+bool order_service::note_idle(const std::string& service, std::uint64_t order, const std::string& upstream_id) {
+    const absl::MutexLock lock(&m_mutex);
+    return m_idle[{service, order}].insert(upstream_id).second;
+}
+
+void order_service::follow(const std::vector<move_status>& statuses, const std::vector<upstream_record>& upstreams,
+                           int turn, absl::Time now) {
+    const absl::MutexLock lock(&m_mutex);
+    for (const auto& [service, order] : m_board.orders()) {
+        if (order.is_final()) {
+            m_progress.erase(service);
+            continue;
+        }
+        const auto status = std::ranges::find_if(statuses, [&order = order](const move_status& one) {
+            return one.service == order.service && one.identity.introduced_in == order.introduced_in;
+        });
+        if (status == statuses.end()) {
+            continue;
+        }
+        progress& known = m_progress[service];
+        known.facts.turn = turn;
+        known.facts.is_rolled_back = status->verdict == move_verdict::rolled_back;
+        const bool is_whole = status->share >= 1;
+        known.facts.whole_since = is_whole ? std::min(known.facts.whole_since, now) : absl::InfiniteFuture();
+        known.facts.are_old_idle = is_whole && are_old_idle(order, upstreams);
+        const order_report outcome = outcome_of(order, known.facts, now);
+        if (outcome != known.outcome) {
+            known.outcome = outcome;
+            known.facts.outcome_since = now;
+        }
+    }
+}
+
+bool order_service::are_old_idle(const move_order& order, const std::vector<upstream_record>& upstreams) const {
+    const auto idle = m_idle.find({order.service, order.introduced_in});
+    return std::ranges::all_of(upstreams, [&](const upstream_record& one) {
+        return one.service != order.service || one.version == order.to_version ||
+               (idle != m_idle.end() && idle->second.contains(one.id));
+    });
+}
+
+std::optional<move_order> order_service::superseding(const std::string& service, const std::string& version) const {
+    const absl::MutexLock lock(&m_mutex);
+    const auto order = m_board.orders().find(service);
+    if (order == m_board.orders().end() || order->second.to_version == version) {
+        return std::nullopt;
+    }
+    if (order->second.reported == order_report::completed) {
+        return order->second;
+    }
+    const auto known = m_progress.find(service);
+    const bool is_whole = known != m_progress.end() && known->second.facts.whole_since < absl::InfiniteFuture();
+    return is_whole ? std::optional(order->second) : std::nullopt;
+}
+
+std::vector<move_order> order_service::due_reports(absl::Time now) const {
+    const absl::MutexLock lock(&m_mutex);
+    std::vector<move_order> due;
+    for (const auto& [service, known] : m_progress) {
+        move_order order = m_board.orders().at(service);
+        if (is_report_due(order, known.outcome, known.facts, now)) {
+            order.reported = known.outcome;
+            due.push_back(std::move(order));
+        }
+    }
+    return due;
+}
+
+} // namespace amaranthladder
--- a/src/daemon/status_text.cpp
+++ b/src/daemon/status_text.cpp
@@ -213,7 +213,8 @@
                         {"route", shown.name},
                         {"path_prefix", shown.path_prefix},
                         {"service", shown.service},
-                        {"idempotent", shown.is_idempotent},
+                        {"host", shown.host},
+                        {"kind", std::string(name(shown.kind))},
                         {"origin", origin_json(shown.origin)}};
     result["methods"] = json::value_from(shown.methods);
     if (const auto service = state.services.find(shown.service); service != state.services.end()) {
--- a/src/daemon/store_follower.h
+++ b/src/daemon/store_follower.h
@@ -3,6 +3,7 @@
 #include "common/event_log.h"
 #include "common/steady_clock.h"
 #include "daemon/configuration_keeper.h"
+#include "daemon/store_link.h"
 #include "report/month_record.h"
 #include "report/month_table.h"
 #include "report/report_recorder.h"
@@ -24,13 +25,6 @@
 
 namespace amaranthladder {
 
-/// What a daemon knows of the store's availability.
-struct store_status {
-    std::optional<absl::Time> unreachable_since; ///< Empty while the last call was answered.
-    std::uint64_t calls = 0;
-    bool is_watching = false; ///< This daemon holds a seat and watches the head.
-};
-
 /// What the follower asks of the rest of the daemon.
 struct store_follower_peers {
     /// @return true if a living daemon other than this one holds the seat.
@@ -49,7 +43,7 @@
 ///
 /// Only a holder of one of the data centre's seats watches the head; other daemons learn of new versions from their
 /// peers and make no store call. A daemon without a configuration and without peers reads the head itself.
-class store_follower {
+class store_follower : public store_link {
 public:
     /// @param settings address and timeouts.
     /// @param identity the daemon's mesh, whose month records are written, and its data centre, whose seats are taken.
@@ -59,11 +53,11 @@
     store_follower(const daemon_settings::store_section& settings, const daemon_settings::daemon_section& identity,
                    const std::string& holder, store_follower_peers peers, configuration_keeper& keeper,
                    const steady_clock& clock, event_log& log);
-    ~store_follower();
+    ~store_follower() override;
     store_follower(const store_follower&) = delete;
     store_follower& operator=(const store_follower&) = delete;
 
-    store_status status() const;
+    store_status status() const override;
 
 private:
     void run();
--- a/src/daemon/upstream_announcement.h
+++ b/src/daemon/upstream_announcement.h
@@ -2,7 +2,10 @@
 
 #include "common/endpoint.h"
 
+#include <absl/time/time.h>
+
 #include <cstddef>
+#include <cstdint>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -19,6 +22,9 @@
     std::vector<std::string> routes; ///< Routes it can serve; empty: all of its service.
     double load = 0;                 ///< A hint from 0 (idle) upwards; 1 is full.
     bool is_leaving = false;
+    absl::Time started_at = absl::UnixEpoch(); ///< Start of the upstream; orders two that share an id or an address.
+    std::uint64_t sequence = 0;                ///< Grows with each announcement of one start; 0: not stated.
+    absl::Duration warm_up_left;               ///< How much longer the upstream is slow after its start.
 
     friend bool operator==(const upstream_announcement&, const upstream_announcement&) = default;
 };
--- a/src/http/private/caller_session.cpp
+++ b/src/http/private/caller_session.cpp
@@ -10,6 +10,7 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <utility>
 
 namespace amaranthladder {
@@ -29,8 +30,8 @@
 
 } // namespace
 
-caller_session::caller_session(proxy_core& core, asio::ip::tcp::socket socket)
-    : m_core(core), m_stream(std::move(socket)),
+caller_session::caller_session(proxy_core& core, asio::ip::tcp::socket socket, session_role role)
+    : m_core(core), m_role(role), m_stream(std::move(socket)),
       m_buffer(core.options.max_header_bytes + core.options.body_buffer_bytes) {}
 
 asio::awaitable<void> caller_session::run() {
@@ -65,7 +66,9 @@
     if (m_buffer.size() > 0) {
         co_return true;
     }
-    m_stream.expires_after(absl::ToChronoNanoseconds(m_core.options.keep_alive_timeout));
+    const caller_limits* limits = m_role == session_role::daemons ? nullptr : m_core.limits();
+    const absl::Duration idle = limits == nullptr ? absl::ZeroDuration() : limits->idle_timeout;
+    m_stream.expires_after(absl::ToChronoNanoseconds(std::max(idle, m_core.options.keep_alive_timeout)));
     const auto [failure, size] = co_await m_stream.async_read_some(m_buffer.prepare(first_read_bytes), as_result);
     m_buffer.commit(size);
     co_return !failure;
@@ -110,7 +113,7 @@
     request.expects_continue = expects_continue(head);
     std::string problem;
     try {
-        request.info = read_forwarding_headers(head);
+        request.info = read_info(head);
     } catch (const error& failure) {
         problem = failure.what();
     }
@@ -130,6 +133,15 @@
     co_return m_stream.socket().is_open();
 }
 
+forwarding_info caller_session::read_info(const http::request_header<>& head) const {
+    const bool names_upstream = !field_value(head, header::upstream).empty();
+    if (m_role == session_role::daemons && !names_upstream) {
+        throw error(result_code::request_malformed, "the request names no upstream");
+    }
+    return names_upstream && m_role != session_role::callers ? read_forwarding_headers(head)
+                                                             : read_caller_headers(head, m_core.options.headers);
+}
+
 asio::awaitable<serve_result> caller_session::serve_as_entry(served_request& request) {
     if (request.info.request_id.empty()) {
         request.info.request_id = make_request_id();
@@ -178,7 +190,7 @@
         co_return co_await write_refusal(request, result_code::no_upstream, execution::not_run, request.info.upstream);
     }
     const absl::Time deadline = m_received_at + request.info.time_left.value_or(m_core.options.default_timeout);
-    owner_call call(m_core, *upstream, request, request.info.route, may_run_twice(request), deadline);
+    owner_call call(m_core, *upstream, request, request.info.route, request.info.is_repeatable, deadline);
     std::optional<disconnect_watch> watch;
     if (request.body.is_whole()) {
         watch.emplace(m_stream, [&call] { call.abandon(); });
@@ -186,12 +198,6 @@
     co_return co_await answer_as_owner(request, call);
 }
 
-bool caller_session::may_run_twice(const served_request& request) const {
-    const auto found = m_core.state->routes.find(request.info.route);
-    return retry_policy::is_idempotent_method(request.method()) ||
-           (found != m_core.state->routes.end() && found->second.is_idempotent);
-}
-
 asio::awaitable<serve_result> caller_session::answer_as_owner(served_request& request, owner_call& call) {
     const exchange_start started = co_await call.open();
     relay_result relayed{started.code, false};
@@ -206,6 +212,7 @@
     if (relayed.code == result_code::ok || relayed.has_begun || relayed.code == result_code::caller_disconnected) {
         co_return serve_result{relayed.code, 0};
     }
+    request.has_reached_upstream = call.has_reached_upstream();
     co_return co_await write_refusal(request, relayed.code, request_execution, request.info.upstream);
 }
 
--- a/src/http/private/entry_call.cpp
+++ b/src/http/private/entry_call.cpp
@@ -4,6 +4,7 @@
 #include "http/private/owner_call.h"
 
 #include <absl/cleanup/cleanup.h>
+#include <absl/random/distributions.h>
 
 #include <fmt/format.h>
 
@@ -17,6 +18,13 @@
 
 /// Owner refusals are small; a longer body is not one of ours.
 constexpr std::size_t max_refusal_bytes = std::size_t{16} * 1024;
+/// Choices of an upstream per request, those included that ended before an upstream saw it.
+constexpr int max_tries = 5;
+/// Time beyond the deadline that an owner has to deliver its own answer, which knows whether the request ran.
+constexpr absl::Duration owner_answer_slack = absl::Milliseconds(30);
+/// Bounds of the time after which a refused caller may come back.
+constexpr absl::Duration least_retry_after = absl::Milliseconds(50);
+constexpr absl::Duration most_retry_after = absl::Milliseconds(400);
 
 std::optional<double> load_of(const http::fields& fields) {
     const std::string_view text = field_value(fields, header::load);
@@ -44,8 +52,13 @@
 
 asio::awaitable<serve_result> entry_call::serve() {
     ++m_core.counters.entry_requests;
+    if (!m_core.has_configuration) {
+        co_return co_await refuse(result_code::no_configuration, execution::not_run, "");
+    }
     const auto path = m_request.head.target();
-    const route_match found = m_core.requests.match(m_request.method(), {path.data(), path.size()});
+    const auto host = m_request.head[http::field::host];
+    const route_match found =
+        m_core.requests.match({host.data(), host.size()}, m_request.method(), {path.data(), path.size()});
     if (found.refusal != result_code::ok) {
         co_return co_await refuse(found.refusal, execution::not_run,
                                   fmt::format("{} {}", m_request.method(), std::string_view(path.data(), path.size())));
@@ -61,11 +74,16 @@
 }
 
 asio::awaitable<serve_result> entry_call::serve_route(const route& target) {
+    m_service = choose_service(target);
     m_deadline = deadline_of(target);
-    m_core.budget.on_request(target.service, m_core.clock.now());
+    m_core.budget.on_request(m_service, m_core.clock.now());
+    m_request.info.caller_service = m_core.options.caller_service;
+    m_request.info.is_repeatable = is_idempotent(target);
+    m_request.info.priority = target.priority;
     request_facts facts;
     facts.is_idempotent = is_idempotent(target);
     facts.deadline = m_deadline;
+    facts.service = m_service;
     attempt_end last;
     last.code = result_code::no_upstream;
     int attempts = 0;
@@ -82,6 +100,7 @@
         m_core.requests.on_started(decision.upstream_id, m_core.clock.now());
         last = co_await attempt(target, decision);
         m_core.requests.on_finished(decision.upstream_id, last.outcome, last.latency, last.load, m_core.clock.now());
+        m_sends += last.has_reached ? 1 : 0;
         log_end(decision, last);
         if (last.result) {
             co_return *last.result;
@@ -90,7 +109,7 @@
             m_request.keeps_connection = false;
             co_return serve_result{result_code::caller_disconnected, 0};
         }
-        if (!may_retry(target, last, attempts)) {
+        if (attempts >= max_tries || !may_retry(target, last, std::max(m_sends, 1))) {
             co_return co_await refuse(last.code, last.request_execution, decision.upstream_id);
         }
         ++m_core.counters.retries;
@@ -98,6 +117,11 @@
     }
 }
 
+const std::string& entry_call::choose_service(const route& target) {
+    return target.weight_by_service.empty() ? target.service
+                                            : m_core.splits[target.name].pick(target.weight_by_service);
+}
+
 asio::awaitable<entry_call::attempt_end> entry_call::attempt(const route& target, const routing_decision& decision) {
     const absl::Time started_at = m_core.clock.now();
     attempt_end ended;
@@ -124,7 +148,9 @@
     const absl::Cleanup forget = [this] { m_abandon_attempt = nullptr; };
     const exchange_start started = co_await call.open();
     if (started.code != result_code::ok) {
-        co_return end_of(started);
+        attempt_end refused = end_of(started);
+        refused.has_reached = call.has_reached_upstream();
+        co_return refused;
     }
     const unsigned status = call.status();
     const relay_result relayed = co_await call.relay_answer();
@@ -143,6 +169,9 @@
     info.route = target.name;
     info.upstream = decision.upstream_id;
     info.time_left = m_deadline - m_core.clock.now();
+    if (target.target_latency > absl::ZeroDuration()) {
+        info.target = m_request.received_at + target.target_latency - m_core.clock.now();
+    }
     write_forwarding_headers(head, info);
     exchange sent(m_core.pool, m_core.options, m_core.clock);
     m_abandon_attempt = [&sent] { sent.abort(); };
@@ -154,11 +183,13 @@
                                     m_request.body,
                                     is_idempotent(target),
                                     !m_request.body.is_whole(),
-                                    m_deadline,
+                                    m_deadline + owner_answer_slack,
                                     m_core.options.first_byte_timeout + m_core.options.connect_timeout};
     const exchange_start started = co_await sent.start(request);
     if (started.code != result_code::ok) {
-        co_return end_of(started);
+        attempt_end failed = end_of(started);
+        failed.has_reached = sent.has_sent();
+        co_return failed;
     }
     const absl::Duration latency = m_core.clock.now() - started_at;
     const http::fields& fields = sent.response().get();
@@ -168,8 +199,9 @@
     const unsigned status = sent.response().get().result_int();
     const std::optional<double> load = load_of(fields);
     const std::string& id = m_request.info.request_id;
-    const auto set_headers = [&id](http::fields& out) { out.set(beast_view(header::request_id), id); };
-    const relay_result relayed = co_await m_core.relay.relay(sent, m_request, set_headers);
+    const auto set_headers = [this, &id](http::fields& out) { out.set(beast_view(header::request_id), id); };
+    const relay_result relayed =
+        co_await m_core.relay.relay(sent, m_request, m_core.options.answer_buffer_bytes, set_headers);
     attempt_end ended = end_of(relayed, status);
     ended.latency = latency;
     ended.load = load;
@@ -190,6 +222,7 @@
     ended.code = known == codes.end() ? result_code::response_malformed : known->code;
     ended.outcome =
         ended.request_execution == execution::not_run ? refusal_outcome(ended.code) : attempt_outcome::sent_no_answer;
+    ended.has_reached = !field_value(fields, header::reached).empty();
     std::string body(max_refusal_bytes, '\0');
     std::size_t size = 1;
     error_code failure;
@@ -210,9 +243,18 @@
     if (!m_request.body.is_at_end()) {
         m_request.keeps_connection = false;
     }
+    set_retry_after(code);
     return write_refusal(m_request, code, request_execution, std::move(detail));
 }
 
+void entry_call::set_retry_after(result_code code) {
+    if (describe(code).http_status == static_cast<int>(http::status::service_unavailable)) {
+        // Spread, so that the callers refused together do not return together.
+        m_request.retry_after =
+            absl::Uniform(m_core.random, 0.0, 1.0) * (most_retry_after - least_retry_after) + least_retry_after;
+    }
+}
+
 entry_call::attempt_end entry_call::end_of(const exchange_start& started) const {
     attempt_end ended;
     ended.code = started.code;
@@ -249,12 +291,12 @@
 }
 
 bool entry_call::is_idempotent(const route& target) const {
-    return target.is_idempotent || retry_policy::is_idempotent_method(m_request.method());
+    return target.may_repeat(retry_policy::is_idempotent_method(m_request.method()));
 }
 
 absl::Time entry_call::deadline_of(const route& target) const {
     absl::Duration limit = target.timeout;
-    const auto found = m_core.state->services.find(target.service);
+    const auto found = m_core.state->services.find(m_service);
     if (limit <= absl::ZeroDuration() && found != m_core.state->services.end()) {
         limit = found->second.timeout;
     }
@@ -266,9 +308,10 @@
 
 bool entry_call::may_retry(const route& target, const attempt_end& ended, int attempts) {
     failed_attempt failed;
-    failed.service = target.service;
-    failed.method = m_request.method();
-    failed.route_is_idempotent = target.is_idempotent;
+    failed.service = m_service;
+    failed.route_is_idempotent = is_idempotent(target);
+    failed.max_attempts = target.max_attempts;
+    failed.has_reached = ended.has_reached;
     failed.outcome = ended.outcome;
     failed.body_is_replayable = m_request.body.is_replayable();
     failed.deadline = m_deadline;
--- a/src/http/private/entry_call.h
+++ b/src/http/private/entry_call.h
@@ -31,6 +31,7 @@
         execution request_execution = execution::not_run;
         absl::Duration latency;
         std::optional<double> load;
+        bool has_reached = true; ///< False: the upstream certainly saw nothing.
         std::optional<serve_result> result;
     };
 
@@ -39,6 +40,8 @@
     asio::awaitable<attempt_end> attempt_here(const route& target, const routing_decision& decision);
     asio::awaitable<attempt_end> attempt_at_owner(const route& target, const routing_decision& decision);
     asio::awaitable<attempt_end> take_owner_refusal(class exchange& sent);
+    const std::string& choose_service(const route& target);
+    void set_retry_after(result_code code);
     asio::awaitable<serve_result> refuse(result_code code, execution request_execution, std::string detail);
     attempt_end end_of(const exchange_start& started) const;
     attempt_end end_of(const relay_result& relayed, unsigned status) const;
@@ -50,6 +53,8 @@
 
     proxy_core& m_core;
     served_request& m_request;
+    std::string m_service; ///< The route's service, or the one chosen out of its split.
+    int m_sends = 0;       ///< Attempts that may have reached an upstream.
     absl::Time m_deadline;
     std::function<void()> m_abandon_attempt;
     bool m_is_abandoned = false;
--- a/src/http/private/exchange.cpp
+++ b/src/http/private/exchange.cpp
@@ -20,6 +20,10 @@
            failure != http::error::end_of_stream && failure != http::error::partial_message;
 }
 
+constexpr std::size_t max_discarded_chunk = std::size_t{16} * 1024;
+/// A surplus answer beyond this size costs more than a new connection.
+constexpr std::size_t max_discarded_bytes = std::size_t{256} * 1024;
+
 } // namespace
 
 exchange::exchange(connection_pool& pool, const proxy_options& options, const steady_clock& clock)
@@ -57,7 +61,9 @@
         }
     }
     m_sent_at = m_clock.now();
+    m_has_sent = true;
     const exchange_start sending = co_await send(sent);
+    m_has_sent = sending.code == result_code::ok || sending.request_execution != execution::not_run;
     if (sending.code != result_code::ok || (m_response && m_response->is_header_done())) {
         co_return sending;
     }
@@ -157,6 +163,23 @@
     }
 }
 
+asio::awaitable<exchange_start> exchange::next_response(const request& sent) {
+    std::string discarded(max_discarded_chunk, '\0');
+    std::size_t total = 0;
+    while (!m_response->is_done()) {
+        std::size_t size = 0;
+        const error_code failure = co_await read_body(discarded, size);
+        total += size;
+        if (failure || total > max_discarded_bytes) {
+            co_return exchange_start{result_code::response_mismatched, execution::may_have_run};
+        }
+    }
+    if (!m_response->keep_alive()) {
+        co_return exchange_start{result_code::response_mismatched, execution::may_have_run};
+    }
+    co_return co_await receive_head(sent, false);
+}
+
 asio::awaitable<error_code> exchange::read_body(std::span<char> chunk, std::size_t& size) {
     size = 0;
     error_code failure;
--- a/src/http/private/exchange.h
+++ b/src/http/private/exchange.h
@@ -48,6 +48,16 @@
     /// Connects or takes a kept connection only; start() does it otherwise.
     asio::awaitable<exchange_start> connect(const endpoint& target, bool is_idempotent, absl::Time deadline);
 
+    /// Discards the response that start() or next_response() returned and reads the header of the one after it on the
+    /// same connection: an upstream may have answered an earlier request twice.
+    /// @return ok, or why there is no further response.
+    asio::awaitable<exchange_start> next_response(const request& sent);
+
+    /// @return true once bytes of the request may have left this host.
+    bool has_sent() const {
+        return m_has_sent;
+    }
+
     /// @return the parser of the response, once start() has returned ok.
     response_parser& response() {
         return *m_response;
@@ -80,6 +90,7 @@
     absl::Time m_sent_at;
     bool m_is_continued = false;
     bool m_is_request_sent = false;
+    bool m_has_sent = false;
 };
 
 } // namespace amaranthladder
--- a/src/http/private/forwarding_headers.cpp
+++ b/src/http/private/forwarding_headers.cpp
@@ -7,6 +7,7 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <array>
 #include <charconv>
 #include <vector>
@@ -33,6 +34,17 @@
     return number;
 }
 
+std::string milliseconds_text(absl::Duration value) {
+    return std::to_string(std::max<std::int64_t>(0, absl::ToInt64Milliseconds(value)));
+}
+
+/// Sets a header unless its name or its value is empty.
+void set_if_given(http::fields& fields, std::string_view name, const std::string& value) {
+    if (!name.empty() && !value.empty()) {
+        fields.set(beast_view(name), value);
+    }
+}
+
 } // namespace
 
 std::string_view field_value(const http::fields& fields, std::string_view name) {
@@ -51,23 +63,58 @@
     }
     info.hop = static_cast<int>(number_field(fields, header::hop).value_or(0));
     info.attempt = static_cast<int>(number_field(fields, header::attempt).value_or(0));
+    info.caller_service = field_value(fields, header::caller_service);
+    info.is_repeatable = !field_value(fields, header::repeatable).empty();
+    info.priority = static_cast<int>(number_field(fields, header::priority).value_or(0));
+    if (const auto target_ms = number_field(fields, header::target_ms)) {
+        info.target = absl::Milliseconds(*target_ms);
+    }
+    return info;
+}
+
+forwarding_info read_caller_headers(const http::fields& fields, const header_names& names) {
+    forwarding_info info;
+    info.request_id = field_value(fields, names.request_id);
+    info.hop = static_cast<int>(number_field(fields, header::hop).value_or(0));
+    if (const auto time_left_ms = number_field(fields, names.deadline_ms)) {
+        info.time_left = absl::Milliseconds(*time_left_ms);
+    }
     return info;
 }
 
 void write_forwarding_headers(http::fields& fields, const forwarding_info& info) {
-    const auto set = [&fields](std::string_view name, const std::string& value) {
-        if (!value.empty()) {
-            fields.set(beast_view(name), value);
-        }
-    };
-    set(header::mesh, info.mesh);
-    set(header::request_id, info.request_id);
-    set(header::route, info.route);
-    set(header::upstream, info.upstream);
-    set(header::hop, std::to_string(info.hop));
-    set(header::attempt, std::to_string(info.attempt));
+    set_if_given(fields, header::mesh, info.mesh);
+    set_if_given(fields, header::request_id, info.request_id);
+    set_if_given(fields, header::route, info.route);
+    set_if_given(fields, header::upstream, info.upstream);
+    set_if_given(fields, header::hop, std::to_string(info.hop));
+    set_if_given(fields, header::attempt, std::to_string(info.attempt));
+    set_if_given(fields, header::caller_service, info.caller_service);
+    set_if_given(fields, header::repeatable, info.is_repeatable ? "1" : "");
+    set_if_given(fields, header::priority, info.priority == 0 ? "" : std::to_string(info.priority));
+    if (info.target) {
+        set_if_given(fields, header::target_ms, milliseconds_text(*info.target));
+    }
+    if (info.time_left) {
+        set_if_given(fields, header::deadline_ms, milliseconds_text(*info.time_left));
+    }
+}
+
+void write_upstream_headers(http::fields& fields, const forwarding_info& info, const header_names& names,
+                            const std::string& expected_upstream) {
+    set_if_given(fields, names.request_id, info.request_id);
     if (info.time_left) {
-        set(header::deadline_ms, std::to_string(absl::ToInt64Milliseconds(*info.time_left)));
+        set_if_given(fields, names.deadline_ms, milliseconds_text(*info.time_left));
+    }
+    set_if_given(fields, names.expected_upstream, expected_upstream);
+    if (!names.caller_service.empty()) {
+        fields.erase(beast_view(names.caller_service));
+        set_if_given(fields, names.caller_service, info.caller_service);
+    }
+    if (names.passes_mesh_headers) {
+        set_if_given(fields, header::route, info.route);
+        set_if_given(fields, header::hop, std::to_string(info.hop));
+        set_if_given(fields, header::attempt, std::to_string(info.attempt));
     }
 }
 
--- a/src/http/private/forwarding_headers.h
+++ b/src/http/private/forwarding_headers.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "http/header_names.h"
 #include "http/private/asio_types.h"
 
 #include <absl/time/time.h>
@@ -23,6 +24,12 @@
 inline constexpr std::string_view outcome = "x-amaranthladder-outcome";
 inline constexpr std::string_view code = "x-amaranthladder-code";
 inline constexpr std::string_view load = "x-amaranthladder-load";
+inline constexpr std::string_view caller_service = "x-amaranthladder-caller-service";
+inline constexpr std::string_view repeatable = "x-amaranthladder-repeatable";
+inline constexpr std::string_view priority = "x-amaranthladder-priority";
+inline constexpr std::string_view target_ms = "x-amaranthladder-target-ms";
+inline constexpr std::string_view reached = "x-amaranthladder-reached-upstream";
+inline constexpr std::string_view backlog_ms = "x-amaranthladder-backlog-ms";
 } // namespace header
 
 /// What the headers of a received request say about its way through the mesh.
@@ -34,20 +41,35 @@
     std::string route;
     std::string upstream; ///< Set by an entry daemon; the receiver is then the owner of this upstream.
     int attempt = 0;
+    std::string caller_service;           ///< Service of the upstream on the caller's host.
+    bool is_repeatable = false;           ///< The request may run more than once.
+    int priority = 0;                     ///< 0 is the most urgent.
+    std::optional<absl::Duration> target; ///< Time left in which the answer is worth most to the caller.
 
     bool is_from_entry() const {
         return !upstream.empty();
     }
 };
 
-/// @param fields the headers of a received request.
+/// @param fields the headers of a request that another daemon sent.
 /// @return what they say.
 /// @throws error with result_code::request_malformed if a number cannot be read.
 forwarding_info read_forwarding_headers(const http::fields& fields);
 
-/// Adds the headers of @p info to @p fields.
+/// @param fields the headers of a caller's request.
+/// @param names the names of the headers.
+/// @return the id and the time left; nothing else that a caller sends is believed.
+/// @throws error with result_code::request_malformed if a number cannot be read.
+forwarding_info read_caller_headers(const http::fields& fields, const header_names& names);
+
+/// Adds the headers of @p info to @p fields, for another daemon.
 void write_forwarding_headers(http::fields& fields, const forwarding_info& info);
 
+/// Adds the headers of @p info to @p fields, for an upstream.
+/// @param expected_upstream id of the upstream that the request is meant for.
+void write_upstream_headers(http::fields& fields, const forwarding_info& info, const header_names& names,
+                            const std::string& expected_upstream);
+
 /// Removes the headers that concern one connection only (RFC 9110, section 7.6.1), and those of the mesh.
 void remove_hop_by_hop_headers(http::fields& fields);
 
--- a/src/http/private/owner_call.cpp
+++ b/src/http/private/owner_call.cpp
@@ -3,6 +3,8 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <span>
+#include <string>
 #include <string_view>
 #include <utility>
 
@@ -10,6 +12,15 @@
 
 namespace {
 
+/// Another upstream has the address now; RFC 9110, section 15.5.20.
+constexpr unsigned misdirected_status = 421;
+/// Surplus answers that are skipped before the connection is given up.
+constexpr int max_surplus_answers = 2;
+/// Refusals of upstreams are small; what is longer ends the connection.
+constexpr std::size_t max_refusal_bytes = std::size_t{4} * 1024;
+/// The owner passes larger answers on as they arrive; the entry holds them whole.
+constexpr std::size_t owner_buffer_bytes = std::size_t{64} * 1024;
+
 owned_call::outcome outcome_of(unsigned status) {
     if (status == static_cast<unsigned>(http::status::service_unavailable)) {
         return owned_call::outcome::refused;
@@ -48,6 +59,8 @@
     if (started.code == result_code::ok) {
         m_core.latency_by_route[m_route].observe(m_latency);
         report(outcome_of(status()));
+    } else if (started.request_execution == execution::not_run && has_reached_upstream()) {
+        report(owned_call::outcome::refused);
     } else if (started.code != result_code::caller_disconnected) {
         report(owned_call::outcome::failed);
     }
@@ -74,15 +87,58 @@
                                  false,
                                  m_deadline,
                                  m_core.options.first_byte_timeout};
-    exchange_start started = co_await m_exchange.start(sent);
-    if (started.code == result_code::ok) {
-        const std::string_view answered_id = field_value(m_exchange.response().get(), header::request_id);
-        if (!answered_id.empty() && answered_id != m_request.info.request_id) {
+    const exchange_start started = co_await m_exchange.start(sent);
+    if (started.code != result_code::ok) {
+        co_return started;
+    }
+    co_return co_await check_answer(sent);
+}
+
+asio::awaitable<exchange_start> owner_call::check_answer(const exchange::request& sent) {
+    const header_names& names = m_core.options.headers;
+    // A surplus answer to an earlier request names that request; the answer to this one follows it.
+    for (int surplus = 0;; ++surplus) {
+        const std::string_view answered_id = field_value(m_exchange.response().get(), names.request_id);
+        if (answered_id.empty() || answered_id == m_request.info.request_id) {
+            break;
+        }
+        const exchange_start next = surplus < max_surplus_answers
+                                        ? co_await m_exchange.next_response(sent)
+                                        : exchange_start{result_code::response_mismatched, execution::may_have_run};
+        if (next.code != result_code::ok) {
             m_exchange.abort();
-            started = {result_code::response_mismatched, execution::may_have_run};
+            co_return exchange_start{result_code::response_mismatched, execution::may_have_run};
         }
     }
-    co_return started;
+    if (has_field(names.not_executed) || status() == misdirected_status) {
+        co_return co_await take_upstream_refusal();
+    }
+    // Requests ask for no encoding, so an encoded body is not the upstream's.
+    const bool is_encoded = m_exchange.response().get().count(http::field::content_encoding) > 0;
+    if (!names.signature.empty() && (!has_field(names.signature) || is_encoded)) {
+        m_exchange.abort();
+        co_return exchange_start{result_code::response_malformed, execution::may_have_run};
+    }
+    co_return exchange_start{};
+}
+
+asio::awaitable<exchange_start> owner_call::take_upstream_refusal() {
+    const bool is_other_upstream = status() == misdirected_status;
+    std::string body(max_refusal_bytes, '\0');
+    std::size_t size = 1;
+    std::size_t used = 0;
+    error_code failure;
+    while (!failure && size > 0 && used < max_refusal_bytes) {
+        failure = co_await m_exchange.read_body(std::span(body).subspan(used), size);
+        used += size;
+    }
+    m_exchange.finish();
+    co_return exchange_start{is_other_upstream ? result_code::no_upstream : result_code::overloaded,
+                             execution::not_run};
+}
+
+bool owner_call::has_field(const std::string& name) {
+    return !name.empty() && m_exchange.response().get().count(beast_view(name)) > 0;
 }
 
 http::request_header<> owner_call::make_head() const {
@@ -93,8 +149,9 @@
     info.route = m_route;
     info.hop = m_request.info.hop;
     info.attempt = m_request.info.attempt;
+    info.caller_service = m_request.info.caller_service;
     info.time_left = m_deadline - m_core.clock.now();
-    write_forwarding_headers(head, info);
+    write_upstream_headers(head, info, m_core.options.headers, m_upstream.id);
     return head;
 }
 
@@ -111,12 +168,13 @@
     const std::string load_text = fmt::format("{:.3f}", load());
     const std::string& id = m_request.info.request_id;
     const auto set_headers = [&](http::fields& fields) {
-        fields.set(beast_view(header::request_id), id);
+        fields.set(beast_view(m_core.options.headers.request_id), id);
         if (is_for_entry) {
             fields.set(beast_view(header::load), load_text);
         }
     };
-    const relay_result relayed = co_await m_core.relay.relay(m_exchange, m_request, set_headers);
+    const relay_result relayed = co_await m_core.relay.relay(
+        m_exchange, m_request, is_for_entry ? owner_buffer_bytes : m_core.options.answer_buffer_bytes, set_headers);
     if (relayed.code == result_code::response_truncated) {
         report(owned_call::outcome::failed);
     }
--- a/src/http/private/owner_call.h
+++ b/src/http/private/owner_call.h
@@ -42,6 +42,11 @@
         return m_latency;
     }
 
+    /// @return true if the upstream may have seen the request.
+    bool has_reached_upstream() const {
+        return m_exchange.has_sent();
+    }
+
     /// @return running and queued requests over slots.
     double load() const {
         return m_gate->limiter().load();
@@ -53,6 +58,9 @@
 private:
     asio::awaitable<exchange_start> run();
     http::request_header<> make_head() const;
+    asio::awaitable<exchange_start> check_answer(const exchange::request& sent);
+    asio::awaitable<exchange_start> take_upstream_refusal();
+    bool has_field(const std::string& name);
     absl::Duration first_byte_timeout() const;
     void report(owned_call::outcome outcome);
 
--- a/src/http/private/proxy_core.h
+++ b/src/http/private/proxy_core.h
@@ -11,7 +11,9 @@
 #include "routing/retry_budget.h"
 #include "routing/retry_policy.h"
 #include "routing/router.h"
+#include "routing/weighted_rotation.h"
 
+#include <absl/container/flat_hash_map.h>
 #include <absl/random/random.h>
 
 #include <functional>
@@ -44,6 +46,12 @@
         return found == local_upstreams.end() ? nullptr : &found->second;
     }
 
+    /// @return the limits for callers that the configuration states, or null.
+    const caller_limits* limits() const {
+        const auto found = state->limits.find(std::string(caller_limits_name));
+        return found == state->limits.end() ? nullptr : &found->second;
+    }
+
     const proxy_options& options;
     const steady_clock& clock;
     event_log& log;
@@ -56,6 +64,8 @@
     std::map<std::string, local_upstream> local_upstreams;
     std::map<std::string, first_byte_latency> latency_by_route; ///< Of calls to upstreams beside this daemon.
     std::shared_ptr<const intended_state> state = std::make_shared<intended_state>();
+    bool has_configuration = false;                             ///< A configuration has been in force since the start.
+    absl::flat_hash_map<std::string, weighted_rotation> splits; ///< By route, of routes with several services.
     absl::BitGen random;
     proxy_counters counters;
     request_id next_request = 1;
--- a/src/http/private/request_body.cpp
+++ b/src/http/private/request_body.cpp
@@ -1,7 +1,16 @@
 #include "http/private/request_body.h"
 
+#include <algorithm>
+
 namespace amaranthladder {
 
+namespace {
+
+/// Most request bodies are smaller.
+constexpr std::size_t first_prefix_bytes = std::size_t{4} * 1024;
+
+} // namespace
+
 request_body::request_body(beast::tcp_stream& stream, beast::flat_buffer& buffer, request_parser& parser,
                            std::size_t prefix_limit, absl::Duration idle_timeout)
     : m_stream(stream), m_buffer(buffer), m_parser(parser), m_prefix_limit(prefix_limit), m_idle_timeout(idle_timeout) {
@@ -15,11 +24,13 @@
     if (m_parser.is_done()) {
         co_return error_code{};
     }
-    m_prefix.resize(m_prefix_limit);
     std::size_t used = 0;
     error_code failure;
     while (!failure && !m_parser.is_done() && used < m_prefix_limit) {
         std::size_t size = 0;
+        if (m_prefix.size() == used) {
+            m_prefix.resize(std::min(m_prefix_limit, std::max(2 * used, first_prefix_bytes)));
+        }
         failure = co_await read_into(std::span(m_prefix).subspan(used), size);
         used += size;
     }
--- a/src/http/private/response_relay.h
+++ b/src/http/private/response_relay.h
@@ -26,18 +26,18 @@
     /// refusal; beyond it is streamed, and a short answer resets the caller's connection.
     /// @param source the exchange; its response's header has been read.
     /// @param request the caller's request.
+    /// @param buffer_limit bytes of the body that are held at the most.
     /// @param set_headers changes the header before it is sent.
-    asio::awaitable<relay_result> relay(exchange& source, served_request& request,
+    asio::awaitable<relay_result> relay(exchange& source, served_request& request, std::size_t buffer_limit,
                                         const std::function<void(http::fields&)>& set_headers) const;
 
 private:
     asio::awaitable<relay_result> relay_head_only(exchange& source, served_request& request,
                                                   http::response_header<> head) const;
-    asio::awaitable<relay_result> relay_whole(exchange& source, served_request& request,
-                                              http::response_header<> head) const;
-    asio::awaitable<relay_result> relay_stream(exchange& source, served_request& request,
-                                               http::response_header<> head) const;
-    bool is_small(const response_parser& parser) const;
+    asio::awaitable<relay_result> relay_whole(exchange& source, served_request& request, http::response_header<> head,
+                                              std::string body) const;
+    asio::awaitable<relay_result> relay_stream(exchange& source, served_request& request, http::response_header<> head,
+                                               std::string begin) const;
 
     const proxy_options& m_options;
 };
--- a/src/http/private/served_request.cpp
+++ b/src/http/private/served_request.cpp
@@ -34,6 +34,12 @@
     response.set(beast_view(header::code), std::to_string(static_cast<int>(code)));
     response.set(beast_view(header::outcome), beast_view(name(request_execution)));
     response.set(beast_view(header::request_id), request.info.request_id);
+    if (request.has_reached_upstream) {
+        response.set(beast_view(header::reached), "1");
+    }
+    if (request.retry_after) {
+        response.set(http::field::retry_after, fmt::format("{:.3f}", absl::ToDoubleSeconds(*request.retry_after)));
+    }
     response.keep_alive(request.keeps_connection);
     std::string body = refusal_body(request, code, request_execution, detail);
     response.content_length(body.size());
--- a/src/http/private/served_request.h
+++ b/src/http/private/served_request.h
@@ -7,6 +7,7 @@
 
 #include <absl/time/time.h>
 
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -19,8 +20,10 @@
     request_body& body;
     forwarding_info info;
     absl::Time received_at;
-    bool expects_continue = false; ///< The sender waits for 100 (Continue) before it sends the body.
-    bool keeps_connection = true;  ///< The connection can carry another request after this one.
+    bool expects_continue = false;                  ///< The sender waits for 100 (Continue) before it sends the body.
+    bool keeps_connection = true;                   ///< The connection can carry another request after this one.
+    bool has_reached_upstream = false;              ///< For refusals: an upstream got the request.
+    std::optional<absl::Duration> retry_after = {}; ///< For refusals: when the caller may come back.
 
     std::string_view method() const {
         const auto text = head.method_string();
--- a/src/http/proxy_options.h
+++ b/src/http/proxy_options.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "common/endpoint.h"
+#include "http/header_names.h"
 
 #include <absl/time/time.h>
 
@@ -14,10 +15,16 @@
     std::string mesh;
     std::string worker;
     endpoint listen_address;
+    /// Address for the requests of other daemons; without an address they come to listen_address.
+    endpoint owner_address;
+    std::string caller_service; ///< Service of the upstream beside this daemon, told to other upstreams.
+    header_names headers;
     std::size_t max_connections = 2000;
     std::size_t max_header_bytes = std::size_t{64} * 1024;
     /// A body up to this size is held whole and can be sent again; a larger one is streamed.
     std::size_t body_buffer_bytes = std::size_t{64} * 1024;
+    /// An answer up to this size is held whole by the entry, so that a broken one can be replaced by another attempt.
+    std::size_t answer_buffer_bytes = std::size_t{1024} * 1024;
     absl::Duration connect_timeout = absl::Milliseconds(250);
     absl::Duration first_byte_timeout = absl::Seconds(5);
     /// Time for a request's headers once their first byte has arrived.
--- a/src/http/request_proxy.cpp
+++ b/src/http/request_proxy.cpp
@@ -2,6 +2,7 @@
 
 #include "common/error.h"
 #include "http/private/caller_session.h"
+#include "http/private/control_session.h"
 #include "http/private/proxy_core.h"
 
 #include <absl/cleanup/cleanup.h>
@@ -14,6 +15,8 @@
 #include <fmt/format.h>
 
 #include <future>
+#include <list>
+#include <optional>
 #include <set>
 #include <utility>
 
@@ -36,10 +39,17 @@
     implementation(proxy_options options, router_settings routing, retry_budget_policy budget,
                    const steady_clock& clock, event_log& log, std::function<void(const owned_call&)> report_call)
         : m_options(std::move(options)),
-          m_core(m_options, std::move(routing), budget, clock, log, std::move(report_call)),
-          m_acceptor(m_core.context) {
-        listen();
-        asio::co_spawn(m_core.context, accept(), asio::detached);
+          m_core(m_options, std::move(routing), budget, clock, log, std::move(report_call)), m_acceptor(m_core.context),
+          m_owner_acceptor(m_core.context) {
+        const bool has_owner_address = !m_options.owner_address.address.empty();
+        m_address = listen(m_acceptor, m_options.listen_address);
+        asio::co_spawn(m_core.context,
+                       accept(m_acceptor, has_owner_address ? session_role::callers : session_role::any),
+                       asio::detached);
+        if (has_owner_address) {
+            m_owner_address = listen(m_owner_acceptor, m_options.owner_address);
+            asio::co_spawn(m_core.context, accept(m_owner_acceptor, session_role::daemons), asio::detached);
+        }
         asio::co_spawn(m_core.context, tick(), asio::detached);
         asio::co_spawn(m_core.context, sweep(), asio::detached);
     }
@@ -73,6 +83,16 @@
         return m_address;
     }
 
+    endpoint owner_address() const {
+        return m_owner_address.address.empty() ? m_address : m_owner_address;
+    }
+
+    void serve_control(const endpoint& address, std::function<control_reply(const control_request&)> handler) {
+        m_control_acceptors.emplace_back(m_core.context);
+        listen(m_control_acceptors.back(), address);
+        asio::co_spawn(m_core.context, accept_control(m_control_acceptors.back(), std::move(handler)), asio::detached);
+    }
+
     proxy_counters counters() const {
         const absl::MutexLock lock(&m_mutex);
         return m_published;
@@ -96,28 +116,35 @@
     }
 
 private:
-    void listen() {
+    static endpoint listen(asio::ip::tcp::acceptor& acceptor, const endpoint& address) {
         try {
-            const asio::ip::tcp::endpoint local(asio::ip::make_address(m_options.listen_address.address),
-                                                m_options.listen_address.port);
-            m_acceptor.open(local.protocol());
-            m_acceptor.set_option(asio::socket_base::reuse_address(true));
-            m_acceptor.bind(local);
-            m_acceptor.listen(listen_backlog);
-            m_address = {m_options.listen_address.address, m_acceptor.local_endpoint().port()};
+            const asio::ip::tcp::endpoint local(asio::ip::make_address(address.address), address.port);
+            acceptor.open(local.protocol());
+            acceptor.set_option(asio::socket_base::reuse_address(true));
+            acceptor.bind(local);
+            acceptor.listen(listen_backlog);
+            return {address.address, acceptor.local_endpoint().port()};
         } catch (const boost::system::system_error& problem) {
-            throw error(result_code::listen_failed,
-                        fmt::format("{}: {}", to_string(m_options.listen_address), problem.what()));
+            throw error(result_code::listen_failed, fmt::format("{}: {}", to_string(address), problem.what()));
         }
     }
 
-    asio::awaitable<void> accept() {
-        while (m_acceptor.is_open()) {
-            auto [failure, socket] = co_await m_acceptor.async_accept(as_result);
-            if (failure) {
-                // Out of descriptors, for example: waits instead of spinning.
-                asio::steady_timer timer(m_core.context, drain_poll);
-                co_await timer.async_wait(as_result);
+    /// Accepts a connection; waits instead of spinning when it cannot, out of descriptors for example.
+    asio::awaitable<std::optional<asio::ip::tcp::socket>> accept_one(asio::ip::tcp::acceptor& acceptor) {
+        auto [failure, socket] = co_await acceptor.async_accept(as_result);
+        if (failure) {
+            asio::steady_timer timer(m_core.context, drain_poll);
+            co_await timer.async_wait(as_result);
+            co_return std::nullopt;
+        }
+        socket.set_option(asio::ip::tcp::no_delay(true), failure);
+        co_return std::move(socket);
+    }
+
+    asio::awaitable<void> accept(asio::ip::tcp::acceptor& acceptor, session_role role) {
+        while (acceptor.is_open()) {
+            std::optional<asio::ip::tcp::socket> socket = co_await accept_one(acceptor);
+            if (!socket) {
                 continue;
             }
             ++m_core.counters.connections_accepted;
@@ -125,13 +152,23 @@
                 ++m_core.counters.connections_refused;
                 continue;
             }
-            socket.set_option(asio::ip::tcp::no_delay(true), failure);
-            asio::co_spawn(m_core.context, serve(std::move(socket)), asio::detached);
+            asio::co_spawn(m_core.context, serve(std::move(*socket), role), asio::detached);
+        }
+    }
+
+    asio::awaitable<void> accept_control(asio::ip::tcp::acceptor& acceptor,
+                                         std::function<control_reply(const control_request&)> handler) {
+        while (acceptor.is_open()) {
+            std::optional<asio::ip::tcp::socket> socket = co_await accept_one(acceptor);
+            if (socket) {
+                asio::co_spawn(m_core.context, amaranthladder::serve_control(std::move(*socket), handler),
+                               asio::detached);
+            }
         }
     }
 
-    asio::awaitable<void> serve(asio::ip::tcp::socket socket) {
-        caller_session session(m_core, std::move(socket));
+    asio::awaitable<void> serve(asio::ip::tcp::socket socket, session_role role) {
+        caller_session session(m_core, std::move(socket), role);
         m_sessions.insert(&session);
         const absl::Cleanup forget = [this, &session] { m_sessions.erase(&session); };
         try {
@@ -168,6 +205,7 @@
     asio::awaitable<void> drain_connections() {
         error_code ignored;
         m_acceptor.close(ignored);
+        m_owner_acceptor.close(ignored);
         const absl::Time started_at = m_core.clock.now();
         asio::steady_timer timer(m_core.context, drain_grace);
         co_await timer.async_wait(as_result);
@@ -184,11 +222,14 @@
 
     proxy_options m_options;
     endpoint m_address;
+    endpoint m_owner_address;
     std::set<caller_session*> m_sessions;
     mutable absl::Mutex m_mutex;
     proxy_counters m_published ABSL_GUARDED_BY(m_mutex);
     proxy_core m_core; // Destroys suspended sessions, which use the members above.
     asio::ip::tcp::acceptor m_acceptor;
+    asio::ip::tcp::acceptor m_owner_acceptor;
+    std::list<asio::ip::tcp::acceptor> m_control_acceptors; // A list, since accepting coroutines refer to its elements.
 };
 
 request_proxy::request_proxy(proxy_options options, router_settings routing, retry_budget_policy budget,
@@ -214,6 +255,7 @@
 void request_proxy::set_configuration(std::shared_ptr<const intended_state> state) {
     m_implementation->post([this, state = std::move(state)] {
         m_implementation->core().state = state;
+        m_implementation->core().has_configuration = true;
         std::erase_if(m_implementation->core().latency_by_route,
                       [&](const auto& entry) { return !state->routes.contains(entry.first); });
         m_implementation->core().requests.set_configuration(state);
@@ -247,6 +289,13 @@
     });
 }
 
+void request_proxy::query_load(const std::string& id, std::function<void(int)> answer) {
+    m_implementation->post([this, id, answer = std::move(answer)] {
+        local_upstream* const known = m_implementation->core().find_local(id);
+        answer(known == nullptr ? 0 : known->gate->limiter().running() + known->gate->limiter().queued());
+    });
+}
+
 void request_proxy::remove_local_upstream(const std::string& id) {
     m_implementation->post([this, id] { m_implementation->core().local_upstreams.erase(id); });
 }
@@ -255,6 +304,15 @@
     return m_implementation->address();
 }
 
+endpoint request_proxy::owner_address() const {
+    return m_implementation->owner_address();
+}
+
+void request_proxy::serve_control(const endpoint& address,
+                                  std::function<control_reply(const control_request&)> handler) {
+    m_implementation->serve_control(address, std::move(handler));
+}
+
 proxy_counters request_proxy::counters() const {
     return m_implementation->counters();
 }
@@ -264,7 +322,7 @@
     std::future<std::string> result = answer->get_future();
     m_implementation->post([this, answer, method, path] {
         proxy_core& core = m_implementation->core();
-        const route_match found = core.requests.match(method, path);
+        const route_match found = core.requests.match("", method, path);
         if (found.refusal != result_code::ok) {
             answer->set_value(fmt::format("refusal={}", name(found.refusal)));
             return;
--- a/src/http/request_proxy.h
+++ b/src/http/request_proxy.h
@@ -2,6 +2,7 @@
 
 #include "common/event_log.h"
 #include "common/steady_clock.h"
+#include "http/control_request.h"
 #include "http/proxy_events.h"
 #include "http/proxy_options.h"
 #include "peers/upstream_record.h"
@@ -33,6 +34,12 @@
     request_proxy(const request_proxy&) = delete;
     request_proxy& operator=(const request_proxy&) = delete;
 
+    /// Answers small requests on a further address from the event loop's thread. To be called before run().
+    /// @param address where to listen.
+    /// @param handler answers each request; must return quickly.
+    /// @throws error with result_code::listen_failed.
+    void serve_control(const endpoint& address, std::function<control_reply(const control_request&)> handler);
+
     /// Runs the event loop until stop() is called or a drain has ended.
     void run();
 
@@ -55,12 +62,19 @@
     /// them again. The refusal is "not run", so they go to another upstream.
     void set_version_refused(const std::string& id, bool is_refused);
 
+    /// Asks how many requests an upstream beside this daemon runs or queues.
+    /// @param answer called on the event loop's thread; 0 for an unknown upstream.
+    void query_load(const std::string& id, std::function<void(int)> answer);
+
     /// Takes no more requests for an upstream that is gone.
     void remove_local_upstream(const std::string& id);
 
-    /// @return the address in use.
+    /// @return the address in use for callers.
     endpoint address() const;
 
+    /// @return the address in use for other daemons' requests.
+    endpoint owner_address() const;
+
     /// @return the counters, copied by the event loop's thread once a second.
     proxy_counters counters() const;
 
--- a/src/moves/private/move_process.cpp
+++ b/src/moves/private/move_process.cpp
@@ -37,7 +37,7 @@
 
 void move_process::set_upstream(const std::string& service, const std::string& version) {
     const bool is_served = service == m_declared.service;
-    m_evidence.set_present(move_side::old_version, is_served && version == m_declared.from_version);
+    m_evidence.set_present(move_side::old_version, is_served && m_declared.is_from(version));
     m_evidence.set_present(move_side::new_version, is_served && version == m_declared.to_version);
 }
 
@@ -47,7 +47,7 @@
     }
     if (sample.version == m_declared.to_version) {
         m_evidence.count(move_side::new_version, sample.route, sample.outcome, sample.latency);
-    } else if (sample.version == m_declared.from_version) {
+    } else if (m_declared.is_from(sample.version)) {
         m_evidence.count(move_side::old_version, sample.route, sample.outcome, sample.latency);
     }
 }
--- a/src/peers/membership.cpp
+++ b/src/peers/membership.cpp
@@ -289,6 +289,21 @@
     store(m_self, now, absl::ZeroDuration());
 }
 
+void membership::add_contacts(const std::vector<endpoint>& contacts, absl::Time now) {
+    for (const endpoint& contact : contacts) {
+        if (contact == m_self.address || std::ranges::find(m_contacts, contact) != m_contacts.end()) {
+            continue;
+        }
+        if (m_contacts.size() >= m_settings.seeds.size() + max_contacts) {
+            m_contacts.erase(m_contacts.begin() + static_cast<std::ptrdiff_t>(m_settings.seeds.size()));
+        }
+        m_contacts.push_back(contact);
+        if (m_live.empty()) {
+            m_next_seed_contact = std::min(m_next_seed_contact, now);
+        }
+    }
+}
+
 void membership::leave(absl::Time now) {
     m_self.state = member_state::left;
     store(m_self, now, absl::ZeroDuration());
--- a/src/peers/membership.h
+++ b/src/peers/membership.h
@@ -49,6 +49,9 @@
     /// @param age how long ago the record became a tombstone.
     void merge(const member& heard, absl::Time now, absl::Duration age = absl::ZeroDuration());
 
+    /// Adds addresses to join through, beside the seeds of the settings.
+    void add_contacts(const std::vector<endpoint>& contacts, absl::Time now);
+
     /// Marks this daemon as having left.
     void leave(absl::Time now);
 
--- a/src/peers/peer_node.cpp
+++ b/src/peers/peer_node.cpp
@@ -370,6 +370,10 @@
     return is_changed;
 }
 
+void peer_node::add_contacts(const std::vector<endpoint>& contacts, absl::Time now) {
+    m_membership.add_contacts(contacts, now);
+}
+
 void peer_node::set_configuration(const configuration_digest& held) {
     if (m_distributor.set_held(held)) {
         request_notify(m_settings.notify_rounds);
--- a/src/peers/peer_node.h
+++ b/src/peers/peer_node.h
@@ -89,6 +89,9 @@
     /// @throws error with result_code::message_too_large if the record exceeds max_opaque_bytes.
     bool put_opaque(const opaque_record& record, absl::Time now);
 
+    /// Adds addresses of daemons to join through.
+    void add_contacts(const std::vector<endpoint>& contacts, absl::Time now);
+
     /// States the configuration in force. Lower or equal versions are ignored.
     void set_configuration(const configuration_digest& held);
 
--- a/src/peers/peer_server.cpp
+++ b/src/peers/peer_server.cpp
@@ -309,6 +309,10 @@
     return m_implementation->change([&](peer_node& node, absl::Time now) { return node.put_opaque(record, now); });
 }
 
+void peer_server::add_contacts(const std::vector<endpoint>& contacts) {
+    m_implementation->change([&](peer_node& node, absl::Time now) { node.add_contacts(contacts, now); });
+}
+
 void peer_server::set_configuration(const configuration_digest& held) {
     m_implementation->change([&](peer_node& node, absl::Time /*now*/) { node.set_configuration(held); });
 }
--- a/src/peers/peer_server.h
+++ b/src/peers/peer_server.h
@@ -74,6 +74,7 @@
     upstream_record announce_upstream(const upstream_record& record);
     void withdraw_upstream(const std::string& id);
     bool put_opaque(const opaque_record& record);
+    void add_contacts(const std::vector<endpoint>& contacts);
     void set_configuration(const configuration_digest& held);
 
     std::vector<upstream_record> usable_upstreams(const std::string& service) const;
--- a/src/routing/retry_policy.cpp
+++ b/src/routing/retry_policy.cpp
@@ -38,7 +38,7 @@
     if (reason != retry_reason::not_run && reason != retry_reason::idempotent) {
         return {false, reason};
     }
-    if (!budget.try_spend(attempt.service, now)) {
+    if (attempt.has_reached && !budget.try_spend(attempt.service, now)) {
         return {false, retry_reason::budget};
     }
     return {true, reason};
@@ -63,7 +63,7 @@
     if (!attempt.body_is_replayable) {
         return retry_reason::body_consumed;
     }
-    if (attempt.attempts >= m_limits.max_attempts) {
+    if (attempt.attempts >= (attempt.max_attempts > 0 ? attempt.max_attempts : m_limits.max_attempts)) {
         return retry_reason::too_many_attempts;
     }
     if (now + m_limits.least_remaining > attempt.deadline) {
--- a/src/routing/retry_policy.h
+++ b/src/routing/retry_policy.h
@@ -25,7 +25,9 @@
     attempt_outcome outcome = attempt_outcome::sent_no_answer;
     bool body_is_replayable = true; ///< False: part of the request's body was consumed and not kept.
     absl::Time deadline = absl::InfiniteFuture();
-    int attempts = 1; ///< Attempts made so far, at least 1.
+    int attempts = 1;        ///< Attempts made so far, at least 1.
+    int max_attempts = 0;    ///< The route's limit; 0: the policy's.
+    bool has_reached = true; ///< False: the upstream certainly saw nothing, so another attempt adds no load there.
 };
 
 /// Why a retry was allowed or not.
--- a/src/routing/route_table.cpp
+++ b/src/routing/route_table.cpp
@@ -1,5 +1,7 @@
 #include "routing/route_table.h"
 
+#include <absl/strings/ascii.h>
+
 #include <algorithm>
 #include <utility>
 
@@ -27,26 +29,48 @@
     return path.substr(0, end);
 }
 
+/// @return @p host in lower case, without a port.
+std::string host_name(std::string_view host) {
+    const std::size_t colon = host.rfind(':');
+    const std::string_view name = host.substr(0, colon == std::string_view::npos ? host.size() : colon);
+    std::string result(name);
+    std::ranges::transform(result, result.begin(),
+                           [](char letter) { return absl::ascii_tolower(static_cast<unsigned char>(letter)); });
+    return result;
+}
+
 } // namespace
 
 route_table::route_table(std::shared_ptr<const intended_state> state) : m_state(std::move(state)) {
     for (const auto& [name, route] : m_state->routes) {
         const std::string_view prefix = without_trailing_slashes(route.path_prefix);
-        m_routes_by_prefix[std::string(prefix)].push_back(&route);
-        m_deepest_prefix = std::max(m_deepest_prefix, count_segments(prefix));
+        host_routes& routes = m_hosts[route.host];
+        routes.by_prefix[std::string(prefix)].push_back(&route);
+        routes.deepest_prefix = std::max(routes.deepest_prefix, count_segments(prefix));
     }
 }
 
-route_match route_table::match(std::string_view method, std::string_view target) const {
+route_match route_table::match(std::string_view host, std::string_view method, std::string_view target) const {
     const std::string_view path = target.substr(0, std::min(target.find_first_of("?#"), target.size()));
     if (path.empty() || path.front() != '/') {
         return {};
     }
-    std::string_view prefix = without_trailing_slashes(leading_segments(path, m_deepest_prefix));
+    auto routes = m_hosts.find(host_name(host));
+    if (routes == m_hosts.end()) {
+        routes = m_hosts.find("");
+    }
+    return routes == m_hosts.end() ? route_match{} : match_path(routes->second, method, path);
+}
+
+route_match route_table::match_path(const host_routes& routes, std::string_view method, std::string_view path) const {
+    std::string_view prefix = without_trailing_slashes(leading_segments(path, routes.deepest_prefix));
     while (true) {
-        const auto found = m_routes_by_prefix.find(absl::string_view(prefix.data(), prefix.size()));
-        if (found != m_routes_by_prefix.end()) {
-            return match_method(found->second, method);
+        const auto found = routes.by_prefix.find(absl::string_view(prefix.data(), prefix.size()));
+        if (found != routes.by_prefix.end()) {
+            const route_match matched = match_method(found->second, method, path.size() > prefix.size());
+            if (matched.refusal != result_code::no_route) {
+                return matched;
+            }
         }
         if (prefix.empty()) {
             return {};
@@ -55,13 +79,19 @@
     }
 }
 
-route_match route_table::match_method(const std::vector<const route*>& routes, std::string_view method) const {
+route_match route_table::match_method(const std::vector<const route*>& routes, std::string_view method,
+                                      bool has_subpath) const {
+    result_code refusal = result_code::no_route;
     for (const route* candidate : routes) {
+        if (candidate->needs_subpath && !has_subpath) {
+            continue;
+        }
         if (candidate->methods.empty() || std::ranges::find(candidate->methods, method) != candidate->methods.end()) {
             return {std::shared_ptr<const route>(m_state, candidate), result_code::ok};
         }
+        refusal = result_code::method_not_allowed;
     }
-    return {nullptr, result_code::method_not_allowed};
+    return {nullptr, refusal};
 }
 
 } // namespace amaranthladder
--- a/src/routing/route_table.h
+++ b/src/routing/route_table.h
@@ -19,7 +19,8 @@
     result_code refusal = result_code::no_route; ///< ok, no_route or method_not_allowed.
 };
 
-/// Finds the route of a request: the longest path prefix of whole segments wins.
+/// Finds the route of a request: among the routes of its host, or those of every host if it has none of its own, the
+/// longest path prefix of whole segments wins.
 ///
 /// If the longest matching prefix has routes but none allows the method, the request is refused; shorter prefixes are
 /// not tried, since a request must not reach another service because of its method.
@@ -31,18 +32,25 @@
     /// @param state the state whose routes to use; the table keeps it alive.
     explicit route_table(std::shared_ptr<const intended_state> state);
 
+    /// @param host the host that the request names; case and a port are ignored.
     /// @param method the HTTP method, compared case-sensitively.
     /// @param target the request target; a query and a fragment are ignored. Percent-encoded characters are compared
     ///        as they stand.
     /// @return the route or a refusal.
-    route_match match(std::string_view method, std::string_view target) const;
+    route_match match(std::string_view host, std::string_view method, std::string_view target) const;
 
 private:
-    route_match match_method(const std::vector<const route*>& routes, std::string_view method) const;
+    /// Routes of one host.
+    struct host_routes {
+        absl::flat_hash_map<std::string, std::vector<const route*>> by_prefix; ///< Without a trailing slash.
+        std::size_t deepest_prefix = 0; ///< Segments of the deepest prefix; bounds the work for paths of many slashes.
+    };
+
+    route_match match_path(const host_routes& routes, std::string_view method, std::string_view path) const;
+    route_match match_method(const std::vector<const route*>& routes, std::string_view method, bool has_subpath) const;
 
     std::shared_ptr<const intended_state> m_state;
-    absl::flat_hash_map<std::string, std::vector<const route*>> m_routes_by_prefix; ///< Without a trailing slash.
-    std::size_t m_deepest_prefix = 0; ///< Segments of the deepest prefix; bounds the work for paths of many slashes.
+    absl::flat_hash_map<std::string, host_routes> m_hosts; ///< The empty name stands for every host.
 };
 
 } // namespace amaranthladder
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <tuple>
 #include <utility>
 
 namespace amaranthladder {
@@ -27,10 +28,14 @@
     return outcome == attempt_outcome::answered ? health_signal::success : health_signal::none;
 }
 
-routing_decision refuse(const route& target, result_code code) {
+const std::string& service_of(const route& target, const request_facts& request) {
+    return request.service.empty() ? target.service : request.service;
+}
+
+routing_decision refuse(const route& target, const request_facts& request, result_code code) {
     routing_decision decision;
     decision.route = target.name;
-    decision.service = target.service;
+    decision.service = service_of(target, request);
     decision.refusal = code;
     return decision;
 }
@@ -68,14 +73,14 @@
     m_overrides = std::move(overrides);
 }
 
-route_match router::match(std::string_view method, std::string_view target) const {
-    return m_routes.match(method, target);
+route_match router::match(std::string_view host, std::string_view method, std::string_view target) const {
+    return m_routes.match(host, method, target);
 }
 
 routing_decision router::choose(const route& target, const request_facts& request, absl::Time now,
                                 absl::BitGenRef rng) const {
     if (request.deadline <= now) {
-        return refuse(target, result_code::deadline_expired);
+        return refuse(target, request, result_code::deadline_expired);
     }
     const std::vector<weighed_version> versions = weighed_versions(target, request);
     double total = 0;
@@ -83,7 +88,7 @@
         total += version.weight;
     }
     if (total <= 0) {
-        return refuse(target, result_code::no_upstream);
+        return refuse(target, request, result_code::no_upstream);
     }
     double left = absl::uniform_real_distribution<double>(0, total)(rng);
     auto version = versions.begin();
@@ -95,7 +100,7 @@
     const std::vector<pick_candidate> weighed = weigh(usable.upstreams, now);
     const pick_result picked = m_picker.pick(weighed, rng);
     const upstream_state& chosen = *usable.upstreams[picked.chosen];
-    routing_decision decision = refuse(target, result_code::ok);
+    routing_decision decision = refuse(target, request, result_code::ok);
     decision.version = *version->name;
     decision.upstream_id = chosen.record.id;
     decision.owner = chosen.record.owner;
@@ -165,6 +170,7 @@
         slot->in_flight = in_flight;
         slot->latency = latency_average(m_settings.policy.averaging);
         slot->warming_since = m_services.contains(record.service) ? now : absl::InfinitePast();
+        slot->listed_since = now;
     }
     slot->record = record;
     slot->is_listed = true;
@@ -200,8 +206,10 @@
                       [](const upstream_state* one) { return std::string_view(one->record.id); });
     std::vector<std::string> ids;
     ids.reserve(members.upstreams.size());
+    members.known_since = absl::InfiniteFuture();
     for (const upstream_state* one : members.upstreams) {
         ids.push_back(one->record.id);
+        members.known_since = std::min(members.known_since, one->listed_since);
     }
     if (!members.health) {
         members.health = std::make_unique<ejector>(m_settings.policy.ejecting);
@@ -211,14 +219,15 @@
 
 std::vector<router::weighed_version> router::weighed_versions(const route& target, const request_facts& request) const {
     std::vector<weighed_version> versions;
-    const auto found = m_services.find(target.service);
+    const std::string& service = service_of(target, request);
+    const auto found = m_services.find(service);
     if (found == m_services.end()) {
         return versions;
     }
     for (const auto& [version, group] : found->second) {
         const bool is_served = std::ranges::any_of(
             group.upstreams, [&](const upstream_state* one) { return can_serve(one->record, target, request); });
-        const double weight = is_served ? configured_weight(target.service, version, group) : 0;
+        const double weight = is_served ? configured_weight(service, version, found->second) : 0;
         if (weight > 0) {
             versions.push_back({&version, &group, weight});
         }
@@ -227,15 +236,26 @@
 }
 
 double router::configured_weight(const std::string& service, const std::string& version,
-                                 const version_group& group) const {
+                                 const service_group& versions) const {
     if (const auto moved = m_overrides.find(service); moved != m_overrides.end()) {
-        const auto found = moved->second.find(version);
-        return found == moved->second.end() ? 0 : found->second;
+        if (const auto found = moved->second.find(version); found != moved->second.end()) {
+            return found->second;
+        }
+        const auto others = moved->second.find("");
+        const auto unnamed =
+            std::ranges::count_if(versions, [&](const auto& one) { return !moved->second.contains(one.first); });
+        return others == moved->second.end() ? 0 : others->second / static_cast<double>(unnamed);
     }
     if (const auto shared = m_state->shares.find(service); shared != m_state->shares.end()) {
         const auto found = shared->second.weight_by_version.find(version);
         return found == shared->second.weight_by_version.end() ? 0 : found->second;
     }
+    const version_group& group = versions.at(version);
+    if (m_settings.holds_new_versions && std::ranges::any_of(versions, [&](const auto& other) {
+            return std::tie(other.second.known_since, other.first) < std::tie(group.known_since, version);
+        })) {
+        return 0;
+    }
     double slots = 0;
     for (const upstream_state* upstream : group.upstreams) {
         slots += std::max(upstream->record.slots, 1);
--- a/src/routing/router.h
+++ b/src/routing/router.h
@@ -24,7 +24,8 @@
 
 namespace amaranthladder {
 
-/// Shares that a move sets for the versions of a service, by service and version; relative weights of at least 0.
+/// Shares that a move sets for the versions of a service, by service and version; relative weights of at least 0. The
+/// empty version stands for all that are not named, together.
 using share_overrides = std::map<std::string, std::map<std::string, double>>;
 
 /// Constants of router; docs/routing.md gives the reasons.
@@ -45,6 +46,8 @@
 /// Who the entry is.
 struct router_settings {
     std::string data_center;
+    bool holds_new_versions =
+        false; ///< Without a share or a move, only the version that was known first gets requests.
     router_policy policy = {};
 };
 
@@ -52,6 +55,7 @@
 struct request_facts {
     bool is_idempotent = false;
     absl::Time deadline = absl::InfiniteFuture();
+    std::string service = {};            ///< The service chosen out of a split; empty: the route's.
     std::vector<std::string> tried = {}; ///< Ids of upstreams that earlier attempts of the request went to.
 };
 
@@ -73,7 +77,7 @@
     void set_share_overrides(share_overrides overrides);
 
     /// @copydoc route_table::match
-    route_match match(std::string_view method, std::string_view target) const;
+    route_match match(std::string_view host, std::string_view method, std::string_view target) const;
 
     /// @param target the route, from match.
     /// @param request the request.
@@ -109,10 +113,12 @@
         absl::Time hint_time = absl::InfinitePast();
         absl::Time penalised_until = absl::InfinitePast();
         absl::Time warming_since = absl::InfinitePast();
+        absl::Time listed_since = absl::InfiniteFuture();
     };
     struct version_group {
         std::vector<upstream_state*> upstreams; ///< Only usable ones.
         std::unique_ptr<ejector> health;
+        absl::Time known_since = absl::InfiniteFuture(); ///< When the first of its present upstreams was listed.
     };
     using service_names = absl::flat_hash_set<std::string>;
     using service_group = std::map<std::string, version_group>;
@@ -130,7 +136,8 @@
     void rebuild_groups(const service_names& changed);
     void finish_group(version_group& members) const;
     std::vector<weighed_version> weighed_versions(const route& target, const request_facts& request) const;
-    double configured_weight(const std::string& service, const std::string& version, const version_group& group) const;
+    double configured_weight(const std::string& service, const std::string& version,
+                             const service_group& versions) const;
     candidate_set candidates(const version_group& group, const route& target, const request_facts& request,
                              absl::Time now) const;
     std::vector<pick_candidate> weigh(const std::vector<upstream_state*>& upstreams, absl::Time now) const;
--- a/src/settings/daemon_settings.cpp
+++ b/src/settings/daemon_settings.cpp
@@ -24,12 +24,19 @@
     return text;
 }
 
+endpoint optional_address(const settings_values& values, std::string_view key) {
+    const std::vector<endpoint> given = values.addresses("listen", key);
+    return given.empty() ? endpoint{} : given.front();
+}
+
 daemon_settings to_daemon_settings(const settings_values& values) {
     daemon_settings result;
     result.daemon = {values.text("daemon", "mesh"), values.text("daemon", "region"),
-                     values.text("daemon", "data_center"), values.text("daemon", "worker")};
-    result.listen = {values.address("listen", "requests"), values.address("listen", "control"),
-                     values.address("listen", "peers")};
+                     values.text("daemon", "data_center"), values.text("daemon", "worker"),
+                     values.text("daemon", "service")};
+    result.listen = {values.address("listen", "requests"),  optional_address(values, "owner"),
+                     optional_address(values, "readiness"), optional_address(values, "announcements"),
+                     values.address("listen", "control"),   values.address("listen", "peers")};
     result.store = {values.address("store", "address"), values.duration("store", "call_timeout"),
                     values.duration("store", "lease"), values.duration("store", "watch")};
     result.peers = {values.addresses("peers", "seeds"), values.duration("peers", "probe_interval"),
@@ -49,6 +56,8 @@
                        values.duration("requests", "warm_up"),
                        values.duration("requests", "announcement_timeout"),
                        values.duration("requests", "drain_timeout")};
+    result.platform = {values.text("platform", "interface"), values.text("platform", "limits"),
+                       values.text("platform", "seeds")};
     result.log = {parse_log_level(values.text("log", "level")), values.text("log", "file"),
                   static_cast<std::size_t>(values.integer("log", "queue_lines"))};
     return result;
@@ -66,7 +75,9 @@
             result.push_back({result_code::setting_conflict, file, 0, section, key, text});
         }
     };
-    const auto& [requests, control, peers] = settings.listen;
+    const endpoint& requests = settings.listen.requests;
+    const endpoint& control = settings.listen.control;
+    const endpoint& peers = settings.listen.peers;
     require(!is_same_port(requests, control), "listen", "control", "must differ from [listen] requests");
     require(!is_same_port(requests, peers), "listen", "peers", "must differ from [listen] requests");
     require(!is_same_port(control, peers), "listen", "peers", "must differ from [listen] control");
--- a/src/settings/daemon_settings.h
+++ b/src/settings/daemon_settings.h
@@ -21,11 +21,15 @@
         std::string region;
         std::string data_center;
         std::string worker;
+        std::string service; ///< Service of the upstream beside the daemon; may be empty.
 
         friend bool operator==(const daemon_section&, const daemon_section&) = default;
     };
     struct listen_section {
         endpoint requests;
+        endpoint owner;         ///< Without an address: the same as requests.
+        endpoint readiness;     ///< Without an address: none.
+        endpoint announcements; ///< Without an address: none.
         endpoint control;
         endpoint peers;
 
@@ -65,6 +69,13 @@
 
         friend bool operator==(const requests_section&, const requests_section&) = default;
     };
+    struct platform_section {
+        std::string interface = "own";
+        std::string limits;
+        std::string seeds;
+
+        friend bool operator==(const platform_section&, const platform_section&) = default;
+    };
     struct log_section {
         log_level level = log_level::info;
         std::string file; ///< Empty: the standard error stream.
@@ -78,6 +89,7 @@
     store_section store;
     peers_section peers;
     requests_section requests;
+    platform_section platform;
     log_section log;
 
     friend bool operator==(const daemon_settings&, const daemon_settings&) = default;
--- a/src/store/http_store.h
+++ b/src/store/http_store.h
@@ -11,6 +11,7 @@
 namespace amaranthladder {
 
 class call_counter;
+class store_connections;
 
 /// The platform's store over HTTP, see docs/store.md. Satisfies `key_value_store`.
 ///
@@ -37,8 +38,8 @@
     void close();
 
 private:
-    class connections;
-    std::unique_ptr<connections> m_connections;
+    std::unique_ptr<store_connections> m_connections;
+    call_counter& m_counter;
 };
 
 } // namespace amaranthladder
--- /dev/null
+++ b/src/store/leased_entry.h
@@ -0,0 +1,87 @@
+#pragma once
+
+#include "common/backoff.h"
+#include "store/prefix_store.h"
+
+#include <absl/random/bit_gen_ref.h>
+#include <absl/time/time.h>
+
+#include <cstdint>
+#include <string>
+#include <utility>
+
+namespace amaranthladder {
+
+/// Constants of leased_entry.
+struct leased_entry_policy {
+    absl::Duration call_timeout = absl::Seconds(1);
+    absl::Duration ttl = absl::Seconds(30);
+    double renewal_share = 0.3; ///< Part of the time to live after which the lease is renewed.
+    absl::Duration first_delay = absl::Milliseconds(200);
+    /// An entry whose lease lapsed during an outage is back within about two seconds of the store's return.
+    absl::Duration longest_delay = absl::Milliseconds(1200);
+};
+
+/// Keeps one key in the store as long as this process lives. Makes one store call per step.
+template <prefix_store Store> class leased_entry {
+public:
+    /// @param store outlives the entry.
+    leased_entry(Store& store, std::string key, std::string value, leased_entry_policy policy = {})
+        : m_store(store), m_key(std::move(key)), m_value(std::move(value)), m_policy(policy),
+          m_backoff(policy.first_delay, policy.longest_delay) {}
+
+    /// Makes the next call: takes a lease, writes the key or renews the lease.
+    /// @return the time to wait before the next step.
+    absl::Duration step(absl::BitGenRef random) {
+        const store_outcome outcome = next_call();
+        if (outcome == store_outcome::ok) {
+            m_backoff.reset();
+            return m_is_written ? m_policy.ttl * m_policy.renewal_share : absl::ZeroDuration();
+        }
+        if (outcome == store_outcome::absent) {
+            // The lease has ended, and the key went with it.
+            m_lease = 0;
+            m_is_written = false;
+        }
+        return m_backoff.next_delay(random);
+    }
+
+    /// Removes the key at once instead of at the end of the lease.
+    void end() {
+        if (m_lease != 0) {
+            // Without an answer the key goes with its lease.
+            static_cast<void>(m_store.end_lease(m_lease, m_policy.call_timeout));
+        }
+    }
+
+    /// @return true while the key is believed to be in the store.
+    bool is_written() const {
+        return m_is_written;
+    }
+
+private:
+    store_outcome next_call() {
+        if (m_lease == 0) {
+            const store_result<std::uint64_t> granted = m_store.grant_lease(m_policy.ttl, m_policy.call_timeout);
+            m_lease = granted.value.value_or(0);
+            return granted.outcome;
+        }
+        if (!m_is_written) {
+            const store_outcome written =
+                m_store.commit({{}, {{m_key, m_value, m_lease}}}, m_policy.call_timeout).outcome;
+            m_is_written = written == store_outcome::ok;
+            return written;
+        }
+        return m_store.keep_lease(m_lease, m_policy.call_timeout).outcome;
+    }
+
+    Store& m_store;
+    std::string m_key;
+    std::string m_value;
+    leased_entry_policy m_policy;
+    backoff m_backoff;
+    std::uint64_t m_lease = 0;
+    bool m_is_written = false;
+};
+
+} // namespace amaranthladder
--- /dev/null
+++ b/src/store/prefix_follower.h
@@ -0,0 +1,136 @@
+#pragma once
+
+#include "common/backoff.h"
+#include "store/prefix_store.h"
+
+#include <absl/random/bit_gen_ref.h>
+#include <absl/time/time.h>
+
+#include <algorithm>
+#include <functional>
+#include <set>
+#include <string>
+#include <utility>
+
+namespace amaranthladder {
+
+/// Constants of prefix_follower.
+struct prefix_follower_policy {
+    absl::Duration call_timeout = absl::Seconds(1);
+    /// A waiting watch is a call that the store counts, so it waits long; the connection's probes find a silent one.
+    absl::Duration watch_wait = absl::Seconds(15);
+    absl::Duration first_delay = absl::Milliseconds(100);
+    /// Changes must be in force within about two seconds of the store's return.
+    absl::Duration longest_delay = absl::Milliseconds(800);
+};
+
+/// Told by a prefix_follower of what it finds.
+struct prefix_listener {
+    /// A key as it is stored now. @p is_change: it was written while the follower was watching.
+    std::function<void(const stored_item& item, bool is_change)> on_item;
+    std::function<void(const std::string& key)> on_removed;
+    /// The store began or ceased to answer.
+    std::function<void(bool is_reachable, store_outcome outcome)> on_reachable;
+};
+
+/// Follows the keys with a common prefix: lists them, then watches; lists again when the history is lost.
+///
+/// Makes one store call per step, so that a test can run it against a scripted store.
+template <prefix_store Store> class prefix_follower {
+public:
+    /// @param store outlives the follower.
+    /// @param prefix what the followed keys begin with.
+    /// @param listener called from step().
+    prefix_follower(Store& store, std::string prefix, prefix_listener listener, prefix_follower_policy policy = {})
+        : m_store(store), m_prefix(std::move(prefix)), m_listener(std::move(listener)), m_policy(policy),
+          m_backoff(policy.first_delay, policy.longest_delay) {}
+
+    /// Makes the next call.
+    /// @return the time to wait before the next step.
+    absl::Duration step(absl::BitGenRef random) {
+        const store_outcome outcome = m_is_listed ? watch() : list();
+        const bool is_answered = outcome == store_outcome::ok;
+        if (is_answered != m_is_reachable || m_is_first) {
+            m_is_first = false;
+            m_is_reachable = is_answered;
+            m_listener.on_reachable(is_answered, outcome);
+        }
+        if (is_answered) {
+            m_backoff.reset();
+            return absl::ZeroDuration();
+        }
+        return m_backoff.next_delay(random);
+    }
+
+    /// @return true if the last call was answered.
+    bool is_reachable() const {
+        return m_is_reachable;
+    }
+
+private:
+    store_outcome list() {
+        std::set<std::string> found;
+        std::string after;
+        revision as_of = 0;
+        while (true) {
+            store_result<stored_page> page = m_store.list(m_prefix, after, m_policy.call_timeout);
+            if (!page.is_ok()) {
+                return page.outcome;
+            }
+            // Pages are read one after the other, so the watch continues from before the first one.
+            as_of = as_of == 0 ? page.value->as_of : as_of;
+            for (const stored_item& item : page.value->items) {
+                found.insert(item.key);
+                after = item.key;
+                m_listener.on_item(item, false);
+            }
+            if (page.value->is_last || page.value->items.empty()) {
+                break;
+            }
+        }
+        for (const std::string& key : m_keys) {
+            if (!found.contains(key)) {
+                m_listener.on_removed(key);
+            }
+        }
+        m_keys = std::move(found);
+        m_as_of = as_of;
+        m_is_listed = true;
+        return store_outcome::ok;
+    }
+
+    store_outcome watch() {
+        store_result<stored_changes> changed = m_store.watch(m_prefix, m_as_of, m_policy.watch_wait);
+        if (!changed.is_ok()) {
+            return changed.outcome;
+        }
+        if (changed.value->is_history_lost) {
+            m_is_listed = false;
+            return store_outcome::ok;
+        }
+        for (const stored_change& change : changed.value->changes) {
+            if (change.is_removed) {
+                m_keys.erase(change.item.key);
+                m_listener.on_removed(change.item.key);
+            } else {
+                m_keys.insert(change.item.key);
+                m_listener.on_item(change.item, true);
+            }
+        }
+        m_as_of = std::max(m_as_of, changed.value->as_of);
+        return store_outcome::ok;
+    }
+
+    Store& m_store;
+    std::string m_prefix;
+    prefix_listener m_listener;
+    prefix_follower_policy m_policy;
+    backoff m_backoff;
+    std::set<std::string> m_keys;
+    revision m_as_of = 0;
+    bool m_is_listed = false;
+    bool m_is_reachable = false;
+    bool m_is_first = true;
+};
+
+} // namespace amaranthladder
--- /dev/null
+++ b/src/store/prefix_store.h
@@ -0,0 +1,73 @@
+#pragma once
+
+#include "store/key_value_store.h"
+
+#include <absl/time/time.h>
+
+#include <concepts>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace amaranthladder {
+
+/// A key of a store with its value.
+struct stored_item {
+    std::string key;
+    std::string value;
+    revision key_revision = 0;
+
+    friend bool operator==(const stored_item&, const stored_item&) = default;
+};
+
+/// One page of the keys with a common prefix.
+struct stored_page {
+    std::vector<stored_item> items;
+    bool is_last = true;
+    revision as_of = 0; ///< The store's revision when the page was read.
+};
+
+/// A change of a key.
+struct stored_change {
+    stored_item item; ///< Without a value if the key was removed.
+    bool is_removed = false;
+};
+
+/// Changes of the keys with a common prefix.
+struct stored_changes {
+    std::vector<stored_change> changes; ///< In the order in which they happened; empty if the wait ended without one.
+    revision as_of = 0;                 ///< Where the next watch continues.
+    bool is_history_lost = false;       ///< The store no longer has the changes; list the keys again.
+};
+
+/// Writes that are done together, if every condition holds.
+struct store_transaction {
+    struct condition {
+        std::string key;
+        revision expected = 0; ///< 0: the key must be absent.
+    };
+    struct write {
+        std::string key;
+        std::string value;
+        std::uint64_t lease_id = 0; ///< 0: the key stays until it is removed.
+    };
+    std::vector<condition> conditions;
+    std::vector<write> writes;
+};
+
+/// A store whose keys are listed and watched by prefix and whose leases carry keys. Each call ends within its deadline;
+/// none throws for a store that fails.
+template <typename Store>
+concept prefix_store = requires(Store store, const std::string& key, revision known, std::uint64_t lease_id,
+                                const store_transaction& transaction, absl::Duration limit) {
+    { store.get(key, limit) } -> std::same_as<store_result<stored_item>>;
+    { store.list(key, key, limit) } -> std::same_as<store_result<stored_page>>;
+    { store.list_cached(key, key, limit) } -> std::same_as<store_result<stored_page>>;
+    { store.watch(key, known, limit) } -> std::same_as<store_result<stored_changes>>;
+    { store.commit(transaction, limit) } -> std::same_as<store_result<revision>>;
+    { store.grant_lease(limit, limit) } -> std::same_as<store_result<std::uint64_t>>;
+    { store.keep_lease(lease_id, limit) } -> std::same_as<store_result<revision>>;
+    { store.end_lease(lease_id, limit) } -> std::same_as<store_result<revision>>;
+};
+
+} // namespace amaranthladder
--- /dev/null
+++ b/src/store/store_connections.cpp
@@ -0,0 +1,163 @@
+#include "store/store_connections.h"
+
+#include <absl/base/thread_annotations.h>
+#include <absl/synchronization/mutex.h>
+#include <absl/time/clock.h>
+#include <httplib.h>
+
+#include <netinet/tcp.h>
+
+#include <algorithm>
+#include <set>
+
+namespace amaranthladder {
+
+namespace {
+
+// Idle connections beyond this number are closed; a daemon has one watch and one other call at a time.
+constexpr std::size_t max_idle_connections = 4;
+
+// The stand-in and common servers close idle connections after 5 s; a connection that the server closes while a
+// write is on its way would leave that write's outcome unknown.
+constexpr absl::Duration max_idle_time = absl::Seconds(3);
+
+constexpr absl::Duration min_deadline = absl::Milliseconds(1);
+
+// A watch waits for many seconds on a connection that may have gone silent. Probes find that within about three
+// seconds, without calls that the store counts.
+constexpr int probe_idle_s = 1;
+constexpr int probe_interval_s = 1;
+constexpr int probe_count = 2;
+constexpr unsigned unacknowledged_limit_ms = 3'000;
+
+void set_option(socket_t socket, int level, int option, unsigned value) {
+    // A kernel without the option leaves the deadline as the only limit.
+    static_cast<void>(::setsockopt(socket, level, option, &value, sizeof(value)));
+}
+
+void set_socket_options(socket_t socket) {
+    set_option(socket, SOL_SOCKET, SO_KEEPALIVE, 1);
+    set_option(socket, IPPROTO_TCP, TCP_KEEPIDLE, probe_idle_s);
+    set_option(socket, IPPROTO_TCP, TCP_KEEPINTVL, probe_interval_s);
+    set_option(socket, IPPROTO_TCP, TCP_KEEPCNT, probe_count);
+    set_option(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, unacknowledged_limit_ms);
+}
+
+} // namespace
+
+std::string store_reply::header(const std::string& name) const {
+    const auto found = std::ranges::find_if(headers, [&](const auto& item) {
+        return item.first.size() == name.size() &&
+               std::equal(name.begin(), name.end(), item.first.begin(), [](unsigned char left, unsigned char right) {
+                   return std::tolower(left) == std::tolower(right);
+               });
+    });
+    return found == headers.end() ? "" : found->second;
+}
+
+class store_connections::implementation {
+public:
+    explicit implementation(endpoint address) : m_address(std::move(address)) {}
+
+    store_reply call(const store_request& sent, absl::Duration deadline) {
+        store_reply result;
+        auto client = take();
+        if (client == nullptr) {
+            return result;
+        }
+        httplib::Request request;
+        request.method = sent.method;
+        request.path = sent.path;
+        request.body = sent.body;
+        for (const auto& [name, value] : sent.headers) {
+            request.set_header(name.c_str(), value);
+        }
+        const absl::Time end = absl::Now() + std::max(deadline, min_deadline);
+        set_timeouts(*client, std::max(deadline, min_deadline));
+        request.progress = [end](std::uint64_t, std::uint64_t) { return absl::Now() < end; };
+        httplib::Error failure = httplib::Error::Success;
+        httplib::Response response;
+        const bool is_answered = client->send(request, response, failure);
+        if (is_answered) {
+            result.status = response.status;
+            result.headers.assign(response.headers.begin(), response.headers.end());
+            result.body = std::move(response.body);
+        }
+        result.may_have_arrived = failure != httplib::Error::Connection && failure != httplib::Error::ConnectionTimeout;
+        give_back(std::move(client), is_answered);
+        return result;
+    }
+
+    void close() {
+        const absl::MutexLock lock(&m_mutex);
+        m_is_closed = true;
+        m_idle.clear();
+        for (httplib::Client* client : m_busy) {
+            client->stop();
+        }
+    }
+
+private:
+    struct idle_client {
+        std::unique_ptr<httplib::Client> client;
+        absl::Time since;
+    };
+
+    std::unique_ptr<httplib::Client> take() {
+        const absl::MutexLock lock(&m_mutex);
+        if (m_is_closed) {
+            return nullptr;
+        }
+        const absl::Time oldest = absl::Now() - max_idle_time;
+        std::erase_if(m_idle, [oldest](const idle_client& idle) { return idle.since < oldest; });
+        std::unique_ptr<httplib::Client> client;
+        if (m_idle.empty()) {
+            client = std::make_unique<httplib::Client>(m_address.address, m_address.port);
+            client->set_tcp_nodelay(true);
+            client->set_keep_alive(true);
+            client->set_url_encode(false);
+            client->set_socket_options(set_socket_options);
+        } else {
+            client = std::move(m_idle.back().client);
+            m_idle.pop_back();
+        }
+        m_busy.insert(client.get());
+        return client;
+    }
+
+    void give_back(std::unique_ptr<httplib::Client> client, bool is_reusable) {
+        const absl::MutexLock lock(&m_mutex);
+        m_busy.erase(client.get());
+        if (is_reusable && !m_is_closed && m_idle.size() < max_idle_connections) {
+            m_idle.push_back({std::move(client), absl::Now()});
+        }
+    }
+
+    static void set_timeouts(httplib::Client& client, absl::Duration limit) {
+        const std::int64_t us = absl::ToInt64Microseconds(limit);
+        client.set_connection_timeout(us / 1'000'000, us % 1'000'000);
+        client.set_read_timeout(us / 1'000'000, us % 1'000'000);
+        client.set_write_timeout(us / 1'000'000, us % 1'000'000);
+    }
+
+    const endpoint m_address;
+    absl::Mutex m_mutex;
+    std::vector<idle_client> m_idle ABSL_GUARDED_BY(m_mutex);
+    std::set<httplib::Client*> m_busy ABSL_GUARDED_BY(m_mutex);
+    bool m_is_closed ABSL_GUARDED_BY(m_mutex) = false;
+};
+
+store_connections::store_connections(endpoint address)
+    : m_implementation(std::make_unique<implementation>(std::move(address))) {}
+
+store_connections::~store_connections() = default;
+
+store_reply store_connections::call(const store_request& request, absl::Duration deadline) {
+    return m_implementation->call(request, deadline);
+}
+
+void store_connections::close() {
+    m_implementation->close();
+}
+
+} // namespace amaranthladder
--- a/src/tool/state_difference.cpp
+++ b/src/tool/state_difference.cpp
@@ -43,6 +43,7 @@
     compare("route", from.routes, to.routes, lines);
     compare("share", from.shares, to.shares, lines);
     compare("move", from.moves, to.moves, lines);
+    compare("limits", from.limits, to.limits, lines);
     return lines;
 }
 
