Choose upstreams by expected answer time, prefer the own data centre while it is quick enough

Owners report load and service times with each answer and refusal; an entry works out when each upstream would answer. An answer of the own data centre is taken while it is expected within half of the time left to the target (0.8 for downloads). A failed answer of an upstream to a repeatable request is replaced by another attempt within the budget. A refusal after an attempt that may have run no longer says that the request did not run.

--- a/src/common/result_code.h
+++ b/src/common/result_code.h
@@ -94,6 +94,7 @@
     overloaded = 1420,
     no_configuration = 1421,
     body_too_large = 1422,
+    upstream_failed = 1423,
 
     // Moves and state charts.
     move_taken_back_failures = 1500,
--- a/src/http/private/caller_session.cpp
+++ b/src/http/private/caller_session.cpp
@@ -214,7 +214,7 @@
     }
     request.has_reached_upstream = call.has_reached_upstream();
     request.backlog = call.backlog();
-    request.load = call.load();
+    request.report = call.report();
     co_return co_await write_refusal(request, relayed.code, request_execution, request.info.upstream);
 }
 
--- a/src/http/private/entry_call.cpp
+++ b/src/http/private/entry_call.cpp
@@ -23,19 +23,15 @@
 /// Time beyond the deadline that an owner has to deliver its own answer, which knows whether the request ran.
 constexpr absl::Duration owner_answer_slack = absl::Milliseconds(30);
 /// Bounds of the time after which a refused caller may come back.
+constexpr unsigned least_failure_status = 500;
+/// With less time left a failed answer is passed on instead of being replaced by a second attempt.
+constexpr absl::Duration least_second_attempt = absl::Milliseconds(50);
 constexpr absl::Duration least_retry_after = absl::Milliseconds(40);
 /// For callers that state no deadline.
 constexpr absl::Duration most_retry_after = absl::Seconds(1);
 /// Part of the time left that a caller waits at the most when it is told to.
 constexpr double obeyed_share = 1.0 / 3;
 
-std::optional<double> load_of(const http::fields& fields) {
-    const std::string_view text = field_value(fields, header::load);
-    double load = 0;
-    const auto [end, failure] = std::from_chars(text.data(), text.data() + text.size(), load);
-    return !text.empty() && failure == std::errc{} ? std::optional(load) : std::nullopt;
-}
-
 attempt_outcome refusal_outcome(result_code code) {
     switch (code) {
     case result_code::upstream_leaving:
@@ -87,6 +83,7 @@
     request_facts facts;
     facts.is_idempotent = is_idempotent(target);
     facts.deadline = m_deadline;
+    facts.target = m_target;
     facts.service = m_service;
     attempt_end last;
     last.code = result_code::no_upstream;
@@ -95,15 +92,20 @@
         const routing_decision decision = m_core.requests.choose(target, facts, m_core.clock.now(), m_core.random);
         log_decision(decision, attempts + 1);
         if (decision.is_refused()) {
-            const result_code code = attempts == 0 ? decision.refusal : last.code;
-            co_return co_await refuse(code, last.request_execution, decision.service);
+            if (attempts == 0) {
+                last.code = decision.refusal;
+            }
+            co_return co_await refuse_after(last, decision.service);
         }
         ++attempts;
         ++m_core.counters.attempts;
         m_request.info.attempt = attempts;
         m_core.requests.on_started(decision.upstream_id, m_core.clock.now());
         last = co_await attempt(target, decision);
-        m_core.requests.on_finished(decision.upstream_id, last.outcome, last.latency, last.load, m_core.clock.now());
+        m_core.requests.on_finished(decision.upstream_id, last.outcome, last.latency, std::nullopt, m_core.clock.now());
+        if (last.report) {
+            m_core.requests.on_report(decision.upstream_id, target.name, *last.report, m_core.clock.now());
+        }
         m_sends += last.has_reached ? 1 : 0;
         if (last.outcome == attempt_outcome::refused_load) {
             m_shortest_backlog = std::min(m_shortest_backlog, last.backlog);
@@ -117,7 +119,10 @@
             co_return serve_result{result_code::caller_disconnected, 0};
         }
         if (attempts >= max_tries || !may_retry(target, last, std::max(m_sends, 1))) {
-            co_return co_await refuse(last.code, last.request_execution, decision.upstream_id);
+            co_return co_await refuse_after(last, decision.upstream_id);
+        }
+        if (last.request_execution != execution::not_run) {
+            m_run_failure = last.code;
         }
         ++m_core.counters.retries;
         facts.tried.push_back(decision.upstream_id);
@@ -158,13 +163,18 @@
         attempt_end refused = end_of(started);
         refused.has_reached = call.has_reached_upstream();
         refused.backlog = call.backlog();
+        refused.report = call.report();
         co_return refused;
     }
     const unsigned status = call.status();
+    if (may_replace_answer(target, status)) {
+        co_await call.discard_answer();
+        co_return replaced_answer(call.latency(), call.report());
+    }
     const relay_result relayed = co_await call.relay_answer();
     attempt_end ended = end_of(relayed, status);
     ended.latency = call.latency();
-    ended.load = call.load();
+    ended.report = call.report();
     co_return ended;
 }
 
@@ -205,14 +215,18 @@
         co_return co_await take_owner_refusal(sent);
     }
     const unsigned status = sent.response().get().result_int();
-    const std::optional<double> load = load_of(fields);
+    const std::optional<owner_report> report = read_report(fields);
+    if (may_replace_answer(target, status)) {
+        sent.abort();
+        co_return replaced_answer(latency, report);
+    }
     const std::string& id = m_request.info.request_id;
     const auto set_headers = [this, &id](http::fields& out) { out.set(beast_view(header::request_id), id); };
     const relay_result relayed =
         co_await m_core.relay.relay(sent, m_request, m_core.options.answer_buffer_bytes, set_headers);
     attempt_end ended = end_of(relayed, status);
     ended.latency = latency;
-    ended.load = load;
+    ended.report = report;
     co_return ended;
 }
 
@@ -222,7 +236,7 @@
     int number = 0;
     std::from_chars(code_text.data(), code_text.data() + code_text.size(), number);
     attempt_end ended;
-    ended.load = load_of(fields);
+    ended.report = read_report(fields);
     ended.request_execution =
         field_value(fields, header::outcome) == name(execution::not_run) ? execution::not_run : execution::may_have_run;
     const auto codes = result_codes();
@@ -247,6 +261,14 @@
     co_return ended;
 }
 
+asio::awaitable<serve_result> entry_call::refuse_after(const attempt_end& last, std::string detail) {
+    // An earlier attempt may have run, so the last one's "not run" is not the whole truth.
+    if (m_run_failure && last.request_execution == execution::not_run) {
+        return refuse(*m_run_failure, execution::may_have_run, std::move(detail));
+    }
+    return refuse(last.code, last.request_execution, std::move(detail));
+}
+
 asio::awaitable<serve_result> entry_call::refuse(result_code code, execution request_execution, std::string detail) {
     auto& count = request_execution == execution::not_run ? m_core.counters.refusals_not_run
                                                           : m_core.counters.refusals_may_have_run;
@@ -259,6 +281,23 @@
     return write_refusal(m_request, code, request_execution, std::move(detail));
 }
 
+bool entry_call::may_replace_answer(const route& target, unsigned status) {
+    const int limit = target.max_attempts > 0 ? target.max_attempts : 1;
+    return status >= least_failure_status && is_idempotent(target) && m_request.body.is_replayable() &&
+           m_sends + 1 < limit && m_core.clock.now() + least_second_attempt < m_deadline &&
+           m_core.budget.available(m_service, m_core.clock.now()) >= 1;
+}
+
+entry_call::attempt_end entry_call::replaced_answer(absl::Duration latency, std::optional<owner_report> report) {
+    attempt_end ended;
+    ended.outcome = attempt_outcome::sent_no_answer;
+    ended.code = result_code::upstream_failed;
+    ended.request_execution = execution::may_have_run;
+    ended.latency = latency;
+    ended.report = std::move(report);
+    return ended;
+}
+
 void entry_call::set_retry_after(result_code code) {
     if (describe(code).http_status != static_cast<int>(http::status::service_unavailable)) {
         return;
--- a/src/http/private/entry_call.h
+++ b/src/http/private/entry_call.h
@@ -30,7 +30,7 @@
         result_code code = result_code::ok;
         execution request_execution = execution::not_run;
         absl::Duration latency;
-        std::optional<double> load;
+        std::optional<owner_report> report;
         absl::Duration backlog;  ///< Wait for a slot there, as the owner reported with its refusal.
         bool has_reached = true; ///< False: the upstream certainly saw nothing.
         std::optional<serve_result> result;
@@ -44,6 +44,10 @@
     const std::string& choose_service(const route& target);
     void set_retry_after(result_code code);
     void set_target(const route& target);
+    /// @return true if an upstream's failed answer may be replaced by another attempt.
+    bool may_replace_answer(const route& target, unsigned status);
+    static attempt_end replaced_answer(absl::Duration latency, std::optional<owner_report> report);
+    asio::awaitable<serve_result> refuse_after(const attempt_end& last, std::string detail);
     asio::awaitable<serve_result> refuse(result_code code, execution request_execution, std::string detail);
     attempt_end end_of(const exchange_start& started) const;
     attempt_end end_of(const relay_result& relayed, unsigned status) const;
@@ -55,8 +59,9 @@
 
     proxy_core& m_core;
     served_request& m_request;
-    std::string m_service; ///< The route's service, or the one chosen out of its split.
-    int m_sends = 0;       ///< Attempts that may have reached an upstream.
+    std::string m_service;                    ///< The route's service, or the one chosen out of its split.
+    std::optional<result_code> m_run_failure; ///< How an attempt that may have run ended.
+    int m_sends = 0;                          ///< Attempts that may have reached an upstream.
     absl::Time m_deadline;
     absl::Time m_target = absl::InfiniteFuture(); ///< Until when the answer is worth most to the caller.
     absl::Duration m_shortest_backlog = absl::InfiniteDuration(); ///< Of the owners that refused.
--- a/src/http/private/forwarding_headers.cpp
+++ b/src/http/private/forwarding_headers.cpp
@@ -10,6 +10,7 @@
 #include <algorithm>
 #include <array>
 #include <charconv>
+#include <cmath>
 #include <vector>
 
 namespace amaranthladder {
@@ -118,6 +119,30 @@
     }
 }
 
+void write_report(http::fields& fields, const owner_report& report) {
+    fields.set(beast_view(header::load), fmt::format("{:.3f}", report.load));
+    fields.set(beast_view(header::service_us), std::to_string(absl::ToInt64Microseconds(report.service_time)));
+    fields.set(beast_view(header::route_us), std::to_string(absl::ToInt64Microseconds(report.route_time)));
+}
+
+std::optional<owner_report> read_report(const http::fields& fields) {
+    const std::string_view text = field_value(fields, header::load);
+    owner_report report;
+    const auto [end, failure] = std::from_chars(text.data(), text.data() + text.size(), report.load);
+    if (text.empty() || failure != std::errc{} || !std::isfinite(report.load)) {
+        return std::nullopt;
+    }
+    const auto microseconds = [&fields](std::string_view name) {
+        const std::string_view value = field_value(fields, name);
+        std::int64_t number = 0;
+        std::from_chars(value.data(), value.data() + value.size(), number);
+        return absl::Microseconds(std::max<std::int64_t>(number, 0));
+    };
+    report.service_time = microseconds(header::service_us);
+    report.route_time = microseconds(header::route_us);
+    return report;
+}
+
 void remove_hop_by_hop_headers(http::fields& fields) {
     std::vector<std::string> listed;
     for (const auto& token : http::token_list{fields[http::field::connection]}) {
--- a/src/http/private/forwarding_headers.h
+++ b/src/http/private/forwarding_headers.h
@@ -2,6 +2,7 @@
 
 #include "http/header_names.h"
 #include "http/private/asio_types.h"
+#include "routing/router.h"
 
 #include <absl/time/time.h>
 
@@ -29,6 +30,8 @@
 inline constexpr std::string_view priority = "x-amaranthladder-priority";
 inline constexpr std::string_view target_ms = "x-amaranthladder-target-ms";
 inline constexpr std::string_view reached = "x-amaranthladder-reached-upstream";
+inline constexpr std::string_view service_us = "x-amaranthladder-service-us";
+inline constexpr std::string_view route_us = "x-amaranthladder-route-us";
 inline constexpr std::string_view backlog_ms = "x-amaranthladder-backlog-ms";
 } // namespace header
 
@@ -70,6 +73,12 @@
 void write_upstream_headers(http::fields& fields, const forwarding_info& info, const header_names& names,
                             const std::string& expected_upstream);
 
+/// Adds what an owner tells an entry of its upstream.
+void write_report(http::fields& fields, const owner_report& report);
+
+/// @return what an owner's answer says of its upstream, or nothing.
+std::optional<owner_report> read_report(const http::fields& fields);
+
 /// Removes the headers that concern one connection only (RFC 9110, section 7.6.1), and those of the mesh.
 void remove_hop_by_hop_headers(http::fields& fields);
 
--- a/src/http/private/owner_call.cpp
+++ b/src/http/private/owner_call.cpp
@@ -54,7 +54,7 @@
     }
     if (granted != result_code::ok) {
         if (granted != result_code::upstream_leaving && granted != result_code::caller_disconnected) {
-            report(owned_call::outcome::refused);
+            report_call(owned_call::outcome::refused);
         }
         co_return exchange_start{granted, execution::not_run};
     }
@@ -67,11 +67,11 @@
     }
     if (started.code == result_code::ok) {
         m_core.latency_by_route[m_route].observe(m_latency);
-        report(outcome_of(status()));
+        report_call(outcome_of(status()));
     } else if (started.request_execution == execution::not_run && has_reached_upstream()) {
-        report(owned_call::outcome::refused);
+        report_call(owned_call::outcome::refused);
     } else if (started.code != result_code::caller_disconnected) {
-        report(owned_call::outcome::failed);
+        report_call(owned_call::outcome::failed);
     }
     co_return started;
 }
@@ -133,6 +133,12 @@
 
 asio::awaitable<exchange_start> owner_call::take_upstream_refusal() {
     const bool is_other_upstream = status() == misdirected_status;
+    co_await discard_answer();
+    co_return exchange_start{is_other_upstream ? result_code::no_upstream : result_code::overloaded,
+                             execution::not_run};
+}
+
+asio::awaitable<void> owner_call::discard_answer() {
     std::string body(max_refusal_bytes, '\0');
     std::size_t size = 1;
     std::size_t used = 0;
@@ -142,8 +148,6 @@
         used += size;
     }
     m_exchange.finish();
-    co_return exchange_start{is_other_upstream ? result_code::no_upstream : result_code::overloaded,
-                             execution::not_run};
 }
 
 bool owner_call::has_field(const std::string& name) {
@@ -174,29 +178,34 @@
 
 asio::awaitable<relay_result> owner_call::relay_answer() {
     const bool is_for_entry = m_request.info.is_from_entry();
-    const std::string load_text = fmt::format("{:.3f}", load());
+    const owner_report reported = report();
     const std::string& id = m_request.info.request_id;
     const auto set_headers = [&](http::fields& fields) {
         fields.set(beast_view(m_core.options.headers.request_id), id);
         if (is_for_entry) {
-            fields.set(beast_view(header::load), load_text);
+            write_report(fields, reported);
         }
     };
     const relay_result relayed = co_await m_core.relay.relay(
         m_exchange, m_request, is_for_entry ? owner_buffer_bytes : m_core.options.answer_buffer_bytes, set_headers);
     if (relayed.code == result_code::response_truncated) {
-        report(owned_call::outcome::failed);
+        report_call(owned_call::outcome::failed);
     }
     co_return relayed;
 }
 
+owner_report owner_call::report() const {
+    const slot_limiter& limiter = m_gate->limiter();
+    return {limiter.load(), limiter.service_time(), limiter.service_time(m_route)};
+}
+
 void owner_call::abandon() {
     m_is_abandoned = true;
     m_gate->abandon(m_id);
     m_exchange.abort();
 }
 
-void owner_call::report(owned_call::outcome outcome) {
+void owner_call::report_call(owned_call::outcome outcome) {
     m_core.report_call({m_upstream.service, m_upstream.version, m_route, outcome, m_latency, m_core.clock.now()});
 }
 
--- a/src/http/private/owner_call.h
+++ b/src/http/private/owner_call.h
@@ -47,16 +47,17 @@
         return m_exchange.has_sent();
     }
 
-    /// @return running and queued requests over slots.
-    double load() const {
-        return m_gate->limiter().load();
-    }
+    /// @return what the entry is told of the upstream.
+    owner_report report() const;
 
     /// @return how long a further request would wait for a slot.
     absl::Duration backlog() const {
         return m_gate->limiter().backlog();
     }
 
+    /// Drops the answer, after open() returned ok: another attempt replaces it.
+    asio::awaitable<void> discard_answer();
+
     /// Ends the call because its caller has left.
     void abandon();
 
@@ -67,7 +68,7 @@
     asio::awaitable<exchange_start> take_upstream_refusal();
     bool has_field(const std::string& name);
     absl::Duration first_byte_timeout() const;
-    void report(owned_call::outcome outcome);
+    void report_call(owned_call::outcome outcome);
 
     proxy_core& m_core;
     upstream_record m_upstream;
--- a/src/http/private/served_request.cpp
+++ b/src/http/private/served_request.cpp
@@ -40,8 +40,8 @@
     if (request.backlog) {
         response.set(beast_view(header::backlog_ms), std::to_string(absl::ToInt64Milliseconds(*request.backlog)));
     }
-    if (request.load) {
-        response.set(beast_view(header::load), fmt::format("{:.3f}", *request.load));
+    if (request.report) {
+        write_report(response, *request.report);
     }
     if (request.retry_after) {
         response.set(http::field::retry_after, fmt::format("{:.3f}", absl::ToDoubleSeconds(*request.retry_after)));
--- a/src/http/private/served_request.h
+++ b/src/http/private/served_request.h
@@ -4,6 +4,7 @@
 #include "http/private/asio_types.h"
 #include "http/private/forwarding_headers.h"
 #include "http/private/request_body.h"
+#include "routing/router.h"
 
 #include <absl/time/time.h>
 
@@ -24,7 +25,7 @@
     bool keeps_connection = true;                   ///< The connection can carry another request after this one.
     bool has_reached_upstream = false;              ///< For refusals: an upstream got the request.
     std::optional<absl::Duration> backlog = {};     ///< For refusals to another daemon: wait for a slot.
-    std::optional<double> load = {};                ///< For refusals to another daemon: requests per slot.
+    std::optional<owner_report> report = {};        ///< For refusals to another daemon.
     std::optional<absl::Duration> retry_after = {}; ///< For refusals: when the caller may come back.
 
     std::string_view method() const {
--- a/src/routing/picker.cpp
+++ b/src/routing/picker.cpp
@@ -53,7 +53,8 @@
 
 picker::picker(picker_policy policy) : m_policy(policy) {}
 
-pick_result picker::pick(std::span<const pick_candidate> candidates, absl::BitGenRef rng) const {
+pick_result picker::pick(std::span<const pick_candidate> candidates, absl::BitGenRef rng,
+                         absl::Duration local_limit) const {
     const auto local = cheaper_of_two(candidates, true, rng);
     const auto remote = cheaper_of_two(candidates, false, rng);
     if (!local || !remote) {
@@ -61,6 +62,13 @@
     }
     const pick_candidate& near = candidates[local->chosen];
     const pick_candidate& far = candidates[remote->chosen];
+    if (local_limit > absl::ZeroDuration() && near.expected > absl::ZeroDuration() &&
+        far.expected > absl::ZeroDuration()) {
+        if (near.expected <= local_limit || near.expected <= far.expected) {
+            return *local;
+        }
+        return {remote->chosen, local->chosen, choice_reason::spilled_over};
+    }
     const bool is_full = near.load >= m_policy.spill_load && far.load < near.load && far.cost < near.cost;
     if (is_full || near.cost > far.cost * m_policy.spill_ratio) {
         return {remote->chosen, local->chosen, choice_reason::spilled_over};
--- a/src/routing/picker.h
+++ b/src/routing/picker.h
@@ -3,6 +3,7 @@
 #include "routing/routing_decision.h"
 
 #include <absl/random/bit_gen_ref.h>
+#include <absl/time/time.h>
 
 #include <cstddef>
 #include <optional>
@@ -22,6 +23,8 @@
     double cost = 0;      ///< Lower is better.
     double load = 0;      ///< Estimated requests per slot.
     bool is_local = true; ///< True if it is in the entry's own data centre.
+    /// Expected time until the answer, as the owner's reports let it be worked out; zero if unknown.
+    absl::Duration expected = absl::ZeroDuration();
 };
 
 /// Positions in the list of candidates.
@@ -38,7 +41,10 @@
 
     /// @param candidates at least one.
     /// @param rng source of randomness.
-    pick_result pick(std::span<const pick_candidate> candidates, absl::BitGenRef rng) const;
+    /// @param local_limit expected time up to which an upstream of the own data centre is good enough: bytes between
+    ///        data centres cost more than the time that another one would save. Zero: the policy's spill rules decide.
+    pick_result pick(std::span<const pick_candidate> candidates, absl::BitGenRef rng,
+                     absl::Duration local_limit = absl::ZeroDuration()) const;
 
 private:
     picker_policy m_policy;
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -11,6 +11,11 @@
 
 namespace {
 
+/// A busier upstream takes a little longer even while it has free slots; it decides between equals.
+constexpr double load_tie_break = 0.1;
+/// A queue that is longer than this many times the slots is not told apart.
+constexpr double max_reported_load = 10;
+
 bool is_usable(const upstream_record& record) {
     return !record.is_leaving && !record.is_withdrawn;
 }
@@ -97,8 +102,8 @@
         ++version;
     }
     const candidate_set usable = candidates(*version->group, target, request, now);
-    const std::vector<pick_candidate> weighed = weigh(usable.upstreams, now);
-    const pick_result picked = m_picker.pick(weighed, rng);
+    const std::vector<pick_candidate> weighed = weigh(usable.upstreams, target.name, now);
+    const pick_result picked = m_picker.pick(weighed, rng, local_limit(target, request, now));
     const upstream_state& chosen = *usable.upstreams[picked.chosen];
     routing_decision decision = refuse(target, request, result_code::ok);
     decision.version = *version->name;
@@ -290,7 +295,8 @@
     return {penalised.empty() ? std::move(ejected) : std::move(penalised), choice_reason::ejection_ignored};
 }
 
-std::vector<pick_candidate> router::weigh(const std::vector<upstream_state*>& upstreams, absl::Time now) const {
+std::vector<pick_candidate> router::weigh(const std::vector<upstream_state*>& upstreams, const std::string& route_name,
+                                          absl::Time now) const {
     // An upstream without a sample is taken for as quick as the quickest: it is tried, but not flooded.
     absl::Duration quickest = absl::InfiniteDuration();
     for (const upstream_state* upstream : upstreams) {
@@ -307,6 +313,15 @@
         const double hint = trusted_hint(*upstream, now);
         const absl::Duration latency =
             std::max(upstream->latency.value(now), upstream->latency.is_known() ? absl::Microseconds(1) : quickest);
+        const absl::Duration expected = expected_time(*upstream, route_name, now);
+        if (expected > absl::ZeroDuration()) {
+            weighed.push_back({.weight = slots * m_warm_up.weight(upstream->warming_since, now),
+                               .cost = absl::ToDoubleSeconds(expected),
+                               .load = std::max(own, hint),
+                               .is_local = upstream->record.data_center == m_settings.data_center,
+                               .expected = expected});
+            continue;
+        }
         weighed.push_back({.weight = slots * m_warm_up.weight(upstream->warming_since, now),
                            .cost = absl::ToDoubleSeconds(latency) *
                                    (1 + m_settings.policy.own_weight * own + m_settings.policy.hint_weight * hint),
@@ -316,6 +331,48 @@
     return weighed;
 }
 
+absl::Duration router::expected_time(const upstream_state& upstream, const std::string& route_name,
+                                     absl::Time now) const {
+    if (upstream.service_time == absl::ZeroDuration()) {
+        return absl::ZeroDuration();
+    }
+    const double slots = std::max(upstream.record.slots, 1);
+    // What this entry has sent since the report is known exactly; what others sent is not.
+    const double since = (upstream.in_flight - upstream.in_flight_at_hint) / slots;
+    const double load = std::max(upstream.in_flight / slots, trusted_hint(upstream, now) + since);
+    const auto known = upstream.route_times.find(route_name);
+    const absl::Duration own_time = known == upstream.route_times.end() ? upstream.service_time : known->second;
+    return own_time + upstream.service_time * std::max(0.0, load + 1 / slots - 1) +
+           upstream.service_time * load * load_tie_break;
+}
+
+absl::Duration router::local_limit(const route& target, const request_facts& request, absl::Time now) const {
+    if (request.target == absl::InfiniteFuture()) {
+        return absl::ZeroDuration();
+    }
+    const double share =
+        target.kind == route_kind::download ? m_settings.policy.local_share_download : m_settings.policy.local_share;
+    return std::max(absl::Milliseconds(1), (request.target - now) * share);
+}
+
+void router::on_report(const std::string& upstream_id, const std::string& route, const owner_report& report,
+                       absl::Time now) {
+    const auto found = m_upstreams.find(upstream_id);
+    if (found == m_upstreams.end()) {
+        return;
+    }
+    upstream_state& upstream = *found->second;
+    upstream.hint = std::clamp(report.load, 0.0, max_reported_load);
+    upstream.hint_time = now;
+    upstream.in_flight_at_hint = upstream.in_flight;
+    if (report.service_time > absl::ZeroDuration()) {
+        upstream.service_time = report.service_time;
+    }
+    if (report.route_time > absl::ZeroDuration()) {
+        upstream.route_times[route] = report.route_time;
+    }
+}
+
 double router::trusted_hint(const upstream_state& upstream, absl::Time now) const {
     return upstream.hint * std::exp(-absl::FDivDuration(now - upstream.hint_time, m_settings.policy.hint_decay));
 }
--- a/src/routing/router.h
+++ b/src/routing/router.h
@@ -41,6 +41,9 @@
     absl::Duration refusal_penalty = absl::Milliseconds(25);  ///< After a refusal for load.
     absl::Duration connect_penalty = absl::Milliseconds(250); ///< After a failed connection.
     absl::Duration leaving_penalty = absl::Seconds(5);        ///< After a refusal because it leaves.
+    /// Part of the time left to the target that an answer of the own data centre may be expected to take.
+    double local_share = 0.5;
+    double local_share_download = 0.8; ///< The same for downloads, whose bytes weigh more.
 };
 
 /// Who the entry is.
@@ -55,8 +58,16 @@
 struct request_facts {
     bool is_idempotent = false;
     absl::Time deadline = absl::InfiniteFuture();
-    std::string service = {};            ///< The service chosen out of a split; empty: the route's.
-    std::vector<std::string> tried = {}; ///< Ids of upstreams that earlier attempts of the request went to.
+    absl::Time target = absl::InfiniteFuture(); ///< Until when the answer is worth most.
+    std::string service = {};                   ///< The service chosen out of a split; empty: the route's.
+    std::vector<std::string> tried = {};        ///< Ids of upstreams that earlier attempts of the request went to.
+};
+
+/// What an owner reports of its upstream with each answer and refusal.
+struct owner_report {
+    double load = 0;             ///< Running and queued requests over slots.
+    absl::Duration service_time; ///< Mean of all its requests; zero if unknown.
+    absl::Duration route_time;   ///< Mean of the requests of the answered route; zero if unknown.
 };
 
 /// Chooses an upstream for each request at its entry.
@@ -99,6 +110,11 @@
     void on_finished(const std::string& upstream_id, attempt_outcome outcome, absl::Duration latency,
                      std::optional<double> load, absl::Time now);
 
+    /// Notes what an owner reported.
+    /// @param route name of the route that the answered request came on.
+    void on_report(const std::string& upstream_id, const std::string& route, const owner_report& report,
+                   absl::Time now);
+
     /// @return this entry's requests at an upstream.
     int in_flight(const std::string& upstream_id) const;
 
@@ -111,6 +127,9 @@
         latency_average latency;
         double hint = 0;
         absl::Time hint_time = absl::InfinitePast();
+        int in_flight_at_hint = 0;
+        absl::Duration service_time; ///< As the owner reported; zero if unknown.
+        absl::flat_hash_map<std::string, absl::Duration> route_times;
         absl::Time penalised_until = absl::InfinitePast();
         absl::Time warming_since = absl::InfinitePast();
         absl::Time listed_since = absl::InfiniteFuture();
@@ -140,7 +159,10 @@
                              const service_group& versions) const;
     candidate_set candidates(const version_group& group, const route& target, const request_facts& request,
                              absl::Time now) const;
-    std::vector<pick_candidate> weigh(const std::vector<upstream_state*>& upstreams, absl::Time now) const;
+    std::vector<pick_candidate> weigh(const std::vector<upstream_state*>& upstreams, const std::string& route_name,
+                                      absl::Time now) const;
+    absl::Duration expected_time(const upstream_state& upstream, const std::string& route_name, absl::Time now) const;
+    absl::Duration local_limit(const route& target, const request_facts& request, absl::Time now) const;
     double trusted_hint(const upstream_state& upstream, absl::Time now) const;
     candidate_view view(const upstream_state& upstream, const pick_candidate& weighed, absl::Time now) const;
     void learn(upstream_state& upstream, attempt_outcome outcome, absl::Duration latency, absl::Time now);
--- a/src/routing/slot_limiter.cpp
+++ b/src/routing/slot_limiter.cpp
@@ -119,6 +119,11 @@
     return m_is_leaving && m_running.empty() && m_queue.empty() && m_displaced.empty();
 }
 
+absl::Duration slot_limiter::service_time(const std::string& kind) const {
+    const auto known = m_kind_numbers.find(kind);
+    return known == m_kind_numbers.end() ? absl::ZeroDuration() : m_service_time_by_kind[known->second];
+}
+
 absl::Duration slot_limiter::backlog() const {
     return m_service_time * static_cast<double>(std::max(0, running() + queued() + 1 - m_slots)) / m_slots;
 }
--- a/src/routing/slot_limiter.h
+++ b/src/routing/slot_limiter.h
@@ -91,6 +91,9 @@
     /// As above, with a target and a priority.
     admission offer(const slot_request& request, absl::Time now);
 
+    /// @return the running average of the service times of a kind; zero before the first one.
+    absl::Duration service_time(const std::string& kind) const;
+
     /// @return how long a request of the lowest priority would wait for a slot now.
     absl::Duration backlog() const;
 
