--- /dev/null
+++ b/src/tests/prefix_follower_test.cpp
@@ -0,0 +1,128 @@
+#include "store/leased_entry.h"
+#include "store/prefix_follower.h"
+
+#include "store/call_counter.h"
+#include "tests/fakes/scripted_store.h"
+
+#include <absl/random/random.h>
+#include <boost/test/unit_test.hpp>
+
+#include <map>
+#include <string>
+#include <vector>
+
+using namespace amaranthladder;
+
+BOOST_AUTO_TEST_SUITE(prefix_follower_test)
+
+namespace {
+
+/// A follower of the keys under `op/` that keeps what it was told.
+class recorder {
+public:
+    recorder() : follower(store, "op/", listener()) {}
+
+    absl::Duration step() {
+        return follower.step(random);
+    }
+
+    scripted_store store;
+    std::map<std::string, std::string> values;
+    std::vector<std::string> reachable;
+    absl::BitGen random;
+    prefix_follower<scripted_store> follower;
+
+private:
+    prefix_listener listener() {
+        return {[this](const stored_item& item, bool /*is_change*/) { values[item.key] = item.value; },
+                [this](const std::string& key) { values.erase(key); },
+                [this](bool is_reachable, store_outcome outcome) {
+                    reachable.push_back(is_reachable ? "yes" : std::string(name(outcome)));
+                }};
+    }
+};
+
+} // namespace
+
+// Guards against keys beyond the first page, and changes made while the pages were read, that are never seen.
+BOOST_AUTO_TEST_CASE(lists_all_pages_then_watches) {
+    recorder seen;
+    for (const char* key : {"op/a", "op/b", "op/c", "other/d"}) {
+        seen.store.put(key, "1");
+    }
+    seen.step();
+    BOOST_TEST(seen.values.size() == 3U);
+    BOOST_TEST(seen.store.calls.size() == 2U);
+    seen.store.put("op/c", "2");
+    seen.store.remove("op/a");
+    seen.step();
+    BOOST_TEST(seen.values.at("op/c") == "2");
+    BOOST_TEST(!seen.values.contains("op/a"));
+    BOOST_TEST(seen.store.calls.back() == "watch");
+}
+
+// Guards against a change that is lost when the store has dropped its history, a removal included.
+BOOST_AUTO_TEST_CASE(lists_again_when_the_history_is_lost) {
+    recorder seen;
+    seen.store.put("op/a", "1");
+    seen.store.put("op/b", "1");
+    seen.step();
+    seen.store.put("op/a", "2");
+    seen.store.remove("op/b");
+    seen.store.loses_history = true;
+    seen.step();
+    seen.step();
+    BOOST_TEST(seen.values.at("op/a") == "2");
+    BOOST_TEST(!seen.values.contains("op/b"));
+}
+
+// Guards against an outage after which changes are missed or the store is called without a pause.
+BOOST_AUTO_TEST_CASE(resumes_after_an_outage) {
+    recorder seen;
+    seen.store.put("op/a", "1");
+    seen.step();
+    seen.store.script = {store_outcome::unavailable, store_outcome::unavailable, store_outcome::unknown};
+    seen.store.put("op/a", "2");
+    for (int attempt = 0; attempt < 3; ++attempt) {
+        BOOST_TEST(seen.step() <= prefix_follower_policy().longest_delay);
+    }
+    BOOST_TEST(seen.values.at("op/a") == "1");
+    seen.step();
+    BOOST_TEST(seen.values.at("op/a") == "2");
+    BOOST_TEST(seen.reachable == (std::vector<std::string>{"yes", "unavailable", "yes"}));
+}
+
+// Guards against an entry that is missing after its lease lapsed during an outage of the store.
+BOOST_AUTO_TEST_CASE(an_entry_comes_back_after_its_lease_lapsed) {
+    scripted_store store;
+    absl::BitGen random;
+    leased_entry<scripted_store> entry(store, "mesh/daemons/a", "a");
+    entry.step(random);
+    const absl::Duration renewal = entry.step(random);
+    BOOST_TEST(store.has("mesh/daemons/a"));
+    BOOST_TEST(renewal < leased_entry_policy().ttl / 2);
+    store.expire(store.last_lease());
+    BOOST_TEST(!store.has("mesh/daemons/a"));
+    BOOST_TEST(entry.step(random) <= leased_entry_policy().longest_delay);
+    BOOST_TEST(!entry.is_written());
+    entry.step(random);
+    entry.step(random);
+    BOOST_TEST(store.has("mesh/daemons/a"));
+}
+
+// Guards against a write whose answer was lost and which is then taken for not done: the key is written again.
+BOOST_AUTO_TEST_CASE(a_lost_answer_is_repeated) {
+    scripted_store store;
+    absl::BitGen random;
+    leased_entry<scripted_store> entry(store, "k", "v");
+    store.script = {store_outcome::ok, store_outcome::unknown};
+    entry.step(random);
+    entry.step(random);
+    BOOST_TEST(!entry.is_written());
+    entry.step(random);
+    BOOST_TEST(entry.is_written());
+    entry.end();
+    BOOST_TEST(!store.has("k"));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/src/tests/weighted_rotation_test.cpp
@@ -0,0 +1,40 @@
+#include "routing/weighted_rotation.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <cmath>
+#include <map>
+#include <string>
+
+using namespace amaranthladder;
+
+BOOST_AUTO_TEST_SUITE(weighted_rotation_test)
+
+// Guards against a split whose parts are off their weights over a short time, as random choice leaves them.
+BOOST_AUTO_TEST_CASE(every_prefix_of_the_sequence_is_near_the_weights) {
+    const std::map<std::string, int> weights{{"a", 90}, {"b", 7}, {"c", 3}, {"d", 0}};
+    weighted_rotation rotation;
+    std::map<std::string, int> picked;
+    for (int count = 1; count <= 1000; ++count) {
+        ++picked[rotation.pick(weights)];
+        for (const auto& [name, weight] : weights) {
+            BOOST_TEST_REQUIRE(std::abs(picked[name] - count * weight / 100.0) <= 1.5);
+        }
+    }
+    BOOST_TEST(picked["d"] == 0);
+}
+
+// Guards against a part that is made up for after its weight was changed.
+BOOST_AUTO_TEST_CASE(follows_changed_weights) {
+    weighted_rotation rotation;
+    for (int count = 0; count < 10; ++count) {
+        rotation.pick({{"a", 1}, {"b", 1}});
+    }
+    int of_b = 0;
+    for (int count = 0; count < 100; ++count) {
+        of_b += rotation.pick({{"a", 0}, {"b", 1}}) == "b" ? 1 : 0;
+    }
+    BOOST_TEST(of_b == 100);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
