Keep serving while callers leave, recall the upstream after a restart, take requests back from silent owners

Cause: a rolling restart took each worker out for about six seconds, since the daemon refused work for its upstream from SIGTERM on and a restarted one waited for the next heartbeat; and requests waited at a frozen owner until their deadline.

--- a/scripts/check_format.sh
+++ b/scripts/check_format.sh
@@ -2,7 +2,7 @@
 # Fails when a source file is not formatted as .clang-format says. --fix rewrites the files instead.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-mapfile -t files < <(git ls-files --cached --others --exclude-standard 'src/*.cpp' 'src/*.h' 'bench/*.cpp' 'bench/*.h' \
+mapfile -t files < <(git ls-files --cached --others --exclude-standard 'src/*.cpp' 'src/*.h' 'platform/*.cpp' 'platform/*.h' 'bench/*.cpp' 'bench/*.h' \
   'fuzz/*.cpp')
 if [ "${1:-}" = "--fix" ]; then
   clang-format -i "${files[@]}"
--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -8,7 +8,7 @@
 if [ "$#" -gt 0 ]; then
   files=("$@")
 else
-  mapfile -t files < <(git ls-files --cached --others --exclude-standard 'src/*.cpp' 'bench/*.cpp')
+  mapfile -t files < <(git ls-files --cached --others --exclude-standard 'src/*.cpp' 'bench/*.cpp' 'platform/*.cpp')
 fi
 cache="${XDG_CACHE_HOME:-$HOME/.cache}/amaranthladder-lint"
 mkdir -p "$cache"
@@ -16,7 +16,7 @@
 lint_one() {
   local file=$1 key
   [ -f "$file" ] || return 0
-  key=$({ cat .clang-tidy; clang-tidy --version; clang++ -std=c++20 -E -P -Isrc -Ibench -isystem thrift/gen -DBOOST_TEST_DYN_LINK \
+  key=$({ cat .clang-tidy; clang-tidy --version; clang++ -std=c++20 -E -P -Isrc -I. -Ibench -isystem thrift/gen -DBOOST_TEST_DYN_LINK \
       -DTEST_TRACES_FOLDER='""' -DTEST_PROGRAMS_FOLDER='""' -DAMARANTHLADDER_VERSION='""' "$file"; } | sha256sum | cut -d' ' -f1)
   [ -e "$cache/$key" ] && return 0
   if clang-tidy -p "$build" --quiet "$file" 2>/dev/null; then
@@ -28,3 +28,9 @@
 }
 export -f lint_one
 printf '%s\n' "${files[@]}" | xargs -P "$(nproc)" -I{} bash -c 'lint_one {}'
+# Only the platform's adapter may know the platform's wire names.
+if git grep -nE 'kv-(key|range|watch|txn|lease|keep)|X-(Not-Executed|Response-Signature|Expected-Instance|Caller-Service|Deadline)|op/(config|rollout)|status/rollout|heartbeat_address' \
+  -- src bench charts thrift ':!src/tests'; then
+  echo "lint: the platform's wire names belong into platform/" >&2
+  exit 1
+fi
--- a/src/daemon/announced_upstreams.cpp
+++ b/src/daemon/announced_upstreams.cpp
@@ -94,7 +94,7 @@
 }
 
 bool announced_upstreams::is_outdated(const upstream_announcement& announced) const {
-    if (announced.sequence == 0) {
+    if (announced.sequence == 0 && announced.started_at == absl::UnixEpoch()) {
         return false;
     }
     if (const auto known = m_entries.find(announced.id); known != m_entries.end()) {
--- a/src/daemon/intent_link.h
+++ b/src/daemon/intent_link.h
@@ -39,6 +39,10 @@
     std::function<void(const std::vector<endpoint>&)> add_contacts;
     /// @return true if this daemon knows a living peer.
     std::function<bool()> has_peers;
+    /// @return what a later run of this daemon is to know of the upstream beside it; empty: nothing.
+    std::function<std::string()> upstream_note;
+    /// Takes what an earlier run noted, once at the start.
+    std::function<void(const std::string& note)> recall_upstream;
 };
 
 /// Follows the operators' intent in a store that is watched by prefix, reports the outcome of orders there, and keeps
@@ -51,7 +55,7 @@
                 intent_link_peers peers, const steady_clock& clock, event_log& log)
         : m_store(std::move(store)), m_counter(counter), m_format(std::move(format)), m_peers(std::move(peers)),
           m_clock(clock), m_log(log), m_follower(*m_store, m_format.prefix, make_listener()),
-          m_entry(*m_store, std::string(daemon_key_prefix) + to_string(m_peers.self), to_string(m_peers.self)),
+          m_entry(*m_store, std::string(daemon_key_prefix) + to_string(m_peers.self), entry_value("")),
           m_follow_thread([this] { follow(); }), m_duty_thread([this] { attend(); }) {}
 
     ~intent_link() override {
@@ -78,6 +82,8 @@
     static constexpr absl::Duration call_timeout = absl::Seconds(1);
     /// Reports are looked for this often; a report is late by at most this.
     static constexpr absl::Duration duty_interval = absl::Milliseconds(100);
+    /// A changed entry is written after this time, with whatever else has changed by then.
+    static constexpr absl::Duration entry_delay = absl::Milliseconds(300);
     /// Entries of other daemons are read at these intervals: often while this one knows no peer.
     static constexpr absl::Duration alone_read_interval = absl::Milliseconds(700);
     static constexpr absl::Duration read_interval = absl::Seconds(20);
@@ -155,7 +161,12 @@
         absl::BitGen random;
         absl::Time next_entry = m_clock.now();
         absl::Time next_read = next_entry;
+        recall();
         while (!is_stopped()) {
+            m_entry.set_value(entry_value(m_peers.upstream_note()));
+            if (!m_entry.is_written()) {
+                next_entry = std::min(next_entry, m_clock.now() + entry_delay);
+            }
             if (m_clock.now() >= next_entry) {
                 next_entry = m_clock.now() + m_entry.step(random);
             }
@@ -168,7 +179,24 @@
             }
             wait(duty_interval);
         }
-        m_entry.end();
+        // The entry stays for the next run of this daemon; it goes with its lease if there is none.
+    }
+
+    /// The address that other daemons join through, then what the next run of this daemon is to know.
+    std::string entry_value(const std::string& note) const {
+        return to_string(m_peers.self) + "\n" + note;
+    }
+
+    /// Reads what the last run of this daemon noted of the upstream beside it.
+    void recall() {
+        const auto noted = m_store->get(std::string(daemon_key_prefix) + to_string(m_peers.self), call_timeout);
+        if (!noted.is_ok()) {
+            return; // The upstream's next announcement says the same.
+        }
+        const std::size_t line = noted.value->value.find('\n');
+        if (line != std::string::npos && line + 1 < noted.value->value.size()) {
+            m_peers.recall_upstream(noted.value->value.substr(line + 1));
+        }
     }
 
     void read_contacts() {
@@ -179,7 +207,7 @@
         std::vector<endpoint> contacts;
         for (const stored_item& item : page.value->items) {
             try {
-                contacts.push_back(parse_endpoint(item.value));
+                contacts.push_back(parse_endpoint(item.value.substr(0, item.value.find('\n'))));
             } catch (const error& problem) {
                 m_log.warning(fmt::format("contact-refused key={} reason=\"{}\"", item.key, problem.what()));
             }
--- a/src/daemon/mesh_daemon.cpp
+++ b/src/daemon/mesh_daemon.cpp
@@ -59,6 +59,9 @@
 
 /// A platform asks once a second whether the daemon is ready and sends callers elsewhere after two misses.
 constexpr absl::Duration readiness_notice = absl::Milliseconds(2200);
+/// A draining daemon goes on serving its upstream for the others this long: its slots would be idle until callers have
+/// gone elsewhere. The rest of the notice lets the last requests end.
+constexpr absl::Duration owner_notice = absl::Milliseconds(1200);
 
 std::string merge_records(const std::string& key, const std::string& held, const std::string& heard) {
     if (key.starts_with(order_key_prefix)) {
@@ -155,14 +158,12 @@
         }
         m_log.info("drain-started");
         const absl::MutexLock lock(&m_mutex);
-        m_announced.set_all_leaving();
-        for (const auto& [id, known] : m_announced.entries()) {
-            spread(id);
-        }
         if (m_platform) {
+            m_leave_at = m_clock.now() + owner_notice;
             m_proxy.drain(readiness_notice);
         } else {
             m_drain_at = m_clock.now() + (m_announced.entries().empty() ? absl::ZeroDuration() : leave_notice);
+            announce_leave();
         }
     }
 
@@ -171,6 +172,14 @@
     }
 
 private:
+    /// Tells the other daemons that the upstreams beside this one are about to be out of reach.
+    void announce_leave() ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex) {
+        m_announced.set_all_leaving();
+        for (const auto& [id, known] : m_announced.entries()) {
+            spread(id);
+        }
+    }
+
     peer_callbacks make_callbacks() {
         peer_callbacks callbacks;
         callbacks.snapshot_bytes = [this](const configuration_digest& held) { return m_keeper.update_since(held); };
@@ -224,9 +233,37 @@
         peers.due_reports = [this] { return m_orders.due_reports(m_clock.now()); };
         peers.add_contacts = [this](const std::vector<endpoint>& contacts) { m_peers.add_contacts(contacts); };
         peers.has_peers = [this] { return m_peers.members(member_state::alive).size() > 1; };
+        peers.upstream_note = [this] { return upstream_note(); };
+        peers.recall_upstream = [this](const std::string& note) { recall_upstream(note); };
         return peers;
     }
 
+    /// @return the upstream beside this daemon, for its next run.
+    std::string upstream_note() {
+        const absl::MutexLock lock(&m_mutex);
+        if (m_announced.entries().size() != 1) {
+            return "";
+        }
+        const upstream_announcement& known = m_announced.entries().begin()->second.announced;
+        return known.is_leaving ? "" : to_json(known);
+    }
+
+    /// Uses the upstream that an earlier run of this daemon noted, if it is still the one at its address, instead of
+    /// waiting for its next announcement.
+    void recall_upstream(const std::string& note) {
+        try {
+            const upstream_announcement noted = parse_announcement(note);
+            const bool is_same = m_platform->ask_identity(noted.address) == noted.id;
+            m_log.info(fmt::format("upstream-recalled upstream={} is_used={}", noted.id, is_same));
+            if (is_same) {
+                announce(noted);
+            }
+        } catch (const error& problem) {
+            m_log.warning(
+                fmt::format("upstream-note-refused code={} reason=\"{}\"", name(problem.code()), problem.what()));
+        }
+    }
+
     void serve_platform() {
         const auto answer = [this](const control_request& request) {
             const control_reply reply = m_platform->answer(request, m_actions);
@@ -413,6 +450,7 @@
 
     void tick() {
         expire_announcements();
+        leave_if_due();
         for (const auto& changed : m_moves.tick()) {
             m_peers.put_opaque({changed.key(), changed.encode()});
         }
@@ -440,6 +478,11 @@
         }
         if (are_upstreams_changed) {
             m_proxy.set_upstreams(usable_upstreams());
+            std::vector<endpoint> suspected;
+            for (const member& one : m_peers.members(member_state::suspected)) {
+                suspected.push_back(one.http_address);
+            }
+            m_proxy.set_suspected_owners(std::move(suspected));
         }
         if (is_drain_due) {
             m_proxy.drain();
@@ -526,6 +569,14 @@
         return false;
     }
 
+    void leave_if_due() {
+        const absl::MutexLock lock(&m_mutex);
+        if (m_leave_at && m_clock.now() >= *m_leave_at) {
+            m_leave_at.reset();
+            announce_leave();
+        }
+    }
+
     void expire_announcements() {
         const absl::MutexLock lock(&m_mutex);
         for (const auto& id : m_announced.expire(m_clock.now())) {
@@ -609,6 +660,7 @@
     std::optional<absl::Time> m_applied_at ABSL_GUARDED_BY(m_mutex);
     std::set<std::string> m_refused_upstreams ABSL_GUARDED_BY(m_mutex); ///< Ids whose version was taken back.
     std::optional<absl::Time> m_drain_at ABSL_GUARDED_BY(m_mutex);
+    std::optional<absl::Time> m_leave_at ABSL_GUARDED_BY(m_mutex); ///< When a draining daemon stops taking work.
 
     std::set<std::string> m_superseded ABSL_GUARDED_BY(m_mutex); ///< Ids whose version an order has replaced.
 
--- a/src/daemon/platform_interface.h
+++ b/src/daemon/platform_interface.h
@@ -8,6 +8,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace amaranthladder {
@@ -38,6 +39,10 @@
     /// Answers a call to the readiness or announcement address.
     std::function<control_reply(const control_request&, const control_actions&)> answer;
 
+    /// Asks a healthy upstream for its id. Blocks for a fraction of a second at the most.
+    /// @return the id, or nothing if the upstream does not answer, is not well or is leaving.
+    std::function<std::optional<std::string>(const endpoint& upstream)> ask_identity;
+
     /// Connects with the platform's store.
     std::function<std::unique_ptr<store_link>(intent_link_peers, const steady_clock&, event_log&)> connect_store;
 };
--- a/src/daemon/upstream_announcement.cpp
+++ b/src/daemon/upstream_announcement.cpp
@@ -100,8 +100,34 @@
     return value->as_bool();
 }
 
+/// @return the number, or 0 if it is missing.
+std::uint64_t read_count(const boost::json::object& body, std::string_view key) {
+    const auto* value = body.if_contains({key.data(), key.size()});
+    if (value == nullptr) {
+        return 0;
+    }
+    if (!value->is_int64() || value->as_int64() < 0) {
+        fail(key, "must be a whole number of at least 0");
+    }
+    return static_cast<std::uint64_t>(value->as_int64());
+}
+
 } // namespace
 
+std::string to_json(const upstream_announcement& announced) {
+    boost::json::object body{{"id", announced.id},
+                             {"service", announced.service},
+                             {"version", announced.version},
+                             {"address", to_string(announced.address)},
+                             {"slots", announced.slots},
+                             {"leaving", announced.is_leaving},
+                             {"started_at_ms", absl::ToUnixMillis(announced.started_at)}};
+    if (!announced.routes.empty()) {
+        body["routes"] = boost::json::value_from(announced.routes);
+    }
+    return boost::json::serialize(body);
+}
+
 upstream_announcement parse_announcement(std::string_view json) {
     if (json.size() > max_announcement_bytes) {
         throw error(result_code::message_too_large,
@@ -124,6 +150,8 @@
     result.routes = read_routes(body);
     result.load = read_load(body);
     result.is_leaving = read_leaving(body);
+    result.started_at = absl::FromUnixMillis(static_cast<std::int64_t>(read_count(body, "started_at_ms")));
+    result.sequence = read_count(body, "sequence");
     return result;
 }
 
--- a/src/daemon/upstream_announcement.h
+++ b/src/daemon/upstream_announcement.h
@@ -32,6 +32,9 @@
 /// Largest body of an announcement.
 inline constexpr std::size_t max_announcement_bytes = std::size_t{64} * 1024;
 
+/// @return @p announced as JSON that parse_announcement reads, without its load.
+std::string to_json(const upstream_announcement& announced);
+
 /// @param json the body of `PUT /v1/upstream`.
 /// @return the announcement.
 /// @throws error with result_code::announcement_malformed naming the key that is missing or wrong.
--- a/src/http/private/entry_call.cpp
+++ b/src/http/private/entry_call.cpp
@@ -65,6 +65,15 @@
     co_return co_await serve_route(*found.matched);
 }
 
+void entry_call::give_up_if_silent(absl::Time now) {
+    if (m_abandon_attempt && m_core.requests.is_silent(m_remote_upstream, now) &&
+        m_core.budget.available(m_service, now) >= 1) {
+        m_core.log.info(
+            fmt::format("owner-silent request={} upstream={}", m_request.info.request_id, m_remote_upstream));
+        m_abandon_attempt();
+    }
+}
+
 void entry_call::abandon() {
     m_is_abandoned = true;
     if (m_abandon_attempt) {
@@ -193,7 +202,14 @@
     write_forwarding_headers(head, info);
     exchange sent(m_core.pool, m_core.options, m_core.clock);
     m_abandon_attempt = [&sent] { sent.abort(); };
-    const absl::Cleanup forget = [this] { m_abandon_attempt = nullptr; };
+    m_remote_upstream = decision.upstream_id;
+    if (is_idempotent(target)) {
+        m_core.remote_calls.insert(this);
+    }
+    const absl::Cleanup forget = [this] {
+        m_abandon_attempt = nullptr;
+        m_core.remote_calls.erase(this);
+    };
     const absl::Time started_at = m_core.clock.now();
     // The owner answers within its own first-byte timeout; it must be the one to report it.
     const exchange::request request{decision.owner,
--- a/src/http/private/entry_call.h
+++ b/src/http/private/entry_call.h
@@ -20,6 +20,9 @@
     /// Serves the request to its end. The prefix of its body has been read.
     asio::awaitable<serve_result> serve();
 
+    /// Ends the present attempt if the owner has stopped answering; another one may follow.
+    void give_up_if_silent(absl::Time now);
+
     /// Ends the call because its caller has left.
     void abandon();
 
@@ -59,6 +62,7 @@
 
     proxy_core& m_core;
     served_request& m_request;
+    std::string m_remote_upstream;            ///< Where the present attempt waits for an owner.
     std::string m_service;                    ///< The route's service, or the one chosen out of its split.
     std::optional<result_code> m_run_failure; ///< How an attempt that may have run ended.
     int m_sends = 0;                          ///< Attempts that may have reached an upstream.
--- a/src/http/private/exchange.cpp
+++ b/src/http/private/exchange.cpp
@@ -1,5 +1,7 @@
 #include "http/private/exchange.h"
 
+#include "http/private/socket_probes.h"
+
 #include <boost/asio/ip/address.hpp>
 #include <boost/asio/ip/tcp.hpp>
 
@@ -48,6 +50,7 @@
         co_return exchange_start{result_code::connect_failed, execution::not_run};
     }
     m_connection->stream.socket().set_option(asio::ip::tcp::no_delay(true), failure);
+    set_probes(m_connection->stream.socket());
     m_connection->opened_at = m_clock.now();
     m_connection->last_received_at = m_connection->opened_at;
     co_return exchange_start{};
--- a/src/http/private/proxy_core.h
+++ b/src/http/private/proxy_core.h
@@ -20,10 +20,13 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 
 namespace amaranthladder {
 
+class entry_call;
+
 /// What all requests of a daemon share. Used by the event loop's thread only.
 struct proxy_core {
     proxy_core(const proxy_options& proxy_settings, router_settings routing, retry_budget_policy budget_policy,
@@ -65,7 +68,8 @@
     std::map<std::string, local_upstream> local_upstreams;
     std::map<std::string, first_byte_latency> latency_by_route; ///< Of calls to upstreams beside this daemon.
     std::shared_ptr<const intended_state> state = std::make_shared<intended_state>();
-    bool has_configuration = false; ///< A configuration has been in force since the start.
+    bool has_configuration = false;     ///< A configuration has been in force since the start.
+    std::set<entry_call*> remote_calls; ///< Repeatable requests that wait for an owner on another host.
     caller_patience patience;
     absl::flat_hash_map<std::string, weighted_rotation> splits; ///< By route, of routes with several services.
     absl::BitGen random;
--- a/src/http/request_proxy.cpp
+++ b/src/http/request_proxy.cpp
@@ -3,6 +3,7 @@
 #include "common/error.h"
 #include "http/private/caller_session.h"
 #include "http/private/control_session.h"
+#include "http/private/entry_call.h"
 #include "http/private/proxy_core.h"
 
 #include <absl/cleanup/cleanup.h>
@@ -20,12 +21,14 @@
 #include <optional>
 #include <set>
 #include <utility>
+#include <vector>
 
 namespace amaranthladder {
 
 namespace {
 
 constexpr auto tick_interval = std::chrono::milliseconds(5);
+constexpr auto silence_interval = std::chrono::milliseconds(100);
 constexpr auto idle_sweep_interval = std::chrono::seconds(1);
 /// Time in which a request that is on its way on a kept connection still arrives during a drain.
 constexpr auto drain_grace = std::chrono::milliseconds(500);
@@ -53,6 +56,7 @@
         }
         asio::co_spawn(m_core.context, tick(), asio::detached);
         asio::co_spawn(m_core.context, sweep(), asio::detached);
+        asio::co_spawn(m_core.context, watch_owners(), asio::detached);
     }
 
     void run() {
@@ -191,6 +195,20 @@
         }
     }
 
+    /// Takes repeatable requests back from owners that have gone silent.
+    asio::awaitable<void> watch_owners() {
+        asio::steady_timer timer(m_core.context);
+        while (true) {
+            timer.expires_after(silence_interval);
+            co_await timer.async_wait(as_result);
+            const absl::Time now = m_core.clock.now();
+            const std::vector<entry_call*> waiting(m_core.remote_calls.begin(), m_core.remote_calls.end());
+            for (entry_call* call : waiting) {
+                call->give_up_if_silent(now);
+            }
+        }
+    }
+
     asio::awaitable<void> sweep() {
         asio::steady_timer timer(m_core.context);
         while (true) {
@@ -290,6 +308,12 @@
     });
 }
 
+void request_proxy::set_suspected_owners(std::vector<endpoint> owners) {
+    m_implementation->post([this, owners = std::move(owners)]() mutable {
+        m_implementation->core().requests.set_suspected_owners(std::move(owners));
+    });
+}
+
 void request_proxy::set_share_overrides(share_overrides overrides) {
     m_implementation->post([this, overrides = std::move(overrides)]() mutable {
         m_implementation->core().requests.set_share_overrides(std::move(overrides));
--- a/src/http/request_proxy.h
+++ b/src/http/request_proxy.h
@@ -54,6 +54,7 @@
 
     void set_configuration(std::shared_ptr<const intended_state> state);
     void set_upstreams(std::vector<upstream_record> records);
+    void set_suspected_owners(std::vector<endpoint> owners);
     void set_share_overrides(share_overrides overrides);
 
     /// Takes requests for an upstream beside this daemon, or changes its limits.
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -124,7 +124,9 @@
     if (found == m_upstreams.end()) {
         return;
     }
-    ++found->second->in_flight;
+    if (found->second->in_flight++ == 0) {
+        found->second->waiting_since = now;
+    }
     if (ejector* health = health_of(*found->second)) {
         health->on_probe_started(upstream_id, now);
     }
@@ -138,6 +140,13 @@
     }
     upstream_state& upstream = *found->second;
     upstream.in_flight = std::max(upstream.in_flight - 1, 0);
+    const bool is_answer = outcome != attempt_outcome::sent_no_answer && outcome != attempt_outcome::cancelled &&
+                           outcome != attempt_outcome::connect_failed;
+    if (upstream.in_flight == 0) {
+        upstream.waiting_since = absl::InfiniteFuture();
+    } else if (is_answer) {
+        upstream.waiting_since = now;
+    }
     if (load && std::isfinite(*load)) {
         upstream.hint = std::clamp(*load, 0.0, m_settings.policy.max_hint);
         upstream.hint_time = now;
@@ -283,7 +292,7 @@
         }
         if (state != availability::active) {
             ejected.push_back(upstream);
-        } else if (now < upstream->penalised_until) {
+        } else if (now < upstream->penalised_until || is_doubtful(*upstream, now)) {
             penalised.push_back(upstream);
         } else {
             preferred.upstreams.push_back(upstream);
@@ -355,6 +364,25 @@
     return std::max(absl::Milliseconds(1), (request.target - now) * share);
 }
 
+void router::set_suspected_owners(std::vector<endpoint> owners) {
+    m_suspected_owners = std::move(owners);
+}
+
+bool router::is_silent(const std::string& upstream_id, absl::Time now) const {
+    const auto found = m_upstreams.find(upstream_id);
+    return found != m_upstreams.end() && is_silent(*found->second, now);
+}
+
+bool router::is_silent(const upstream_state& upstream, absl::Time now) const {
+    return upstream.in_flight >= m_settings.policy.silent_requests &&
+           now - upstream.waiting_since > m_settings.policy.silent_time;
+}
+
+bool router::is_doubtful(const upstream_state& upstream, absl::Time now) const {
+    return is_silent(upstream, now) ||
+           std::ranges::find(m_suspected_owners, upstream.record.owner) != m_suspected_owners.end();
+}
+
 void router::on_report(const std::string& upstream_id, const std::string& route, const owner_report& report,
                        absl::Time now) {
     const auto found = m_upstreams.find(upstream_id);
--- a/src/routing/router.h
+++ b/src/routing/router.h
@@ -44,6 +44,10 @@
     /// Part of the time left to the target that an answer of the own data centre may be expected to take.
     double local_share = 0.5;
     double local_share_download = 0.8; ///< The same for downloads, whose bytes weigh more.
+    /// An owner that leaves this many requests of the entry unanswered, and answers none, for the time below is silent:
+    /// its host is frozen, cut off or its connections are dead. Single requests may take that long by themselves.
+    int silent_requests = 3;
+    absl::Duration silent_time = absl::Milliseconds(500);
 };
 
 /// Who the entry is.
@@ -110,6 +114,13 @@
     void on_finished(const std::string& upstream_id, attempt_outcome outcome, absl::Duration latency,
                      std::optional<double> load, absl::Time now);
 
+    /// Takes the addresses of owners that are suspected to be out of reach. Their upstreams are used only if there is
+    /// no other.
+    void set_suspected_owners(std::vector<endpoint> owners);
+
+    /// @return true if an upstream's owner has stopped answering this entry.
+    bool is_silent(const std::string& upstream_id, absl::Time now) const;
+
     /// Notes what an owner reported.
     /// @param route name of the route that the answered request came on.
     void on_report(const std::string& upstream_id, const std::string& route, const owner_report& report,
@@ -132,6 +143,7 @@
         absl::flat_hash_map<std::string, absl::Duration> route_times;
         absl::Time penalised_until = absl::InfinitePast();
         absl::Time warming_since = absl::InfinitePast();
+        absl::Time waiting_since = absl::InfiniteFuture(); ///< Since when requests wait and none was answered.
         absl::Time listed_since = absl::InfiniteFuture();
     };
     struct version_group {
@@ -166,6 +178,8 @@
     double trusted_hint(const upstream_state& upstream, absl::Time now) const;
     candidate_view view(const upstream_state& upstream, const pick_candidate& weighed, absl::Time now) const;
     void learn(upstream_state& upstream, attempt_outcome outcome, absl::Duration latency, absl::Time now);
+    bool is_silent(const upstream_state& upstream, absl::Time now) const;
+    bool is_doubtful(const upstream_state& upstream, absl::Time now) const;
     ejector* health_of(const upstream_state& upstream);
 
     router_settings m_settings;
@@ -174,6 +188,7 @@
     std::shared_ptr<const intended_state> m_state;
     route_table m_routes;
     share_overrides m_overrides;
+    std::vector<endpoint> m_suspected_owners; ///< Few at any time.
     absl::flat_hash_map<std::string, std::unique_ptr<upstream_state>> m_upstreams;
     absl::flat_hash_map<std::string, service_group> m_services;
 };
--- a/src/store/leased_entry.h
+++ b/src/store/leased_entry.h
@@ -46,11 +46,11 @@
         return m_backoff.next_delay(random);
     }
 
-    /// Removes the key at once instead of at the end of the lease.
-    void end() {
-        if (m_lease != 0) {
-            // Without an answer the key goes with its lease.
-            static_cast<void>(m_store.end_lease(m_lease, m_policy.call_timeout));
+    /// Changes the value; it is written with the next step.
+    void set_value(std::string value) {
+        if (value != m_value) {
+            m_value = std::move(value);
+            m_is_written = false;
         }
     }
 
--- a/src/tests/router_test.cpp
+++ b/src/tests/router_test.cpp
@@ -1,5 +1,6 @@
 #include "routing/router.h"
 
+#include <absl/random/random.h>
 #include <boost/test/data/monomorphic.hpp>
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
@@ -253,4 +254,56 @@
                "route=orders service=werkbank candidates=0 refused=no-upstream code=1401");
 }
 
+// Guards against requests that go on to an owner which has stopped answering, while other upstreams have free slots,
+// and against an upstream that is taken for silent because single requests take long. Pattern: a daemon's host is
+// frozen for some seconds.
+BOOST_AUTO_TEST_CASE(a_silent_owner_loses_its_place) {
+    router subject(router_settings{.data_center = "a"});
+    subject.set_configuration(state_with_shares({}));
+    subject.set_upstreams({make_record("frozen", "1", "a"), make_record("well", "1", "a")}, start);
+    absl::BitGen random;
+    const route target = werkbank_route();
+    for (int request = 0; request < 3; ++request) {
+        subject.on_started("frozen", start);
+    }
+    subject.on_started("well", start);
+    BOOST_TEST(!subject.is_silent("frozen", start + absl::Milliseconds(400)));
+    const absl::Time later = start + absl::Milliseconds(600);
+    BOOST_TEST(subject.is_silent("frozen", later));
+    BOOST_TEST(!subject.is_silent("well", later));
+    for (int request = 0; request < 50; ++request) {
+        BOOST_TEST(subject.choose(target, {}, later, random).upstream_id == "well");
+    }
+    // An answer shows that the owner is back.
+    subject.on_finished("frozen", attempt_outcome::answered, absl::Milliseconds(600), std::nullopt, later);
+    BOOST_TEST(!subject.is_silent("frozen", later));
+    // The last resort is still used.
+    subject.set_upstreams({make_record("frozen", "1", "a")}, later);
+    subject.set_suspected_owners({make_record("frozen", "1", "a").owner});
+    BOOST_TEST(subject.choose(target, {}, later, random).upstream_id == "frozen");
+}
+
+// Guards against bytes between data centres for answers that the own one gives in time, and against waiting at home for
+// an answer that would be late.
+BOOST_AUTO_TEST_CASE(own_data_center_while_it_is_quick_enough) {
+    router subject(router_settings{.data_center = "a"});
+    subject.set_configuration(state_with_shares({}));
+    subject.set_upstreams({make_record("near", "1", "a"), make_record("far", "1", "b")}, start);
+    absl::BitGen random;
+    route target = werkbank_route();
+    request_facts facts{.target = start + absl::Milliseconds(400)};
+    const auto report = [&](const char* id, double load) {
+        subject.on_report(id, target.name, {load, absl::Milliseconds(100), absl::Milliseconds(100)}, start);
+    };
+    report("near", 0.9);
+    report("far", 0);
+    BOOST_TEST(subject.choose(target, facts, start, random).upstream_id == "near");
+    report("near", 3);
+    BOOST_TEST(subject.choose(target, facts, start, random).upstream_id == "far");
+    target.kind = route_kind::download;
+    BOOST_TEST(subject.choose(target, facts, start, random).upstream_id == "far");
+    report("near", 2);
+    BOOST_TEST(subject.choose(target, facts, start, random).upstream_id == "near");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
