--- a/src/http/private/entry_call.cpp
+++ b/src/http/private/entry_call.cpp
@@ -65,11 +65,11 @@
     co_return co_await serve_route(*found.matched);
 }
 
-void entry_call::give_up_if_silent(absl::Time now) {
-    if (m_abandon_attempt && m_core.requests.is_silent(m_remote_upstream, now) &&
+void entry_call::give_up_if_unreachable(absl::Time now) {
+    if (m_abandon_attempt && m_core.requests.is_unreachable(m_remote_upstream, now) &&
         m_core.budget.available(m_service, now) >= 1) {
         m_core.log.info(
-            fmt::format("owner-silent request={} upstream={}", m_request.info.request_id, m_remote_upstream));
+            fmt::format("owner-unreachable request={} upstream={}", m_request.info.request_id, m_remote_upstream));
         m_abandon_attempt();
     }
 }
--- a/src/http/private/entry_call.h
+++ b/src/http/private/entry_call.h
@@ -20,8 +20,8 @@
     /// Serves the request to its end. The prefix of its body has been read.
     asio::awaitable<serve_result> serve();
 
-    /// Ends the present attempt if the owner has stopped answering; another one may follow.
-    void give_up_if_silent(absl::Time now);
+    /// Ends the present attempt if the owner is out of reach; another one may follow.
+    void give_up_if_unreachable(absl::Time now);
 
     /// Ends the call because its caller has left.
     void abandon();
--- a/src/http/request_proxy.cpp
+++ b/src/http/request_proxy.cpp
@@ -32,6 +32,8 @@
 constexpr auto idle_sweep_interval = std::chrono::seconds(1);
 /// Time in which a request that is on its way on a kept connection still arrives during a drain.
 constexpr auto drain_grace = std::chrono::milliseconds(500);
+/// Time beyond the notice in which a draining daemon takes requests while others are open.
+constexpr absl::Duration late_caller_time = absl::Milliseconds(700);
 constexpr auto drain_poll = std::chrono::milliseconds(20);
 constexpr auto explain_timeout = std::chrono::seconds(2);
 constexpr int listen_backlog = 1024;
@@ -195,7 +197,7 @@
         }
     }
 
-    /// Takes repeatable requests back from owners that have gone silent.
+    /// Takes repeatable requests back from owners that are out of reach.
     asio::awaitable<void> watch_owners() {
         asio::steady_timer timer(m_core.context);
         while (true) {
@@ -204,7 +206,7 @@
             const absl::Time now = m_core.clock.now();
             const std::vector<entry_call*> waiting(m_core.remote_calls.begin(), m_core.remote_calls.end());
             for (entry_call* call : waiting) {
-                call->give_up_if_silent(now);
+                call->give_up_if_unreachable(now);
             }
         }
     }
@@ -230,8 +232,9 @@
         if (notice > absl::ZeroDuration()) {
             timer.expires_after(absl::ToChronoNanoseconds(notice));
             co_await timer.async_wait(as_result);
-            // New connections are still served: a refused one would cost its caller an attempt.
-            while (are_requests_open() && m_core.clock.now() - started_at < notice + m_options.drain_timeout) {
+            // New connections are still served: a refused one would cost its caller an attempt. But not so long that
+            // their requests could not end in time.
+            while (are_requests_open() && m_core.clock.now() - started_at < notice + late_caller_time) {
                 timer.expires_after(drain_poll);
                 co_await timer.async_wait(as_result);
             }
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -368,9 +368,13 @@
     m_suspected_owners = std::move(owners);
 }
 
-bool router::is_silent(const std::string& upstream_id, absl::Time now) const {
+bool router::is_unreachable(const std::string& upstream_id, absl::Time now) const {
     const auto found = m_upstreams.find(upstream_id);
-    return found != m_upstreams.end() && is_silent(*found->second, now);
+    return found != m_upstreams.end() && is_silent(*found->second, now) && is_suspected(*found->second);
+}
+
+bool router::is_suspected(const upstream_state& upstream) const {
+    return std::ranges::find(m_suspected_owners, upstream.record.owner) != m_suspected_owners.end();
 }
 
 bool router::is_silent(const upstream_state& upstream, absl::Time now) const {
@@ -379,8 +383,7 @@
 }
 
 bool router::is_doubtful(const upstream_state& upstream, absl::Time now) const {
-    return is_silent(upstream, now) ||
-           std::ranges::find(m_suspected_owners, upstream.record.owner) != m_suspected_owners.end();
+    return is_silent(upstream, now) || is_suspected(upstream);
 }
 
 void router::on_report(const std::string& upstream_id, const std::string& route, const owner_report& report,
--- a/src/routing/router.h
+++ b/src/routing/router.h
@@ -118,8 +118,9 @@
     /// no other.
     void set_suspected_owners(std::vector<endpoint> owners);
 
-    /// @return true if an upstream's owner has stopped answering this entry.
-    bool is_silent(const std::string& upstream_id, absl::Time now) const;
+    /// @return true if an upstream's owner has stopped answering this entry and is suspected by its peers. A slow upstream
+    ///         alone can leave requests waiting as long, and what it runs must not be broken off.
+    bool is_unreachable(const std::string& upstream_id, absl::Time now) const;
 
     /// Notes what an owner reported.
     /// @param route name of the route that the answered request came on.
@@ -179,6 +180,7 @@
     candidate_view view(const upstream_state& upstream, const pick_candidate& weighed, absl::Time now) const;
     void learn(upstream_state& upstream, attempt_outcome outcome, absl::Duration latency, absl::Time now);
     bool is_silent(const upstream_state& upstream, absl::Time now) const;
+    bool is_suspected(const upstream_state& upstream) const;
     bool is_doubtful(const upstream_state& upstream, absl::Time now) const;
     ejector* health_of(const upstream_state& upstream);
 
