--- a/src/daemon/component_settings.cpp
+++ b/src/daemon/component_settings.cpp
@@ -1,5 +1,7 @@
 #include "daemon/component_settings.h"
 
+#include <algorithm>
+
 namespace amaranthladder {
 
 event_log_options make_log_options(const daemon_settings& settings) {
@@ -59,6 +61,8 @@
     result.seeds = settings.peers.seeds;
     result.probe_interval = settings.peers.probe_interval;
     result.probe_timeout = settings.peers.probe_timeout;
+    // A mesh that probes more often is small, and joins as much faster.
+    result.join_repair_interval = std::min(result.join_repair_interval, settings.peers.probe_interval);
     return result;
 }
 
--- a/src/http/private/entry_call.cpp
+++ b/src/http/private/entry_call.cpp
@@ -294,6 +294,15 @@
         m_request.keeps_connection = false;
     }
     set_retry_after(code);
+    if (m_core.log.is_enabled(log_level::info)) {
+        const absl::Time now = m_core.clock.now();
+        m_core.log.info(fmt::format(
+            "refusal request={} service={} code={} execution={} sends={} after_ms={} target_in_ms={} retry_after_ms={}",
+            m_request.info.request_id, m_service, name(code), name(request_execution), m_sends,
+            absl::ToInt64Milliseconds(now - m_request.received_at),
+            m_target == absl::InfiniteFuture() ? 0 : absl::ToInt64Milliseconds(m_target - now),
+            absl::ToInt64Milliseconds(m_request.retry_after.value_or(absl::ZeroDuration()))));
+    }
     return write_refusal(m_request, code, request_execution, std::move(detail));
 }
 
@@ -422,12 +431,17 @@
 }
 
 void entry_call::log_end(const routing_decision& decision, const attempt_end& ended) const {
-    if (!m_core.log.is_enabled(log_level::debug)) {
+    // A good answer needs no second line: the routing line and the absence of a failure say it.
+    const log_level level = ended.outcome == attempt_outcome::answered ? log_level::debug : log_level::info;
+    if (!m_core.log.is_enabled(level)) {
         return;
     }
-    m_core.log.debug(fmt::format("attempt-end request={} upstream={} outcome={} code={} latency_us={}",
+    m_core.log.write(level,
+                     fmt::format("attempt-end request={} upstream={} outcome={} code={} execution={} reached={} "
+                                 "latency_ms={} backlog_ms={}",
                                  m_request.info.request_id, decision.upstream_id, name(ended.outcome), name(ended.code),
-                                 absl::ToInt64Microseconds(ended.latency)));
+                                 name(ended.request_execution), ended.has_reached,
+                                 absl::ToInt64Milliseconds(ended.latency), absl::ToInt64Milliseconds(ended.backlog)));
 }
 
 } // namespace amaranthladder
--- a/src/http/private/local_upstream.h
+++ b/src/http/private/local_upstream.h
@@ -3,6 +3,8 @@
 #include "http/private/slot_gate.h"
 #include "peers/upstream_record.h"
 
+#include <absl/time/time.h>
+
 #include <memory>
 #include <string>
 #include <utility>
@@ -13,6 +15,7 @@
 struct local_upstream {
     upstream_record record;
     bool is_version_refused = false; ///< Its version was taken back; other versions serve the requests.
+    absl::Time unreachable_until = absl::InfinitePast(); ///< Connections to it failed a moment ago.
     std::shared_ptr<slot_gate> gate; ///< Shared with the requests that hold or wait for a slot.
 };
 
--- a/src/http/private/owner_call.cpp
+++ b/src/http/private/owner_call.cpp
@@ -14,6 +14,9 @@
 
 /// Another upstream has the address now; RFC 9110, section 15.5.20.
 constexpr unsigned misdirected_status = 421;
+/// After a failed connection further requests are refused for this time: each would hold a slot until its own connection
+/// fails, and other upstreams can serve them.
+constexpr absl::Duration unreachable_pause = absl::Milliseconds(400);
 /// Surplus answers that are skipped before the connection is given up.
 constexpr int max_surplus_answers = 2;
 /// Refusals of upstreams are small; what is longer ends the connection.
@@ -37,6 +40,10 @@
       m_exchange(core.pool, core.options, core.clock) {}
 
 asio::awaitable<exchange_start> owner_call::open() {
+    if (const local_upstream* known = m_core.find_local(m_upstream.id);
+        known != nullptr && m_core.clock.now() < known->unreachable_until) {
+        co_return exchange_start{result_code::connect_failed, execution::not_run};
+    }
     // A named variable: GCC 12 destroys an aggregate temporary of a co_await expression twice.
     slot_request wanted;
     wanted.id = m_id;
@@ -48,9 +55,15 @@
     }
     const result_code granted = co_await m_gate->acquire(wanted);
     if (m_core.log.is_enabled(log_level::info)) {
-        m_core.log.info(fmt::format("admission request={} upstream={} route={} result={} running={} queued={}",
-                                    m_request.info.request_id, m_upstream.id, m_route, name(granted),
-                                    m_gate->limiter().running(), m_gate->limiter().queued()));
+        const absl::Time now = m_core.clock.now();
+        const slot_limiter& limiter = m_gate->limiter();
+        m_core.log.info(fmt::format(
+            "admission request={} upstream={} route={} result={} running={} queued={} priority={} "
+            "waited_ms={} target_in_ms={} deadline_in_ms={} service_ms={}",
+            m_request.info.request_id, m_upstream.id, m_route, name(granted), limiter.running(), limiter.queued(),
+            wanted.priority, absl::ToInt64Milliseconds(now - m_request.received_at),
+            m_request.info.target ? absl::ToInt64Milliseconds(wanted.target - now) : 0,
+            absl::ToInt64Milliseconds(m_deadline - now), absl::ToInt64Milliseconds(limiter.service_time(m_route))));
     }
     if (granted != result_code::ok) {
         if (granted != result_code::upstream_leaving && granted != result_code::caller_disconnected) {
@@ -79,6 +92,12 @@
 asio::awaitable<exchange_start> owner_call::run() {
     const exchange_start connected = co_await m_exchange.connect(m_upstream.address, m_is_idempotent, m_deadline);
     if (connected.code != result_code::ok) {
+        if (local_upstream* const known = m_core.find_local(m_upstream.id); known != nullptr && !m_is_abandoned) {
+            known->unreachable_until = m_core.clock.now() + unreachable_pause;
+            m_core.log.warning(fmt::format("upstream-unreachable upstream={} address={} pause_ms={}", m_upstream.id,
+                                           to_string(m_upstream.address),
+                                           absl::ToInt64Milliseconds(unreachable_pause)));
+        }
         co_return connected;
     }
     if (m_request.expects_continue && !(co_await write_continue(m_request, m_core.options.body_idle_timeout))) {
--- a/src/routing/router.h
+++ b/src/routing/router.h
@@ -118,7 +118,8 @@
     /// no other.
     void set_suspected_owners(std::vector<endpoint> owners);
 
-    /// @return true if an upstream's owner has stopped answering this entry and is suspected by its peers. A slow upstream
+    /// @return true if an upstream's owner has stopped answering this entry and is suspected by its peers. A slow
+    /// upstream
     ///         alone can leave requests waiting as long, and what it runs must not be broken off.
     bool is_unreachable(const std::string& upstream_id, absl::Time now) const;
 
--- a/src/tests/request_proxy_test.cpp
+++ b/src/tests/request_proxy_test.cpp
@@ -291,6 +291,25 @@
     BOOST_TEST(code_of(client.Get("/x")) == "1400");
 }
 
+// Guards against requests that each wait for a connection to an upstream which has crashed without a word.
+BOOST_AUTO_TEST_CASE(an_unreachable_upstream_is_refused_at_once) {
+    two_daemons mesh;
+    mesh.record.address = {"127.0.0.1", 1};
+    mesh.owner->set_local_upstream(mesh.record, 16);
+    auto client = mesh.client();
+    for (int attempt = 0; attempt < 3; ++attempt) {
+        const auto refused = client.Post("/x", "order", "text/plain");
+        BOOST_REQUIRE(refused);
+        BOOST_TEST(refused->status == 503);
+        BOOST_TEST(code_of(refused) == "1405");
+        BOOST_TEST(refused->get_header_value("x-amaranthladder-outcome") == "not-run");
+    }
+    mesh.record.address = mesh.upstream.address();
+    mesh.owner->set_local_upstream(mesh.record, 16);
+    std::this_thread::sleep_for(std::chrono::milliseconds(500));
+    BOOST_TEST(client.Get("/x")->status == 200);
+}
+
 struct bad_input {
     const char* name;
     std::string bytes;
