--- a/src/daemon/intent_link.h
+++ b/src/daemon/intent_link.h
@@ -39,6 +39,8 @@
     std::function<void(const std::vector<endpoint>&)> add_contacts;
     /// @return true if this daemon knows a living peer.
     std::function<bool()> has_peers;
+    /// @return living daemons that come before this one in an order that all agree on.
+    std::function<int()> turn;
     /// @return what a later run of this daemon is to know of the upstream beside it; empty: nothing.
     std::function<std::string()> upstream_note;
     /// Takes what an earlier run noted, once at the start.
@@ -51,10 +53,12 @@
 public:
     /// @param store the store; closed by the destructor.
     /// @param counter counts the store's calls.
+    /// @param watch_rest how long most daemons wait after a change before they watch again. A daemon that reaches the
+    ///        store and no peer sees a change that much later.
     intent_link(std::unique_ptr<Store> store, const call_counter& counter, intent_format format,
-                intent_link_peers peers, const steady_clock& clock, event_log& log)
-        : m_store(std::move(store)), m_counter(counter), m_format(std::move(format)), m_peers(std::move(peers)),
-          m_clock(clock), m_log(log), m_follower(*m_store, m_format.prefix, make_listener()),
+                intent_link_peers peers, absl::Duration watch_rest, const steady_clock& clock, event_log& log)
+        : m_watch_rest(watch_rest), m_store(std::move(store)), m_counter(counter), m_format(std::move(format)),
+          m_peers(std::move(peers)), m_clock(clock), m_log(log), m_follower(*m_store, m_format.prefix, make_listener()),
           m_entry(*m_store, std::string(daemon_key_prefix) + to_string(m_peers.self), entry_value("")),
           m_follow_thread([this] { follow(); }), m_duty_thread([this] { attend(); }) {}
 
@@ -80,6 +84,8 @@
     static constexpr std::string_view daemon_key_prefix = "mesh/daemons/";
     static constexpr std::string_view order_record_prefix = "mesh/orders/";
     static constexpr absl::Duration call_timeout = absl::Seconds(1);
+    /// Enough that the loss of a host or two, or of their way to the store, leaves one that watches without a rest.
+    static constexpr int prompt_watchers = 3;
     /// Reports are looked for this often; a report is late by at most this.
     static constexpr absl::Duration duty_interval = absl::Milliseconds(100);
     /// A changed entry is written after this time, with whatever else has changed by then.
@@ -92,6 +98,8 @@
         prefix_listener listener;
         listener.on_item = [this](const stored_item& item, bool is_change) { take(item, is_change); };
         listener.on_removed = [this](const std::string& key) { m_log.info(fmt::format("intent-removed key={}", key)); };
+        // The first daemons see every change at once and tell the others, which therefore need not.
+        listener.rest = [this] { return m_peers.turn() < prompt_watchers ? absl::ZeroDuration() : m_watch_rest; };
         listener.on_reachable = [this](bool is_reachable, store_outcome outcome) {
             note_reachable(is_reachable, outcome);
         };
@@ -254,6 +262,7 @@
         m_mutex.AwaitWithTimeout(absl::Condition(&m_is_stopped), delay);
     }
 
+    absl::Duration m_watch_rest;
     std::unique_ptr<Store> m_store;
     const call_counter& m_counter;
     intent_format m_format;
--- a/src/daemon/mesh_daemon.cpp
+++ b/src/daemon/mesh_daemon.cpp
@@ -233,6 +233,7 @@
         peers.due_reports = [this] { return m_orders.due_reports(m_clock.now()); };
         peers.add_contacts = [this](const std::vector<endpoint>& contacts) { m_peers.add_contacts(contacts); };
         peers.has_peers = [this] { return m_peers.members(member_state::alive).size() > 1; };
+        peers.turn = [this] { return reporting_turn(); };
         peers.upstream_note = [this] { return upstream_note(); };
         peers.recall_upstream = [this](const std::string& note) { recall_upstream(note); };
         return peers;
@@ -505,7 +506,7 @@
                                    [&](const member& one) { return one.http_address == owner; });
     }
 
-    /// @return how many living daemons report the outcome of an order before this one.
+    /// @return how many living daemons come before this one in the order of their addresses.
     int reporting_turn() const {
         return static_cast<int>(std::ranges::count_if(
             m_peers.members(member_state::alive), [&](const member& one) { return one.address < m_peers.address(); }));
--- a/src/http/private/owner_call.cpp
+++ b/src/http/private/owner_call.cpp
@@ -14,8 +14,8 @@
 
 /// Another upstream has the address now; RFC 9110, section 15.5.20.
 constexpr unsigned misdirected_status = 421;
-/// After a failed connection further requests are refused for this time: each would hold a slot until its own connection
-/// fails, and other upstreams can serve them.
+/// After a failed connection further requests are refused for this time: each would hold a slot until its own
+/// connection fails, and other upstreams can serve them.
 constexpr absl::Duration unreachable_pause = absl::Milliseconds(400);
 /// Surplus answers that are skipped before the connection is given up.
 constexpr int max_surplus_answers = 2;
--- a/src/store/prefix_follower.h
+++ b/src/store/prefix_follower.h
@@ -31,6 +31,9 @@
     std::function<void(const std::string& key)> on_removed;
     /// The store began or ceased to answer.
     std::function<void(bool is_reachable, store_outcome outcome)> on_reachable;
+    /// @return how long to wait before the next watch after one that brought changes; none if it is empty. Changes in
+    /// quick succession then cost one call together.
+    std::function<absl::Duration()> rest = {};
 };
 
 /// Follows the keys with a common prefix: lists them, then watches; lists again when the history is lost.
@@ -57,7 +60,7 @@
         }
         if (is_answered) {
             m_backoff.reset();
-            return absl::ZeroDuration();
+            return std::exchange(m_has_changes, false) && m_listener.rest ? m_listener.rest() : absl::ZeroDuration();
         }
         return m_backoff.next_delay(random);
     }
@@ -108,6 +111,7 @@
             m_is_listed = false;
             return store_outcome::ok;
         }
+        m_has_changes = !changed.value->changes.empty();
         for (const stored_change& change : changed.value->changes) {
             if (change.is_removed) {
                 m_keys.erase(change.item.key);
@@ -129,6 +133,7 @@
     std::set<std::string> m_keys;
     revision m_as_of = 0;
     bool m_is_listed = false;
+    bool m_has_changes = false; ///< The last watch brought some.
     bool m_is_reachable = false;
     bool m_is_first = true;
 };
--- a/src/tests/prefix_follower_test.cpp
+++ b/src/tests/prefix_follower_test.cpp
@@ -92,6 +92,27 @@
     BOOST_TEST(seen.reachable == (std::vector<std::string>{"yes", "unavailable", "yes"}));
 }
 
+// Guards against a store call for each of many changes in quick succession, and against changes that are lost
+// meanwhile.
+BOOST_AUTO_TEST_CASE(rests_after_changes) {
+    scripted_store store;
+    std::map<std::string, std::string> values;
+    prefix_listener listener{[&](const stored_item& item, bool /*is_change*/) { values[item.key] = item.value; },
+                             [](const std::string& /*key*/) {}, [](bool /*is_reachable*/, store_outcome /*outcome*/) {},
+                             [] { return absl::Seconds(1); }};
+    absl::BitGen random;
+    prefix_follower<scripted_store> follower(store, "op/", std::move(listener));
+    BOOST_TEST(follower.step(random) == absl::ZeroDuration());
+    store.put("op/a", "1");
+    BOOST_TEST(follower.step(random) == absl::Seconds(1));
+    store.put("op/a", "2");
+    store.put("op/a", "3");
+    follower.step(random);
+    BOOST_TEST(values.at("op/a") == "3");
+    BOOST_TEST(follower.step(random) == absl::ZeroDuration());
+    BOOST_TEST(store.calls.size() == 4U);
+}
+
 // Guards against an entry that is missing after its lease lapsed during an outage of the store.
 BOOST_AUTO_TEST_CASE(an_entry_comes_back_after_its_lease_lapsed) {
     scripted_store store;
