--- a/src/daemon/mesh_daemon.cpp
+++ b/src/daemon/mesh_daemon.cpp
@@ -267,7 +267,7 @@
 
     void serve_platform() {
         const auto answer = [this](const control_request& request) {
-            const control_reply reply = m_platform->answer(request, m_actions);
+            control_reply reply = m_platform->answer(request, m_actions);
             if (reply.status >= 400 && !request.body.empty()) {
                 m_log.warning(fmt::format("announcement-refused target={} status={} reason={}", request.target,
                                           reply.status, reply.body));
--- a/src/http/private/entry_call.cpp
+++ b/src/http/private/entry_call.cpp
@@ -237,7 +237,9 @@
         co_return replaced_answer(latency, report);
     }
     const std::string& id = m_request.info.request_id;
-    const auto set_headers = [this, &id](http::fields& out) { out.set(beast_view(header::request_id), id); };
+    const auto set_headers = [this, &id](http::fields& out) {
+        out.set(beast_view(m_core.options.headers.request_id), id);
+    };
     const relay_result relayed =
         co_await m_core.relay.relay(sent, m_request, m_core.options.answer_buffer_bytes, set_headers);
     attempt_end ended = end_of(relayed, status);
@@ -319,7 +321,7 @@
     ended.code = result_code::upstream_failed;
     ended.request_execution = execution::may_have_run;
     ended.latency = latency;
-    ended.report = std::move(report);
+    ended.report = report;
     return ended;
 }
 
--- a/src/routing/route_table.cpp
+++ b/src/routing/route_table.cpp
@@ -67,7 +67,7 @@
     while (true) {
         const auto found = routes.by_prefix.find(absl::string_view(prefix.data(), prefix.size()));
         if (found != routes.by_prefix.end()) {
-            const route_match matched = match_method(found->second, method, path.size() > prefix.size());
+            route_match matched = match_method(found->second, method, path.size() > prefix.size());
             if (matched.refusal != result_code::no_route) {
                 return matched;
             }
--- a/src/store/store_connections.cpp
+++ b/src/store/store_connections.cpp
@@ -70,7 +70,7 @@
         request.path = sent.path;
         request.body = sent.body;
         for (const auto& [name, value] : sent.headers) {
-            request.set_header(name.c_str(), value);
+            request.set_header(name, value);
         }
         const absl::Time end = absl::Now() + std::max(deadline, min_deadline);
         set_timeouts(*client, std::max(deadline, min_deadline));
