List the store's keys after a failed call instead of watching at once

Ruled out: resting watches (no change came before) and the hosts that the store turned away (all daemons were late).

--- a/src/store/prefix_follower.h
+++ b/src/store/prefix_follower.h
@@ -62,6 +62,8 @@
             m_backoff.reset();
             return std::exchange(m_has_changes, false) && m_listener.rest ? m_listener.rest() : absl::ZeroDuration();
         }
+        // A watch sent into an outage could wait long beyond its end, so the next call is one with a short deadline.
+        m_is_listed = false;
         return m_backoff.next_delay(random);
     }
 
--- a/src/store/store_connections.cpp
+++ b/src/store/store_connections.cpp
@@ -21,6 +21,9 @@
 // write is on its way would leave that write's outcome unknown.
 constexpr absl::Duration max_idle_time = absl::Seconds(3);
 
+/// A connection is made within milliseconds or not at all; the rest of a long deadline is for the answer.
+constexpr absl::Duration connect_limit = absl::Seconds(1);
+
 constexpr absl::Duration min_deadline = absl::Milliseconds(1);
 
 // A watch waits for many seconds on a connection that may have gone silent. Probes find that within about three
@@ -135,7 +138,8 @@
 
     static void set_timeouts(httplib::Client& client, absl::Duration limit) {
         const std::int64_t us = absl::ToInt64Microseconds(limit);
-        client.set_connection_timeout(us / 1'000'000, us % 1'000'000);
+        const std::int64_t connect_us = absl::ToInt64Microseconds(std::min(limit, connect_limit));
+        client.set_connection_timeout(connect_us / 1'000'000, connect_us % 1'000'000);
         client.set_read_timeout(us / 1'000'000, us % 1'000'000);
         client.set_write_timeout(us / 1'000'000, us % 1'000'000);
     }
--- a/src/tests/prefix_follower_test.cpp
+++ b/src/tests/prefix_follower_test.cpp
@@ -92,6 +92,21 @@
     BOOST_TEST(seen.reachable == (std::vector<std::string>{"yes", "unavailable", "yes"}));
 }
 
+// Guards against a long watch that was sent into an outage and goes on waiting after the store is back: the first call
+// after a failure is a short one. Found by limonada-litoral mix, seed 169119055526: no daemon saw a configuration for
+// seconds.
+BOOST_AUTO_TEST_CASE(no_long_wait_after_a_failure) {
+    recorder seen;
+    seen.store.put("op/a", "1");
+    seen.step();
+    seen.store.script = {store_outcome::unavailable, store_outcome::unavailable};
+    for (int call = 0; call < 4; ++call) {
+        seen.step();
+    }
+    BOOST_TEST(seen.store.calls == (std::vector<std::string>{"list", "watch", "list", "list", "watch"}),
+               boost::test_tools::per_element());
+}
+
 // Guards against a store call for each of many changes in quick succession, and against changes that are lost
 // meanwhile.
 BOOST_AUTO_TEST_CASE(rests_after_changes) {
