Share the connection probes and the loop that drops a response; skip order work without orders

The probes stood in the store's connections and in the data path, the loop that reads a refusal's rest in owner_call and entry_call. Limits of the platform that nothing reads are gone.

--- a/src/http/private/socket_probes.cpp
+++ b/src/common/socket_probes.cpp
@@ -1,5 +1,6 @@
-#include "http/private/socket_probes.h"
+#include "common/socket_probes.h"
 
+#include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
@@ -12,14 +13,14 @@
 constexpr int probe_count = 2;
 constexpr int unacknowledged_limit_ms = 3'000;
 
-void set_option(asio::ip::tcp::socket& socket, int level, int option, int value) {
-    // A kernel without the option leaves the requests' deadlines as the only limit.
-    static_cast<void>(::setsockopt(socket.native_handle(), level, option, &value, sizeof(value)));
+void set_option(int socket, int level, int option, int value) {
+    // A kernel without the option leaves the deadlines of calls as the only limit.
+    static_cast<void>(::setsockopt(socket, level, option, &value, sizeof(value)));
 }
 
 } // namespace
 
-void set_probes(asio::ip::tcp::socket& socket) {
+void set_probes(int socket) {
     set_option(socket, SOL_SOCKET, SO_KEEPALIVE, 1);
     set_option(socket, IPPROTO_TCP, TCP_KEEPIDLE, probe_idle_s);
     set_option(socket, IPPROTO_TCP, TCP_KEEPINTVL, probe_interval_s);
--- a/src/daemon/mesh_daemon.cpp
+++ b/src/daemon/mesh_daemon.cpp
@@ -491,21 +491,21 @@
     }
 
     void follow_orders() {
-        std::vector<upstream_record> upstreams;
-        for (const upstream_record& one : m_peers.upstreams()) {
-            if (!one.is_withdrawn && is_living_owner(one.owner)) {
-                upstreams.push_back(one);
-            }
+        if (m_orders.is_empty()) {
+            return;
+        }
+        std::set<endpoint> living_owners;
+        for (const member& one : m_peers.members(member_state::alive)) {
+            living_owners.insert(one.http_address);
         }
+        std::vector<upstream_record> upstreams = m_peers.upstreams();
+        std::erase_if(upstreams, [&](const upstream_record& one) {
+            return one.is_withdrawn || !living_owners.contains(one.owner);
+        });
         m_orders.follow(m_moves.statuses(), upstreams, reporting_turn(), m_clock.now());
         supersede_old_versions();
     }
 
-    bool is_living_owner(const endpoint& owner) const {
-        return std::ranges::any_of(m_peers.members(member_state::alive),
-                                   [&](const member& one) { return one.http_address == owner; });
-    }
-
     /// @return how many living daemons come before this one in the order of their addresses.
     int reporting_turn() const {
         return static_cast<int>(std::ranges::count_if(
--- a/src/daemon/order_service.cpp
+++ b/src/daemon/order_service.cpp
@@ -13,6 +13,11 @@
     return m_board.merge(order);
 }
 
+bool order_service::is_empty() const {
+    const absl::MutexLock lock(&m_mutex);
+    return m_board.orders().empty();
+}
+
 std::map<std::string, move> order_service::moves() const {
     const absl::MutexLock lock(&m_mutex);
     return m_board.moves();
--- a/src/daemon/order_service.h
+++ b/src/daemon/order_service.h
@@ -29,6 +29,9 @@
     /// @return the order as it is held now if that changed.
     std::optional<move_order> merge(const move_order& order);
 
+    /// @return true if no order has been given.
+    bool is_empty() const;
+
     std::map<std::string, move> moves() const;
     std::map<std::string, std::map<std::string, double>> final_shares() const;
 
--- a/src/daemon/platform_interface.h
+++ b/src/daemon/platform_interface.h
@@ -25,10 +25,7 @@
 
 /// Limits that a platform sets for the whole mesh. A zero or absent value leaves the daemon's own settings.
 struct mesh_limits {
-    absl::Duration shutdown_time;      ///< From SIGTERM to SIGKILL.
     absl::Duration configuration_time; ///< A configuration is in force everywhere this long after its acknowledgement.
-    absl::Duration drain_time;         ///< New work may reach a leaving upstream this long after its announcement.
-    double retry_ratio = 0;            ///< Further attempts per request, over all daemons.
 };
 
 /// Everything that differs on a platform with interfaces of its own. Built by the platform's adapter.
--- a/src/http/private/entry_call.cpp
+++ b/src/http/private/entry_call.cpp
@@ -22,10 +22,11 @@
 constexpr int max_tries = 5;
 /// Time beyond the deadline that an owner has to deliver its own answer, which knows whether the request ran.
 constexpr absl::Duration owner_answer_slack = absl::Milliseconds(30);
-/// Bounds of the time after which a refused caller may come back.
+/// From this status on an answer is a failure of the upstream.
 constexpr unsigned least_failure_status = 500;
 /// With less time left a failed answer is passed on instead of being replaced by a second attempt.
 constexpr absl::Duration least_second_attempt = absl::Milliseconds(50);
+/// A refused caller comes back no sooner.
 constexpr absl::Duration least_retry_after = absl::Milliseconds(40);
 /// For callers that state no deadline.
 constexpr absl::Duration most_retry_after = absl::Seconds(1);
@@ -267,15 +268,7 @@
     int backlog_ms = 0;
     std::from_chars(backlog_text.data(), backlog_text.data() + backlog_text.size(), backlog_ms);
     ended.backlog = absl::Milliseconds(backlog_ms);
-    std::string body(max_refusal_bytes, '\0');
-    std::size_t size = 1;
-    error_code failure;
-    std::size_t used = 0;
-    while (!failure && size > 0 && used < max_refusal_bytes) {
-        failure = co_await sent.read_body(std::span(body).subspan(used), size);
-        used += size;
-    }
-    sent.finish();
+    co_await sent.discard(max_refusal_bytes);
     co_return ended;
 }
 
--- a/src/http/private/exchange.cpp
+++ b/src/http/private/exchange.cpp
@@ -1,6 +1,6 @@
 #include "http/private/exchange.h"
 
-#include "http/private/socket_probes.h"
+#include "common/socket_probes.h"
 
 #include <boost/asio/ip/address.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -50,7 +50,7 @@
         co_return exchange_start{result_code::connect_failed, execution::not_run};
     }
     m_connection->stream.socket().set_option(asio::ip::tcp::no_delay(true), failure);
-    set_probes(m_connection->stream.socket());
+    set_probes(m_connection->stream.socket().native_handle());
     m_connection->opened_at = m_clock.now();
     m_connection->last_received_at = m_connection->opened_at;
     co_return exchange_start{};
@@ -202,6 +202,18 @@
     co_return failure;
 }
 
+asio::awaitable<void> exchange::discard(std::size_t limit) {
+    std::string body(limit, '\0');
+    std::size_t size = 1;
+    std::size_t used = 0;
+    error_code failure;
+    while (!failure && size > 0 && used < limit) {
+        failure = co_await read_body(std::span(body).subspan(used), size);
+        used += size;
+    }
+    finish();
+}
+
 void exchange::finish() {
     if (!m_connection || !m_response || !m_is_request_sent || !m_response->is_done() || !m_response->keep_alive()) {
         abort();
--- a/src/http/private/exchange.h
+++ b/src/http/private/exchange.h
@@ -68,6 +68,9 @@
     /// @param size set to the number of bytes read; 0 only at the end of the body.
     asio::awaitable<error_code> read_body(std::span<char> chunk, std::size_t& size);
 
+    /// Reads the rest of a response that nobody needs, and keeps the connection if it ends within @p limit bytes.
+    asio::awaitable<void> discard(std::size_t limit);
+
     /// Ends the exchange after the whole response was read: keeps or closes the connection.
     void finish();
 
--- a/src/http/private/owner_call.cpp
+++ b/src/http/private/owner_call.cpp
@@ -158,15 +158,7 @@
 }
 
 asio::awaitable<void> owner_call::discard_answer() {
-    std::string body(max_refusal_bytes, '\0');
-    std::size_t size = 1;
-    std::size_t used = 0;
-    error_code failure;
-    while (!failure && size > 0 && used < max_refusal_bytes) {
-        failure = co_await m_exchange.read_body(std::span(body).subspan(used), size);
-        used += size;
-    }
-    m_exchange.finish();
+    return m_exchange.discard(max_refusal_bytes);
 }
 
 bool owner_call::has_field(const std::string& name) {
--- a/src/store/store_connections.cpp
+++ b/src/store/store_connections.cpp
@@ -1,12 +1,12 @@
 #include "store/store_connections.h"
 
+#include "common/socket_probes.h"
+
 #include <absl/base/thread_annotations.h>
 #include <absl/synchronization/mutex.h>
 #include <absl/time/clock.h>
 #include <httplib.h>
 
-#include <netinet/tcp.h>
-
 #include <algorithm>
 #include <set>
 
@@ -26,26 +26,6 @@
 
 constexpr absl::Duration min_deadline = absl::Milliseconds(1);
 
-// A watch waits for many seconds on a connection that may have gone silent. Probes find that within about three
-// seconds, without calls that the store counts.
-constexpr int probe_idle_s = 1;
-constexpr int probe_interval_s = 1;
-constexpr int probe_count = 2;
-constexpr unsigned unacknowledged_limit_ms = 3'000;
-
-void set_option(socket_t socket, int level, int option, unsigned value) {
-    // A kernel without the option leaves the deadline as the only limit.
-    static_cast<void>(::setsockopt(socket, level, option, &value, sizeof(value)));
-}
-
-void set_socket_options(socket_t socket) {
-    set_option(socket, SOL_SOCKET, SO_KEEPALIVE, 1);
-    set_option(socket, IPPROTO_TCP, TCP_KEEPIDLE, probe_idle_s);
-    set_option(socket, IPPROTO_TCP, TCP_KEEPINTVL, probe_interval_s);
-    set_option(socket, IPPROTO_TCP, TCP_KEEPCNT, probe_count);
-    set_option(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, unacknowledged_limit_ms);
-}
-
 } // namespace
 
 std::string store_reply::header(const std::string& name) const {
@@ -119,7 +99,9 @@
             client->set_tcp_nodelay(true);
             client->set_keep_alive(true);
             client->set_url_encode(false);
-            client->set_socket_options(set_socket_options);
+            // A watch waits for many seconds on a connection that may have gone silent; probes are no calls that the
+            // store counts.
+            client->set_socket_options([](socket_t socket) { set_probes(socket); });
         } else {
             client = std::move(m_idle.back().client);
             m_idle.pop_back();
