Take a peer port that is free over UDP and TCP; wait instead of spinning in request_proxy_test

The constructor now listens over both protocols and tries another port if it chose the port itself. takes_a_port_that_is_free_for_both_protocols failed before (listen-failed within the first starts).

--- a/bench/fake_upstream.cpp
+++ b/bench/fake_upstream.cpp
@@ -102,6 +102,11 @@
         return m_running;
     }
 
+    void wait_until_running() const {
+        const absl::MutexLock lock(&m_mutex, absl::Condition(
+                                                 +[](const int* running) { return *running > 0; }, &m_running));
+    }
+
     int accepted_connections() const {
         return m_accepted;
     }
@@ -351,6 +356,10 @@
     return m_server->executed();
 }
 
+void fake_upstream::wait_until_running() const {
+    m_server->wait_until_running();
+}
+
 int fake_upstream::accepted_connections() const {
     return m_server->accepted_connections();
 }
--- a/bench/fake_upstream.h
+++ b/bench/fake_upstream.h
@@ -63,6 +63,9 @@
     /// @return requests running now.
     int running() const;
 
+    /// Waits until a request runs. May be called from any thread but the one that calls run().
+    void wait_until_running() const;
+
 private:
     class server;
     std::unique_ptr<server> m_server;
--- a/src/peers/peer_server.cpp
+++ b/src/peers/peer_server.cpp
@@ -23,6 +23,8 @@
 
 constexpr absl::Duration tick_interval = absl::Milliseconds(50);
 constexpr int datagrams_per_turn = 256; // Ticks go on under a flood of datagrams.
+/// Tries to find a port that is free for both protocols: enough while half of all ports are taken for one of them.
+constexpr int port_tries = 32;
 
 } // namespace
 
@@ -279,8 +281,18 @@
     rpc_server m_rpc;
 };
 
-peer_server::peer_server(const peer_settings& settings, opaque_rules rules, peer_callbacks callbacks)
-    : m_implementation(std::make_unique<implementation>(settings, std::move(rules), std::move(callbacks))) {}
+peer_server::peer_server(const peer_settings& settings, const opaque_rules& rules, const peer_callbacks& callbacks) {
+    for (int tries = 1; m_implementation == nullptr; ++tries) {
+        try {
+            m_implementation = std::make_unique<implementation>(settings, rules, callbacks);
+        } catch (const error&) {
+            // Port 0 takes a free UDP port; another program may hold that TCP port.
+            if (settings.address.port != 0 || tries >= port_tries) {
+                throw;
+            }
+        }
+    }
+}
 
 peer_server::~peer_server() = default;
 
--- a/src/peers/peer_server.h
+++ b/src/peers/peer_server.h
@@ -55,7 +55,7 @@
     /// @param rules how records of the opaque table are merged.
     /// @param callbacks the daemon's functions.
     /// @throws error with result_code::listen_failed if a socket cannot be opened.
-    peer_server(const peer_settings& settings, opaque_rules rules, peer_callbacks callbacks);
+    peer_server(const peer_settings& settings, const opaque_rules& rules, const peer_callbacks& callbacks);
     ~peer_server();
 
     peer_server(const peer_server&) = delete;
--- a/src/peers/private/peer_rpc.cpp
+++ b/src/peers/private/peer_rpc.cpp
@@ -5,6 +5,7 @@
 #include "peers/private/wire_conversion.h"
 
 #include <absl/synchronization/notification.h>
+#include <fmt/format.h>
 #include <peer_exchange.h>
 #include <thrift/TConfiguration.h>
 #include <thrift/TOutput.h>
@@ -134,7 +135,19 @@
     rpc_handlers m_handlers;
 };
 
-/// Tells when the server listens.
+/// Listens once: before the server's thread starts, so that a taken port is known by then.
+class early_server_socket : public transport::TServerSocket {
+public:
+    using TServerSocket::TServerSocket;
+
+    void listen() override {
+        if (!isOpen()) {
+            TServerSocket::listen();
+        }
+    }
+};
+
+/// Tells when the server serves.
 class start_observer : public server::TServerEventHandler {
 public:
     void preServe() override {
@@ -152,9 +165,15 @@
         : m_address(settings.address), m_observer(std::make_shared<start_observer>()) {
         // Connections that end early are normal here; the calls' outcomes are counted instead of printed.
         GlobalOutput.setOutputFunction([](const char* /*text*/) {});
-        const auto socket = std::make_shared<transport::TServerSocket>(m_address.address, m_address.port);
+        const auto socket = std::make_shared<early_server_socket>(m_address.address, m_address.port);
         socket->setSendTimeout(milliseconds(settings.rpc_timeout));
         socket->setRecvTimeout(milliseconds(settings.rpc_timeout));
+        try {
+            socket->listen();
+        } catch (const TException& problem) {
+            throw error(result_code::listen_failed,
+                        fmt::format("{} over TCP: {}", to_string(m_address), problem.what()));
+        }
         const auto threads =
             concurrency::ThreadManager::newSimpleThreadManager(settings.rpc_threads, max_waiting_calls);
         threads->threadFactory(std::make_shared<concurrency::ThreadFactory>());
@@ -172,7 +191,7 @@
         while (!m_observer->listening.WaitForNotificationWithTimeout(absl::Milliseconds(1))) {
             if (m_is_failed.HasBeenNotified()) {
                 m_thread.join();
-                throw error(result_code::listen_failed, to_string(m_address) + " over TCP");
+                throw error(result_code::listen_failed, to_string(m_address) + " over TCP: the server does not serve");
             }
         }
     }
--- a/src/peers/private/peer_rpc.h
+++ b/src/peers/private/peer_rpc.h
@@ -27,13 +27,15 @@
 /// Serves the calls of peers on a bounded number of threads.
 class rpc_server {
 public:
+    /// Listens; calls are answered from start() on.
     /// @param settings address, mesh, threads and timeouts.
+    /// @throws error with result_code::listen_failed.
     rpc_server(const peer_settings& settings, rpc_handlers handlers, rpc_traffic traffic);
     ~rpc_server();
     rpc_server(const rpc_server&) = delete;
     rpc_server& operator=(const rpc_server&) = delete;
 
-    /// Starts listening.
+    /// Starts the threads.
     /// @throws error with result_code::listen_failed.
     void start();
 
--- a/src/tests/peer_server_test.cpp
+++ b/src/tests/peer_server_test.cpp
@@ -7,6 +7,8 @@
 #include <absl/synchronization/mutex.h>
 #include <absl/time/clock.h>
 
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
 #include <boost/test/unit_test.hpp>
 
 #include <algorithm>
@@ -180,4 +182,28 @@
                           [](const error& problem) { return problem.code() == result_code::listen_failed; });
 }
 
+/// TCP ports of the loopback address that other programs listen on.
+class foreign_listeners {
+public:
+    explicit foreign_listeners(std::size_t count) {
+        for (std::size_t taken = 0; taken < count; ++taken) {
+            m_acceptors.emplace_back(m_context, boost::asio::ip::tcp::endpoint(
+                                                    boost::asio::ip::make_address("127.0.0.1"), std::uint16_t{0}));
+        }
+    }
+
+private:
+    boost::asio::io_context m_context;
+    std::vector<boost::asio::ip::tcp::acceptor> m_acceptors;
+};
+
+// Guards against a daemon that does not start because the UDP port it was given is another program's TCP port.
+BOOST_AUTO_TEST_CASE(takes_a_port_that_is_free_for_both_protocols) {
+    const foreign_listeners others(800);
+    for (int start = 0; start < 200; ++start) {
+        test_daemon daemon({});
+        BOOST_TEST(daemon.server().address().port != 0);
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/tests/request_proxy_test.cpp
+++ b/src/tests/request_proxy_test.cpp
@@ -263,11 +263,11 @@
     mesh.upstream.set_behavior(behavior);
     std::thread busy([&mesh] {
         auto client = mesh.client();
-        BOOST_TEST(client.Get("/first", httplib::Headers{{"x-caller-id", "first"}})->status == 200);
+        const auto answer = client.Get("/first", httplib::Headers{{"x-caller-id", "first"}});
+        const std::string status = answer ? std::to_string(answer->status) + " with code " + code_of(answer) : "none";
+        BOOST_TEST((answer && answer->status == 200), "first request: " << status);
     });
-    while (mesh.upstream.running() == 0) {
-        std::this_thread::yield();
-    }
+    mesh.upstream.wait_until_running();
     auto client = mesh.client();
     const auto refused = client.Get("/second", httplib::Headers{{"x-caller-id", "second"}});
     busy.join();
@@ -385,9 +385,7 @@
         BOOST_REQUIRE(answer);
         BOOST_TEST(answer->body.size() == 20'000'000U);
     });
-    while (mesh.upstream.running() == 0) {
-        std::this_thread::yield();
-    }
+    mesh.upstream.wait_until_running();
     mesh.entry->drain();
     download.join();
     auto late = mesh.client();
