Expect an upstream without a report to be like the reported ones

In a fleet of ninety an entry has used few of the upstreams. Now its times are the means of what was reported; its load is the mean of the reports of the same side, so an overloaded data centre is still left.

--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -314,6 +314,7 @@
         }
     }
     quickest = quickest == absl::InfiniteDuration() ? absl::Milliseconds(1) : quickest;
+    const typical_times typical = typical_times_of(upstreams, route_name, now);
     std::vector<pick_candidate> weighed;
     weighed.reserve(upstreams.size());
     for (const upstream_state* upstream : upstreams) {
@@ -322,12 +323,12 @@
         const double hint = trusted_hint(*upstream, now);
         const absl::Duration latency =
             std::max(upstream->latency.value(now), upstream->latency.is_known() ? absl::Microseconds(1) : quickest);
-        const absl::Duration expected = expected_time(*upstream, route_name, now);
+        const absl::Duration expected = expected_time(*upstream, route_name, typical, now);
         if (expected > absl::ZeroDuration()) {
             weighed.push_back({.weight = slots * m_warm_up.weight(upstream->warming_since, now),
                                .cost = absl::ToDoubleSeconds(expected),
                                .load = std::max(own, hint),
-                               .is_local = upstream->record.data_center == m_settings.data_center,
+                               .is_local = is_local(*upstream),
                                .expected = expected});
             continue;
         }
@@ -335,24 +336,59 @@
                            .cost = absl::ToDoubleSeconds(latency) *
                                    (1 + m_settings.policy.own_weight * own + m_settings.policy.hint_weight * hint),
                            .load = std::max(own, hint),
-                           .is_local = upstream->record.data_center == m_settings.data_center});
+                           .is_local = is_local(*upstream)});
     }
     return weighed;
 }
 
+router::typical_times router::typical_times_of(const std::vector<upstream_state*>& upstreams,
+                                               const std::string& route_name, absl::Time now) const {
+    typical_times typical;
+    int reported = 0;
+    int reported_local = 0;
+    for (const upstream_state* upstream : upstreams) {
+        if (upstream->service_time > absl::ZeroDuration()) {
+            const bool is_near = is_local(*upstream);
+            ++reported;
+            reported_local += is_near ? 1 : 0;
+            typical.service_time += upstream->service_time;
+            typical.route_time += time_of_route(*upstream, route_name);
+            (is_near ? typical.local_load : typical.remote_load) += trusted_hint(*upstream, now);
+        }
+    }
+    if (reported > 0) {
+        typical.service_time /= reported;
+        typical.route_time /= reported;
+        typical.local_load /= std::max(reported_local, 1);
+        typical.remote_load /= std::max(reported - reported_local, 1);
+    }
+    return typical;
+}
+
+bool router::is_local(const upstream_state& upstream) const {
+    return upstream.record.data_center == m_settings.data_center;
+}
+
+absl::Duration router::time_of_route(const upstream_state& upstream, const std::string& route_name) {
+    const auto known = upstream.route_times.find(route_name);
+    return known == upstream.route_times.end() ? upstream.service_time : known->second;
+}
+
 absl::Duration router::expected_time(const upstream_state& upstream, const std::string& route_name,
-                                     absl::Time now) const {
-    if (upstream.service_time == absl::ZeroDuration()) {
+                                     const typical_times& typical, absl::Time now) const {
+    const bool is_reported = upstream.service_time > absl::ZeroDuration();
+    const absl::Duration service_time = is_reported ? upstream.service_time : typical.service_time;
+    if (service_time == absl::ZeroDuration()) {
         return absl::ZeroDuration();
     }
     const double slots = std::max(upstream.record.slots, 1);
     // What this entry has sent since the report is known exactly; what others sent is not.
     const double since = (upstream.in_flight - upstream.in_flight_at_hint) / slots;
-    const double load = std::max(upstream.in_flight / slots, trusted_hint(upstream, now) + since);
-    const auto known = upstream.route_times.find(route_name);
-    const absl::Duration own_time = known == upstream.route_times.end() ? upstream.service_time : known->second;
-    return own_time + upstream.service_time * std::max(0.0, load + 1 / slots - 1) +
-           upstream.service_time * load * load_tie_break;
+    const double typical_load = is_local(upstream) ? typical.local_load : typical.remote_load;
+    const double known_load = is_reported ? trusted_hint(upstream, now) : typical_load;
+    const double load = std::max(upstream.in_flight / slots, known_load + since);
+    const absl::Duration own_time = is_reported ? time_of_route(upstream, route_name) : typical.route_time;
+    return own_time + service_time * std::max(0.0, load + 1 / slots - 1) + service_time * load * load_tie_break;
 }
 
 absl::Duration router::local_limit(const route& target, const request_facts& request, absl::Time now) const {
--- a/src/routing/router.h
+++ b/src/routing/router.h
@@ -165,6 +165,15 @@
         choice_reason reason; ///< none: let the picker decide.
     };
 
+    /// Means of what the owners reported of their upstreams; zero if none has reported. An upstream without a report
+    /// is taken for one of these. In a large fleet an entry has used few of the upstreams.
+    struct typical_times {
+        absl::Duration service_time;
+        absl::Duration route_time;
+        double local_load = 0;  ///< Of the upstreams in the entry's data centre.
+        double remote_load = 0; ///< Of the others: an overload of the own data centre says nothing about them.
+    };
+
     void take_record(const upstream_record& record, service_names& changed, absl::Time now);
     void rebuild_groups(const service_names& changed);
     void finish_group(version_group& members) const;
@@ -175,7 +184,12 @@
                              absl::Time now) const;
     std::vector<pick_candidate> weigh(const std::vector<upstream_state*>& upstreams, const std::string& route_name,
                                       absl::Time now) const;
-    absl::Duration expected_time(const upstream_state& upstream, const std::string& route_name, absl::Time now) const;
+    typical_times typical_times_of(const std::vector<upstream_state*>& upstreams, const std::string& route_name,
+                                   absl::Time now) const;
+    bool is_local(const upstream_state& upstream) const;
+    static absl::Duration time_of_route(const upstream_state& upstream, const std::string& route_name);
+    absl::Duration expected_time(const upstream_state& upstream, const std::string& route_name,
+                                 const typical_times& typical, absl::Time now) const;
     absl::Duration local_limit(const route& target, const request_facts& request, absl::Time now) const;
     double trusted_hint(const upstream_state& upstream, absl::Time now) const;
     candidate_view view(const upstream_state& upstream, const pick_candidate& weighed, absl::Time now) const;
--- a/src/tests/router_test.cpp
+++ b/src/tests/router_test.cpp
@@ -309,4 +309,51 @@
     BOOST_TEST(subject.choose(target, facts, start, random).upstream_id == "near");
 }
 
+/// The share of decisions that leave data center "a", in a fleet where an entry has heard from few of the upstreams.
+double remote_share_of_a_large_fleet(absl::Duration service_time, double load) {
+    constexpr int upstreams_per_data_center = 20;
+    constexpr int reporting = 12;
+    constexpr int requests = 2000;
+    router subject({.data_center = "a"});
+    const auto state = state_with_shares({});
+    const route target = werkbank_route();
+    std::vector<upstream_record> records;
+    for (const char* const data_center : {"a", "b", "c", "d"}) {
+        for (int number = 0; number < upstreams_per_data_center; ++number) {
+            records.push_back(make_record(std::string(data_center) + std::to_string(number), "v1", data_center));
+        }
+    }
+    subject.set_configuration(state);
+    subject.set_upstreams(records, start);
+    for (int number = 0; number < reporting; ++number) {
+        const std::string id = "a" + std::to_string(number);
+        // The first one has answered a request that was quick by chance.
+        const absl::Duration latency = number == 0 ? absl::Milliseconds(5) : service_time;
+        subject.on_started(id, start);
+        subject.on_finished(id, attempt_outcome::answered, latency, std::nullopt, start);
+        subject.on_report(id, target.name, {load, service_time, service_time}, start);
+    }
+    std::mt19937 rng(7);
+    request_facts request;
+    request.deadline = start + absl::Seconds(4);
+    request.target = start + absl::Milliseconds(600);
+    int remote = 0;
+    for (int sent = 0; sent < requests; ++sent) {
+        const auto decision = subject.choose(target, request, start, rng);
+        remote += decision.upstream_id.starts_with('a') ? 0 : 1;
+    }
+    return static_cast<double>(remote) / requests;
+}
+
+// Guards against traffic between data centres at calm: an upstream that the entry has not used yet looked quicker than
+// every one that it knows.
+BOOST_AUTO_TEST_CASE(unused_upstreams_are_no_reason_to_leave_the_data_center) {
+    BOOST_TEST(remote_share_of_a_large_fleet(absl::Milliseconds(150), 0.5) == 0);
+}
+
+// Guards against requests that stay although what the entry knows of its data centre misses the target.
+BOOST_AUTO_TEST_CASE(a_slow_data_center_is_left_for_unused_upstreams) {
+    BOOST_TEST(remote_share_of_a_large_fleet(absl::Milliseconds(150), 6) > 0.1);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
