Let two daemons of each data centre follow the store in large fleets

Messages between daemons say whether the sender follows the store. A daemon finds the note of its last run in the entries that it reads anyway: one call less at a start.

Small fleets (16 daemons at these rates) follow as a whole, as before.

--- a/src/daemon/intent_link.h
+++ b/src/daemon/intent_link.h
@@ -41,6 +41,10 @@
     std::function<bool()> has_peers;
     /// @return living daemons that come before this one in an order that all agree on.
     std::function<int()> turn;
+    /// @return true if this daemon is to follow the store's changes itself; false if its peers do that for it.
+    std::function<bool()> must_follow;
+    /// Told whether this daemon sees the store's changes at once.
+    std::function<void(bool follows)> note_follows;
     /// @return what a later run of this daemon is to know of the upstream beside it; empty: nothing.
     std::function<std::string()> upstream_note;
     /// Takes what an earlier run noted, once at the start.
@@ -59,8 +63,8 @@
                 intent_link_peers peers, absl::Duration watch_rest, const steady_clock& clock, event_log& log)
         : m_watch_rest(watch_rest), m_store(std::move(store)), m_counter(counter), m_format(std::move(format)),
           m_peers(std::move(peers)), m_clock(clock), m_log(log), m_follower(*m_store, m_format.prefix, make_listener()),
-          m_entry(*m_store, std::string(daemon_key_prefix) + to_string(m_peers.self), entry_value("")),
-          m_follow_thread([this] { follow(); }), m_duty_thread([this] { attend(); }) {}
+          m_entry(*m_store, daemon_key(m_peers.self), entry_value("")), m_follow_thread([this] { follow(); }),
+          m_duty_thread([this] { attend(); }) {}
 
     ~intent_link() override {
         {
@@ -124,8 +128,26 @@
 
     void follow() {
         absl::BitGen random;
+        bool has_listed = false;
         while (!is_stopped()) {
-            wait(m_follower.step(random));
+            if (has_listed && !m_peers.must_follow()) {
+                m_follower.pause();
+                set_follows(false);
+                wait(duty_interval);
+                continue;
+            }
+            const absl::Duration delay = m_follower.step(random);
+            has_listed = has_listed || m_follower.is_reachable();
+            set_follows(m_follower.is_reachable());
+            wait(delay);
+        }
+    }
+
+    /// Called by the follower's thread.
+    void set_follows(bool follows) {
+        if (follows != m_follows) {
+            m_follows = follows;
+            m_peers.note_follows(follows);
         }
     }
 
@@ -169,13 +191,13 @@
         absl::BitGen random;
         absl::Time next_entry = m_clock.now();
         absl::Time next_read = next_entry;
-        recall();
         while (!is_stopped()) {
             m_entry.set_value(entry_value(m_peers.upstream_note()));
             if (!m_entry.is_written()) {
                 next_entry = std::min(next_entry, m_clock.now() + entry_delay);
             }
-            if (m_clock.now() >= next_entry) {
+            // The entry of the last run is overwritten only after it has been read.
+            if (m_has_recalled && m_clock.now() >= next_entry) {
                 next_entry = m_clock.now() + m_entry.step(random);
             }
             if (m_clock.now() >= next_read) {
@@ -196,14 +218,13 @@
     }
 
     /// Reads what the last run of this daemon noted of the upstream beside it.
-    void recall() {
-        const auto noted = m_store->get(std::string(daemon_key_prefix) + to_string(m_peers.self), call_timeout);
-        if (!noted.is_ok()) {
-            return; // The upstream's next announcement says the same.
+    void recall(const std::string& entry) {
+        if (m_has_recalled) {
+            return;
         }
-        const std::size_t line = noted.value->value.find('\n');
-        if (line != std::string::npos && line + 1 < noted.value->value.size()) {
-            m_peers.recall_upstream(noted.value->value.substr(line + 1));
+        const std::size_t line = entry.find('\n');
+        if (line != std::string::npos && line + 1 < entry.size()) {
+            m_peers.recall_upstream(entry.substr(line + 1));
         }
     }
 
@@ -214,15 +235,24 @@
         }
         std::vector<endpoint> contacts;
         for (const stored_item& item : page.value->items) {
+            if (item.key == daemon_key(m_peers.self)) {
+                recall(item.value);
+                continue;
+            }
             try {
                 contacts.push_back(parse_endpoint(item.value.substr(0, item.value.find('\n'))));
             } catch (const error& problem) {
                 m_log.warning(fmt::format("contact-refused key={} reason=\"{}\"", item.key, problem.what()));
             }
         }
+        m_has_recalled = true;
         m_peers.add_contacts(contacts);
     }
 
+    static std::string daemon_key(const endpoint& address) {
+        return std::string(daemon_key_prefix) + to_string(address);
+    }
+
     void report(move_order order) {
         const std::string key = m_format.report_key(order.service);
         const auto present = m_store->get(key, call_timeout);
@@ -273,6 +303,8 @@
     bool m_is_stopped ABSL_GUARDED_BY(m_mutex) = false;
     std::optional<absl::Time> m_unreachable_since ABSL_GUARDED_BY(m_mutex);
     prefix_follower<Store> m_follower;
+    bool m_follows = false;
+    bool m_has_recalled = false; ///< The entry of the last run was looked for.
     leased_entry<Store> m_entry;
     std::thread m_follow_thread;
     std::thread m_duty_thread;
--- a/src/daemon/mesh_daemon.cpp
+++ b/src/daemon/mesh_daemon.cpp
@@ -7,6 +7,7 @@
 #include "daemon/component_settings.h"
 #include "daemon/configuration_keeper.h"
 #include "daemon/control_server.h"
+#include "daemon/follow_duty.h"
 #include "daemon/move_service.h"
 #include "daemon/order_service.h"
 #include "daemon/report_collector.h"
@@ -103,8 +104,11 @@
     implementation(const daemon_settings& settings, std::optional<platform_interface> platform)
         : m_settings(settings), m_platform(std::move(platform)), m_log(make_log_options(settings)),
           m_started_at(m_clock.now()), m_announced(settings.daemon.data_center, settings.requests.announcement_timeout),
-          m_report(settings.daemon.worker, m_started_at), m_orders(order_margin),
-          m_moves(settings.daemon.worker, m_clock),
+          m_report(settings.daemon.worker, m_started_at),
+          m_follow_duty(settings.listen.peers, settings.daemon.data_center,
+                        m_platform ? m_platform->limits.store_reads_per_second : 0,
+                        m_platform ? m_platform->limits.configuration_time : absl::ZeroDuration()),
+          m_orders(order_margin), m_moves(settings.daemon.worker, m_clock),
           m_keeper([this](const std::shared_ptr<const snapshot>& applied) { on_applied(applied); }),
           m_proxy(make_proxy_options(settings, m_platform ? &*m_platform : nullptr),
                   make_router_settings(settings, m_platform.has_value()), make_retry_budget(settings), m_clock, m_log,
@@ -234,11 +238,46 @@
         peers.add_contacts = [this](const std::vector<endpoint>& contacts) { m_peers.add_contacts(contacts); };
         peers.has_peers = [this] { return m_peers.members(member_state::alive).size() > 1; };
         peers.turn = [this] { return reporting_turn(); };
+        peers.must_follow = [this] { return must_follow(); };
+        peers.note_follows = [this](bool follows) { m_peers.set_follows_store(follows); };
         peers.upstream_note = [this] { return upstream_note(); };
         peers.recall_upstream = [this](const std::string& note) { recall_upstream(note); };
         return peers;
     }
 
+    /// @return true if this daemon is to follow the store's changes itself.
+    bool must_follow() {
+        const auto configuration = m_keeper.current();
+        const std::uint64_t held = configuration ? configuration->version() : 0;
+        const std::uint64_t heard = m_peers.newest_heard_version();
+        const absl::Duration silence = m_peers.follower_silence();
+        const absl::MutexLock lock(&m_mutex);
+        m_follow_duty.note_versions(held, heard, m_clock.now());
+        const follow_reason reason = m_follow_duty.reason(silence, m_clock.now());
+        if (reason != m_follow_reason) {
+            m_log.info(fmt::format("store-follow follows={} reason={} followers={} silence_ms={} held={} heard={}",
+                                   reason != follow_reason::others_follow, name(reason),
+                                   m_follow_duty.followers().size(),
+                                   absl::ToInt64Milliseconds(std::min(silence, absl::Hours(1))), held, heard));
+            m_follow_reason = reason;
+        }
+        return reason != follow_reason::others_follow;
+    }
+
+    /// Takes the living members for the choice of those that follow the store.
+    void update_follow_duty() {
+        const std::vector<member> alive = m_peers.members(member_state::alive);
+        std::vector<endpoint> followers;
+        {
+            const absl::MutexLock lock(&m_mutex);
+            if (!m_follow_duty.set_members(alive)) {
+                return;
+            }
+            followers = m_follow_duty.followers();
+        }
+        m_peers.set_store_followers(std::move(followers));
+    }
+
     /// @return the upstream beside this daemon, for its next run.
     std::string upstream_note() {
         const absl::MutexLock lock(&m_mutex);
@@ -484,6 +523,9 @@
                 suspected.push_back(one.http_address);
             }
             m_proxy.set_suspected_owners(std::move(suspected));
+            if (m_platform) {
+                update_follow_duty();
+            }
         }
         if (is_drain_due) {
             m_proxy.drain();
@@ -663,6 +705,8 @@
     std::optional<absl::Time> m_drain_at ABSL_GUARDED_BY(m_mutex);
     std::optional<absl::Time> m_leave_at ABSL_GUARDED_BY(m_mutex); ///< When a draining daemon stops taking work.
 
+    follow_duty m_follow_duty ABSL_GUARDED_BY(m_mutex);
+    follow_reason m_follow_reason ABSL_GUARDED_BY(m_mutex) = follow_reason::small_fleet;
     std::set<std::string> m_superseded ABSL_GUARDED_BY(m_mutex); ///< Ids whose version an order has replaced.
 
     order_service m_orders;
--- a/src/daemon/platform_interface.h
+++ b/src/daemon/platform_interface.h
@@ -26,6 +26,7 @@
 /// Limits that a platform sets for the whole mesh. A zero or absent value leaves the daemon's own settings.
 struct mesh_limits {
     absl::Duration configuration_time; ///< A configuration is in force everywhere this long after its acknowledgement.
+    double store_reads_per_second = 0; ///< What the store serves to the whole mesh.
 };
 
 /// Everything that differs on a platform with interfaces of its own. Built by the platform's adapter.
--- a/src/peers/membership.cpp
+++ b/src/peers/membership.cpp
@@ -126,7 +126,12 @@
     if (++m_round % rounds_per_cleanup == 0) {
         forget_expired();
     }
-    if (const auto target = next_target(random)) {
+    const bool is_preferred_round = m_round % 2 == 0;
+    std::optional<endpoint> target = is_preferred_round ? next_preferred() : std::nullopt;
+    if (!target) {
+        target = next_target(random);
+    }
+    if (target) {
         m_probe = probe{*target, m_next_sequence++, now, false, 0};
         out.push_back({*target, message_kind::ping, m_probe->sequence, {}});
     }
@@ -145,6 +150,16 @@
     std::erase_if(m_by_http_address, [](const auto& row) { return row.second.empty(); });
 }
 
+std::optional<endpoint> membership::next_preferred() {
+    for (std::size_t tried = 0; tried < m_preferred.size(); ++tried) {
+        const endpoint& candidate = m_preferred[m_next_preferred++ % m_preferred.size()];
+        if (m_live_position.contains(candidate)) {
+            return candidate;
+        }
+    }
+    return std::nullopt;
+}
+
 std::optional<endpoint> membership::next_target(absl::BitGenRef random) {
     while (true) {
         if (m_probe_order.empty()) {
--- a/src/peers/membership.h
+++ b/src/peers/membership.h
@@ -58,6 +58,11 @@
     /// Forgets all others, except some addresses to join through.
     void reset(absl::Time now);
 
+    /// Probes one of @p members in every second round, so that this daemon stays in contact with them.
+    void set_preferred(std::vector<endpoint> members) {
+        m_preferred = std::move(members);
+    }
+
     /// @return members whose record changed since the last call, this daemon included.
     std::vector<member> take_changes();
 
@@ -127,6 +132,7 @@
     void expire_suspicions(absl::Time now);
     void expire_relays(absl::Time now);
     std::optional<endpoint> next_target(absl::BitGenRef random);
+    std::optional<endpoint> next_preferred();
     std::vector<endpoint> helpers(const endpoint& target, absl::BitGenRef random) const;
     void hear_about_self(const member& heard, absl::Time now);
     void store(member changed, absl::Time now, absl::Duration age);
@@ -144,6 +150,8 @@
     std::set<endpoint> m_dead;
     std::map<endpoint, std::set<endpoint>> m_by_http_address;
     std::vector<endpoint> m_probe_order;
+    std::vector<endpoint> m_preferred;
+    std::size_t m_next_preferred = 0;
     std::optional<probe> m_probe;
     std::map<std::uint64_t, relay> m_relays;
     std::vector<endpoint> m_contacts;
--- a/src/peers/message_codec.cpp
+++ b/src/peers/message_codec.cpp
@@ -1,7 +1,7 @@
 #include "peers/message_codec.h"
 
 #include "common/error.h"
-#include "peers/private/stable_hash.h"
+#include "common/stable_hash.h"
 #include "peers/private/wire_conversion.h"
 
 #include <peers_types.h>
--- a/src/peers/messages.h
+++ b/src/peers/messages.h
@@ -59,6 +59,7 @@
     endpoint target; ///< ping_req: the member to probe. ack through a helper: the member that answered.
     peer_digest digest;
     std::vector<table_record> records;
+    bool follows_store = false; ///< The sender sees the store's changes at once.
 
     friend bool operator==(const datagram&, const datagram&) = default;
 };
--- a/src/peers/peer_node.cpp
+++ b/src/peers/peer_node.cpp
@@ -127,6 +127,11 @@
     }
     note_member_changes(now, random);
     if (message->sender.state == member_state::alive) {
+        const bool is_follower =
+            std::ranges::find(m_store_followers, message->sender.address) != m_store_followers.end();
+        if (is_follower && message->follows_store) {
+            m_last_follower_contact = now;
+        }
         hear_digest(*message, now, random);
         for (const probe_message& answer : m_membership.receive(*message, now)) {
             send(answer, now);
@@ -374,6 +379,11 @@
     m_membership.add_contacts(contacts, now);
 }
 
+void peer_node::set_store_followers(std::vector<endpoint> followers) {
+    m_store_followers = followers;
+    m_membership.set_preferred(std::move(followers));
+}
+
 void peer_node::set_configuration(const configuration_digest& held) {
     if (m_distributor.set_held(held)) {
         request_notify(m_settings.notify_rounds);
@@ -435,6 +445,7 @@
     out.sender = self();
     out.target = message.target;
     out.digest = digest();
+    out.follows_store = m_follows_store;
     // A receiver that is thought to be suspected or dead learns of it first, so that it can refute.
     const auto* const receiver = m_membership.table().find(to_string(message.to));
     if (receiver != nullptr && receiver->record.state != member_state::alive) {
--- a/src/peers/peer_node.h
+++ b/src/peers/peer_node.h
@@ -92,6 +92,19 @@
     /// Adds addresses of daemons to join through.
     void add_contacts(const std::vector<endpoint>& contacts, absl::Time now);
 
+    /// States whether this daemon sees the store's changes at once; its peers are told with each message.
+    void set_follows_store(bool follows) {
+        m_follows_store = follows;
+    }
+
+    /// Names the daemons that follow the store for this one; it stays in contact with them.
+    void set_store_followers(std::vector<endpoint> followers);
+
+    /// @return when one of them last said that it follows the store.
+    absl::Time last_follower_contact() const {
+        return m_last_follower_contact;
+    }
+
     /// States the configuration in force. Lower or equal versions are ignored.
     void set_configuration(const configuration_digest& held);
 
@@ -226,6 +239,9 @@
     double m_notify_tokens;
     int m_notify_rounds = 0; ///< Rounds of notifications still to be sent.
     bool m_is_joined = false;
+    bool m_follows_store = false;
+    std::vector<endpoint> m_store_followers;
+    absl::Time m_last_follower_contact = absl::InfinitePast();
 };
 
 } // namespace amaranthladder
--- a/src/peers/peer_server.cpp
+++ b/src/peers/peer_server.cpp
@@ -90,6 +90,10 @@
         return query(m_node);
     }
 
+    absl::Duration follower_silence() const {
+        return query([this](const peer_node& node) { return m_clock.now() - node.last_follower_contact(); });
+    }
+
     peer_counters counters() const {
         peer_counters out;
         {
@@ -329,6 +333,15 @@
     m_implementation->change([&](peer_node& node, absl::Time /*now*/) { node.set_configuration(held); });
 }
 
+void peer_server::set_follows_store(bool follows) {
+    m_implementation->change([&](peer_node& node, absl::Time /*now*/) { node.set_follows_store(follows); });
+}
+
+void peer_server::set_store_followers(std::vector<endpoint> followers) {
+    m_implementation->change(
+        [&](peer_node& node, absl::Time /*now*/) { node.set_store_followers(std::move(followers)); });
+}
+
 std::vector<upstream_record> peer_server::usable_upstreams(const std::string& service) const {
     return m_implementation->query([&](const peer_node& node) { return node.usable_upstreams(service); });
 }
@@ -353,6 +366,10 @@
     return m_implementation->query([](const peer_node& node) { return node.newest_heard_version(); });
 }
 
+absl::Duration peer_server::follower_silence() const {
+    return m_implementation->follower_silence();
+}
+
 bool peer_server::is_joined() const {
     return m_implementation->query([](const peer_node& node) { return node.is_joined(); });
 }
--- a/src/peers/peer_server.h
+++ b/src/peers/peer_server.h
@@ -76,6 +76,8 @@
     bool put_opaque(const opaque_record& record);
     void add_contacts(const std::vector<endpoint>& contacts);
     void set_configuration(const configuration_digest& held);
+    void set_follows_store(bool follows);
+    void set_store_followers(std::vector<endpoint> followers);
 
     std::vector<upstream_record> usable_upstreams(const std::string& service) const;
     std::vector<upstream_record> upstreams() const;
@@ -83,6 +85,8 @@
     std::vector<member> members() const;
     std::vector<member> members(member_state state) const;
     std::uint64_t newest_heard_version() const;
+    /// @return time since a daemon that follows the store for this one was heard; infinite if that has not happened.
+    absl::Duration follower_silence() const;
     bool is_joined() const;
     peer_counters counters() const;
 
--- a/src/peers/replicated_table.h
+++ b/src/peers/replicated_table.h
@@ -1,7 +1,7 @@
 #pragma once
 
+#include "common/stable_hash.h"
 #include "peers/bucket_index.h"
-#include "peers/private/stable_hash.h"
 
 #include <absl/container/flat_hash_map.h>
 #include <absl/time/time.h>
--- a/src/store/prefix_follower.h
+++ b/src/store/prefix_follower.h
@@ -67,6 +67,11 @@
         return m_backoff.next_delay(random);
     }
 
+    /// Makes the next step list the keys again, after a time without steps in which the history may be lost.
+    void pause() {
+        m_is_listed = false;
+    }
+
     /// @return true if the last call was answered.
     bool is_reachable() const {
         return m_is_reachable;
--- a/thrift/gen/peers_types.cpp
+++ b/thrift/gen/peers_types.cpp
@@ -1022,6 +1022,10 @@
 void datagram::__set_records(const std::vector<record> & val) {
   this->records = val;
 }
+
+void datagram::__set_follows_store(const bool val) {
+  this->follows_store = val;
+}
 std::ostream& operator<<(std::ostream& out, const datagram& obj)
 {
   obj.printTo(out);
@@ -1126,6 +1130,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->follows_store);
+          this->__isset.follows_store = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1184,6 +1196,10 @@
   }
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("follows_store", ::apache::thrift::protocol::T_BOOL, 9);
+  xfer += oprot->writeBool(this->follows_store);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1199,6 +1215,7 @@
   swap(a.configuration, b.configuration);
   swap(a.table_roots, b.table_roots);
   swap(a.records, b.records);
+  swap(a.follows_store, b.follows_store);
   swap(a.__isset, b.__isset);
 }
 
@@ -1211,6 +1228,7 @@
   configuration = other24.configuration;
   table_roots = other24.table_roots;
   records = other24.records;
+  follows_store = other24.follows_store;
   __isset = other24.__isset;
 }
 datagram& datagram::operator=(const datagram& other25) {
@@ -1222,6 +1240,7 @@
   configuration = other25.configuration;
   table_roots = other25.table_roots;
   records = other25.records;
+  follows_store = other25.follows_store;
   __isset = other25.__isset;
   return *this;
 }
@@ -1236,6 +1255,7 @@
   out << ", " << "configuration=" << to_string(configuration);
   out << ", " << "table_roots=" << to_string(table_roots);
   out << ", " << "records=" << to_string(records);
+  out << ", " << "follows_store=" << to_string(follows_store);
   out << ")";
 }
 
--- a/thrift/gen/peers_types.h
+++ b/thrift/gen/peers_types.h
@@ -447,7 +447,7 @@
 std::ostream& operator<<(std::ostream& out, const record& obj);
 
 typedef struct _datagram__isset {
-  _datagram__isset() : mesh_hash(false), kind(false), sequence(false), sender(false), target(false), configuration(false), table_roots(false), records(false) {}
+  _datagram__isset() : mesh_hash(false), kind(false), sequence(false), sender(false), target(false), configuration(false), table_roots(false), records(false), follows_store(false) {}
   bool mesh_hash :1;
   bool kind :1;
   bool sequence :1;
@@ -456,6 +456,7 @@
   bool configuration :1;
   bool table_roots :1;
   bool records :1;
+  bool follows_store :1;
 } _datagram__isset;
 
 class datagram : public virtual ::apache::thrift::TBase {
@@ -467,7 +468,8 @@
            : mesh_hash(0),
              kind(0),
              sequence(0),
-             table_roots() {
+             table_roots(),
+             follows_store(0) {
   }
 
   virtual ~datagram() noexcept;
@@ -479,6 +481,7 @@
   configuration_digest configuration;
   std::string table_roots;
   std::vector<record>  records;
+  bool follows_store;
 
   _datagram__isset __isset;
 
@@ -498,6 +501,8 @@
 
   void __set_records(const std::vector<record> & val);
 
+  void __set_follows_store(const bool val);
+
   bool operator == (const datagram & rhs) const
   {
     if (!(mesh_hash == rhs.mesh_hash))
@@ -518,6 +523,8 @@
       return false;
     if (!(records == rhs.records))
       return false;
+    if (!(follows_store == rhs.follows_store))
+      return false;
     return true;
   }
   bool operator != (const datagram &rhs) const {
--- a/thrift/peers.thrift
+++ b/thrift/peers.thrift
@@ -54,6 +54,7 @@
   6: configuration_digest configuration
   7: binary table_roots  // 8 bytes for each table, little-endian
   8: list<record> records
+  9: bool follows_store   // the sender sees the store's changes at once
 }
 
 struct pull_request {
