--- a/src/daemon/configuration_keeper.cpp
+++ b/src/daemon/configuration_keeper.cpp
@@ -30,25 +30,26 @@
 }
 
 std::string configuration_keeper::update_since(const configuration_digest& held) const {
-    std::shared_ptr<const snapshot> base;
+    std::string base_bytes;
     std::shared_ptr<const snapshot> target;
     {
         const absl::MutexLock lock(&m_mutex);
-        if (m_snapshots.empty() || m_snapshots.back()->version() <= held.version) {
+        if (!m_current || m_current->version() <= held.version) {
             return {};
         }
-        target = m_snapshots.back();
-        const auto found = std::ranges::find_if(m_snapshots, [&](const auto& kept) {
-            return kept->version() == held.version && kept->hash().starts_with(held.hash);
+        target = m_current;
+        const auto found = std::ranges::find_if(m_earlier, [&](const earlier_version& kept) {
+            return kept.version == held.version && kept.hash.starts_with(held.hash);
         });
-        base = found == m_snapshots.end() ? nullptr : *found;
+        base_bytes = found == m_earlier.end() ? "" : found->bytes;
     }
+    const std::shared_ptr<const snapshot> base = base_bytes.empty() ? nullptr : snapshot::decode(base_bytes);
     return snapshot_delta::encode(base.get(), *target);
 }
 
 std::shared_ptr<const snapshot> configuration_keeper::current() const {
     const absl::MutexLock lock(&m_mutex);
-    return m_snapshots.empty() ? nullptr : m_snapshots.back();
+    return m_current;
 }
 
 std::optional<snapshot_refusal> configuration_keeper::last_refusal() const {
@@ -62,10 +63,13 @@
         const absl::MutexLock lock(&m_mutex);
         m_refusal = m_holder.last_refusal();
         if (result.outcome == offer_outcome::applied) {
-            m_snapshots.push_back(in_force);
-            if (m_snapshots.size() > kept_snapshots) {
-                m_snapshots.pop_front();
+            if (m_current) {
+                m_earlier.push_back({m_current->version(), m_current->hash(), m_current->canonical_bytes()});
             }
+            if (m_earlier.size() > kept_versions) {
+                m_earlier.pop_front();
+            }
+            m_current = in_force;
         }
     }
     switch (result.outcome) {
--- a/src/daemon/configuration_keeper.h
+++ b/src/daemon/configuration_keeper.h
@@ -50,14 +50,22 @@
 private:
     pull_outcome finish(const offer_result& result) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_apply_mutex);
 
-    /// Snapshots kept as bases of deltas; a peer that is further behind gets the whole.
-    static constexpr std::size_t kept_snapshots = 16;
+    /// An earlier version, kept as the base of deltas. Its bytes are a fifth of what the decoded state takes.
+    struct earlier_version {
+        std::uint64_t version = 0;
+        std::string hash;
+        std::string bytes;
+    };
+
+    /// Earlier versions that are kept; a peer that is further behind gets the whole.
+    static constexpr std::size_t kept_versions = 15;
 
     listener m_on_applied;
     absl::Mutex m_apply_mutex; ///< Held while a version is applied, so that the listener sees versions in order.
     configuration_holder m_holder ABSL_GUARDED_BY(m_apply_mutex);
     mutable absl::Mutex m_mutex;
-    std::deque<std::shared_ptr<const snapshot>> m_snapshots ABSL_GUARDED_BY(m_mutex); ///< The newest is the last.
+    std::shared_ptr<const snapshot> m_current ABSL_GUARDED_BY(m_mutex);
+    std::deque<earlier_version> m_earlier ABSL_GUARDED_BY(m_mutex); ///< The newest is the last.
     std::optional<snapshot_refusal> m_refusal ABSL_GUARDED_BY(m_mutex);
 };
 
--- a/src/daemon/intent_link.h
+++ b/src/daemon/intent_link.h
@@ -94,6 +94,11 @@
     static constexpr absl::Duration duty_interval = absl::Milliseconds(100);
     /// A changed entry is written after this time, with whatever else has changed by then.
     static constexpr absl::Duration entry_delay = absl::Milliseconds(300);
+    /// The first entry waits this long for the upstream's announcement, which belongs into it: upstreams announce
+    /// themselves every one or two seconds.
+    static constexpr absl::Duration first_entry_limit = absl::Seconds(2);
+    /// Time from the first list of the keys to the first watch, in which the daemon learns how large the fleet is.
+    static constexpr absl::Duration first_watch_delay = absl::Milliseconds(1500);
     /// Entries of other daemons are read at these intervals: often while this one knows no peer.
     static constexpr absl::Duration alone_read_interval = absl::Milliseconds(700);
     static constexpr absl::Duration read_interval = absl::Seconds(20);
@@ -137,9 +142,10 @@
                 continue;
             }
             const absl::Duration delay = m_follower.step(random);
-            has_listed = has_listed || m_follower.is_reachable();
+            const bool is_first_list = !has_listed && m_follower.is_reachable();
+            has_listed = has_listed || is_first_list;
             set_follows(m_follower.is_reachable());
-            wait(delay);
+            wait(is_first_list ? first_watch_delay : delay);
         }
     }
 
@@ -189,15 +195,18 @@
 
     void attend() {
         absl::BitGen random;
-        absl::Time next_entry = m_clock.now();
+        const absl::Time started_at = m_clock.now();
+        absl::Time next_entry = started_at;
         absl::Time next_read = next_entry;
         while (!is_stopped()) {
-            m_entry.set_value(entry_value(m_peers.upstream_note()));
+            const std::string note = m_peers.upstream_note();
+            const bool is_entry_due = !note.empty() || m_clock.now() - started_at >= first_entry_limit;
+            m_entry.set_value(entry_value(note));
             if (!m_entry.is_written()) {
                 next_entry = std::min(next_entry, m_clock.now() + entry_delay);
             }
             // The entry of the last run is overwritten only after it has been read.
-            if (m_has_recalled && m_clock.now() >= next_entry) {
+            if (m_has_recalled && is_entry_due && m_clock.now() >= next_entry) {
                 next_entry = m_clock.now() + m_entry.step(random);
             }
             if (m_clock.now() >= next_read) {
--- a/src/daemon/mesh_daemon.cpp
+++ b/src/daemon/mesh_daemon.cpp
@@ -62,7 +62,7 @@
 constexpr absl::Duration readiness_notice = absl::Milliseconds(2200);
 /// A draining daemon goes on serving its upstream for the others this long: its slots would be idle until callers have
 /// gone elsewhere. The rest of the notice lets the last requests end.
-constexpr absl::Duration owner_notice = absl::Milliseconds(1200);
+constexpr absl::Duration owner_notice = absl::Milliseconds(1700);
 
 std::string merge_records(const std::string& key, const std::string& held, const std::string& heard) {
     if (key.starts_with(order_key_prefix)) {
