--- a/scripts/fuzz.sh
+++ b/scripts/fuzz.sh
@@ -12,11 +12,12 @@
   name=$(basename "$program")
   corpus=build/fuzz/corpus/$name
   mkdir -p "$corpus"
-  if [ "$name" = ini_reader_fuzz ]; then
-    cp docs/examples/*/*.ini "$corpus"
-  else
-    cp fuzz/seeds/*.rows "$corpus"
-  fi
+  case $name in
+    ini_reader_fuzz) cp docs/examples/*/*.ini "$corpus" ;;
+    platform_fuzz) cp fuzz/seeds/*.json "$corpus" ;;
+    peer_message_fuzz) ;;
+    *) cp fuzz/seeds/*.rows "$corpus" ;;
+  esac
   echo "$name"
   "$program" -max_total_time="${SECONDS_EACH:-60}" -max_len=4096 -rss_limit_mb=1024 -use_value_profile=1 \
     -artifact_prefix=build/fuzz/found/ -print_final_stats=1 -verbosity=0 "$corpus"
--- a/src/daemon/main/main.cpp
+++ b/src/daemon/main/main.cpp
@@ -27,10 +27,12 @@
 
 /// Drains at the first SIGTERM or SIGINT and stops at the second, until @p is_ended is set.
 void handle_signals(mesh_daemon& served, const sigset_t& signals, const std::atomic<bool>& is_ended) {
-    constexpr timespec poll_interval{0, 50'000'000};
     bool is_draining = false;
-    while (!is_ended) {
-        const int received = sigtimedwait(&signals, nullptr, &poll_interval);
+    while (true) {
+        const int received = sigwaitinfo(&signals, nullptr);
+        if (is_ended) {
+            return;
+        }
         if (received < 0) {
             continue;
         }
@@ -76,6 +78,7 @@
     std::thread signal_thread([&] { handle_signals(served, signals, is_ended); });
     served.run();
     is_ended = true;
+    pthread_kill(signal_thread.native_handle(), SIGTERM); // Ends the wait for a signal.
     signal_thread.join();
     return exit_ok;
 }
--- a/src/http/private/slot_gate.cpp
+++ b/src/http/private/slot_gate.cpp
@@ -1,7 +1,19 @@
 #include "http/private/slot_gate.h"
 
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include <utility>
+
 namespace amaranthladder {
 
+namespace {
+
+/// Much shorter than any target latency, which is counted in tenths of a second.
+constexpr auto expiry_interval = std::chrono::milliseconds(5);
+
+} // namespace
+
 slot_gate::slot_gate(asio::io_context& context, const steady_clock& clock, int slots, int queue_limit,
                      queue_order order)
     : m_context(context), m_clock(clock), m_limiter(slots, queue_limit, {.order = order}) {}
@@ -17,6 +29,9 @@
     }
     asio::steady_timer timer(m_context, asio::steady_timer::time_point::max());
     m_waiters[id].timer = &timer;
+    if (!std::exchange(m_is_expiring, true)) {
+        asio::co_spawn(m_context, expire_while_waiting(shared_from_this()), asio::detached);
+    }
     while (!m_waiters[id].result) {
         co_await timer.async_wait(as_result);
     }
@@ -35,10 +50,16 @@
     }
 }
 
-void slot_gate::expire() {
-    for (const request_id id : m_limiter.expire(m_clock.now())) {
-        wake(id, result_code::queue_deadline);
+asio::awaitable<void> slot_gate::expire_while_waiting(std::shared_ptr<slot_gate> gate) {
+    asio::steady_timer timer(gate->m_context);
+    while (!gate->m_waiters.empty()) {
+        timer.expires_after(expiry_interval);
+        co_await timer.async_wait(as_result);
+        for (const request_id id : gate->m_limiter.expire(gate->m_clock.now())) {
+            gate->wake(id, result_code::queue_deadline);
+        }
     }
+    gate->m_is_expiring = false;
 }
 
 void slot_gate::set_limits(int slots, int queue_limit) {
--- a/src/http/private/slot_gate.h
+++ b/src/http/private/slot_gate.h
@@ -8,14 +8,16 @@
 #include <absl/time/time.h>
 
 #include <map>
+#include <memory>
 #include <optional>
 #include <string>
 #include <vector>
 
 namespace amaranthladder {
 
-/// Lets requests wait for a slot of one upstream beside this daemon. The decisions are slot_limiter's.
-class slot_gate {
+/// Lets requests wait for a slot of one upstream beside this daemon. The decisions are slot_limiter's. Owned by shared
+/// pointers, since waiting requests outlive the upstream's place in the daemon.
+class slot_gate : public std::enable_shared_from_this<slot_gate> {
 public:
     /// @param order of the waiting requests.
     slot_gate(asio::io_context& context, const steady_clock& clock, int slots, int queue_limit, queue_order order);
@@ -29,9 +31,6 @@
     /// Ends the wait of a request whose caller has left.
     void abandon(request_id id);
 
-    /// Drops waiting requests that can no longer meet their deadlines. To be called every few milliseconds.
-    void expire();
-
     /// Changes the limits; requests that may run now are woken.
     void set_limits(int slots, int queue_limit);
 
@@ -45,6 +44,8 @@
         std::optional<result_code> result;
     };
 
+    /// Drops waiting requests that can no longer meet their deadlines, for as long as any request waits.
+    static asio::awaitable<void> expire_while_waiting(std::shared_ptr<slot_gate> gate);
     void apply(const slot_change& change);
     void wake(request_id id, result_code result);
 
@@ -52,6 +53,7 @@
     const steady_clock& m_clock;
     slot_limiter m_limiter;
     std::map<request_id, waiter> m_waiters;
+    bool m_is_expiring = false; ///< expire_while_waiting() runs.
 };
 
 /// Frees a slot at the end of a scope.
--- a/src/http/request_proxy.cpp
+++ b/src/http/request_proxy.cpp
@@ -27,7 +27,6 @@
 
 namespace {
 
-constexpr auto tick_interval = std::chrono::milliseconds(5);
 constexpr auto silence_interval = std::chrono::milliseconds(100);
 constexpr auto idle_sweep_interval = std::chrono::seconds(1);
 /// Time in which a request that is on its way on a kept connection still arrives during a drain.
@@ -56,7 +55,6 @@
             m_owner_address = listen(m_owner_acceptor, m_options.owner_address);
             asio::co_spawn(m_core.context, accept(m_owner_acceptor, session_role::daemons), asio::detached);
         }
-        asio::co_spawn(m_core.context, tick(), asio::detached);
         asio::co_spawn(m_core.context, sweep(), asio::detached);
         asio::co_spawn(m_core.context, watch_owners(), asio::detached);
     }
@@ -186,17 +184,6 @@
         }
     }
 
-    asio::awaitable<void> tick() {
-        asio::steady_timer timer(m_core.context);
-        while (true) {
-            timer.expires_after(tick_interval);
-            co_await timer.async_wait(as_result);
-            for (auto& [id, upstream] : m_core.local_upstreams) {
-                upstream.gate->expire();
-            }
-        }
-    }
-
     /// Takes repeatable requests back from owners that are out of reach.
     asio::awaitable<void> watch_owners() {
         asio::steady_timer timer(m_core.context);
