--- a/src/daemon/main/main.cpp
+++ b/src/daemon/main/main.cpp
@@ -78,7 +78,8 @@
     std::thread signal_thread([&] { handle_signals(served, signals, is_ended); });
     served.run();
     is_ended = true;
-    pthread_kill(signal_thread.native_handle(), SIGTERM); // Ends the wait for a signal.
+    // Ends the wait for a signal. NOLINTNEXTLINE(bugprone-bad-signal-to-kill-thread): the signal is blocked.
+    pthread_kill(signal_thread.native_handle(), SIGTERM);
     signal_thread.join();
     return exit_ok;
 }
