Let chosen followers of a large fleet see each change without a rest

The rest after a change was skipped by the first three daemons in the order of addresses only, so a chosen follower of a large fleet saw a change up to 0.55 of the allowed time late. follow_duty decides; a daemon says that it follows the store only once it watches. Found by reading; some_daemon_sees_each_change_at_once covers the rule.

--- a/src/daemon/follow_duty.cpp
+++ b/src/daemon/follow_duty.cpp
@@ -71,4 +71,9 @@
     return is_behind ? follow_reason::behind : follow_reason::others_follow;
 }
 
+bool follow_duty::may_rest(int turn) const {
+    const bool is_chosen = !m_is_small && m_followers.empty();
+    return !is_chosen && turn >= m_policy.prompt_followers;
+}
+
 } // namespace amaranthladder
--- a/src/daemon/follow_duty.h
+++ b/src/daemon/follow_duty.h
@@ -18,6 +18,9 @@
     double change_share = 0.008;
     /// A larger fleet has this many followers in each data centre: the loss of one leaves another.
     int followers_per_data_center = 2;
+    /// In a small fleet this many daemons see each change at once; the others may rest after one. Enough that the loss
+    /// of a host or two, or of their way to the store, leaves one.
+    int prompt_followers = 3;
     /// Part of the time allowed for a configuration after which a daemon without contact reads the store itself. The
     /// rest is for that call; at three probe rounds a second, contact is renewed in half of this time.
     double contact_share = 0.45;
@@ -61,6 +64,10 @@
     /// @param silence time since one of followers() said that it follows the store.
     follow_reason reason(absl::Duration silence, absl::Time now) const;
 
+    /// @param turn living daemons that come before this one in an order that all agree on.
+    /// @return true if this daemon may see a change late, since others see it at once and tell it.
+    bool may_rest(int turn) const;
+
 private:
     endpoint m_self;
     std::string m_data_center;
--- a/src/daemon/intent_link.h
+++ b/src/daemon/intent_link.h
@@ -39,8 +39,8 @@
     std::function<void(const std::vector<endpoint>&)> add_contacts;
     /// @return true if this daemon knows a living peer.
     std::function<bool()> has_peers;
-    /// @return living daemons that come before this one in an order that all agree on.
-    std::function<int()> turn;
+    /// @return true if this daemon may see a change late, since others see it at once and tell it.
+    std::function<bool()> may_rest;
     /// @return true if this daemon is to follow the store's changes itself; false if its peers do that for it.
     std::function<bool()> must_follow;
     /// Told whether this daemon sees the store's changes at once.
@@ -88,8 +88,6 @@
     static constexpr std::string_view daemon_key_prefix = "mesh/daemons/";
     static constexpr std::string_view order_record_prefix = "mesh/orders/";
     static constexpr absl::Duration call_timeout = absl::Seconds(1);
-    /// Enough that the loss of a host or two, or of their way to the store, leaves one that watches without a rest.
-    static constexpr int prompt_watchers = 3;
     /// Reports are looked for this often; a report is late by at most this.
     static constexpr absl::Duration duty_interval = absl::Milliseconds(100);
     /// A changed entry is written after this time, with whatever else has changed by then.
@@ -107,8 +105,7 @@
         prefix_listener listener;
         listener.on_item = [this](const stored_item& item, bool is_change) { take(item, is_change); };
         listener.on_removed = [this](const std::string& key) { m_log.info(fmt::format("intent-removed key={}", key)); };
-        // The first daemons see every change at once and tell the others, which therefore need not.
-        listener.rest = [this] { return m_peers.turn() < prompt_watchers ? absl::ZeroDuration() : m_watch_rest; };
+        listener.rest = [this] { return m_peers.may_rest() ? m_watch_rest : absl::ZeroDuration(); };
         listener.on_reachable = [this](bool is_reachable, store_outcome outcome) {
             note_reachable(is_reachable, outcome);
         };
@@ -144,7 +141,7 @@
             const absl::Duration delay = m_follower.step(random);
             const bool is_first_list = !has_listed && m_follower.is_reachable();
             has_listed = has_listed || is_first_list;
-            set_follows(m_follower.is_reachable());
+            set_follows(m_follower.is_reachable() && !is_first_list);
             wait(is_first_list ? first_watch_delay : delay);
         }
     }
--- a/src/daemon/mesh_daemon.cpp
+++ b/src/daemon/mesh_daemon.cpp
@@ -237,7 +237,7 @@
         peers.due_reports = [this] { return m_orders.due_reports(m_clock.now()); };
         peers.add_contacts = [this](const std::vector<endpoint>& contacts) { m_peers.add_contacts(contacts); };
         peers.has_peers = [this] { return m_peers.members(member_state::alive).size() > 1; };
-        peers.turn = [this] { return reporting_turn(); };
+        peers.may_rest = [this] { return may_rest(); };
         peers.must_follow = [this] { return must_follow(); };
         peers.note_follows = [this](bool follows) { m_peers.set_follows_store(follows); };
         peers.upstream_note = [this] { return upstream_note(); };
@@ -264,6 +264,13 @@
         return reason != follow_reason::others_follow;
     }
 
+    /// @return true if other daemons see the store's changes without a rest.
+    bool may_rest() {
+        const int turn = reporting_turn();
+        const absl::MutexLock lock(&m_mutex);
+        return m_follow_duty.may_rest(turn);
+    }
+
     /// Takes the living members for the choice of those that follow the store.
     void update_follow_duty() {
         const std::vector<member> alive = m_peers.members(member_state::alive);
--- a/src/tests/follow_duty_test.cpp
+++ b/src/tests/follow_duty_test.cpp
@@ -90,6 +90,20 @@
     BOOST_TEST(count_followers(alive).at("dc0") == 2);
 }
 
+// Guards against a fleet in which nobody sees a change at once. Followers of a large fleet stand anywhere in the order
+// by which a small one chooses the daemons that never rest.
+BOOST_AUTO_TEST_CASE(some_daemon_sees_each_change_at_once) {
+    constexpr int late_turn = 40;
+    const std::vector<member> large = make_members(90, 5);
+    for (const member& one : large) {
+        const follow_duty duty = make_duty(one, large);
+        BOOST_TEST(duty.may_rest(late_turn) == !duty.followers().empty());
+    }
+    const std::vector<member> small = make_members(10, 2);
+    BOOST_TEST(!make_duty(small.front(), small).may_rest(2));
+    BOOST_TEST(make_duty(small.back(), small).may_rest(3));
+}
+
 // Guards against a configuration that is missed: by a daemon that reaches the store and none of its followers, and by
 // one whose peers hold a version that it cannot pull from them.
 BOOST_AUTO_TEST_CASE(reads_the_store_when_peers_do_not_help) {
