Share twin code, follow only orders under way, remove what nothing reads

Found on reading the change as a whole; behaviour stays as it is.

Twins made one: sections put under their name (row_codec), optional durations (validator), 'any request in time' (slot_limiter), numbers in a peer's answer (forwarding_headers), the join of encoded orders and move records (mesh_daemon), and the soak's choice of ports, which replaces the one of bench/fleet.py: ports below the kernel's range suit all who start daemons.

Work: once any order had been given, the control loop copied all members and upstreams twenty times a second for good. It now does so only while an order is under way; the progress of an order is dropped when its end is merged.

--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -10,6 +10,7 @@
 import json
 import os
 import pathlib
+import random
 import signal
 import socket
 import statistics
@@ -22,24 +23,23 @@
 
 DATA_CENTERS = ["rosario-a", "rosario-b", "santafe-a", "parana-a"]
 START_TIMEOUT_S = 60
+LISTEN_PORTS = (12000, 32000)
 CLOCK_TICKS = os.sysconf("SC_CLK_TCK")
 
 
 def free_ports(count):
-    """Ports that are free now for TCP and UDP, all different."""
-    held, ports = [], []
+    """Ports free for TCP and UDP, below the range from which the kernel takes those of connections."""
+    ports = []
     while len(ports) < count:
-        tcp, udp = socket.socket(), socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-        tcp.bind(("127.0.0.1", 0))
-        port = tcp.getsockname()[1]
-        held += [tcp, udp]
-        try:
-            udp.bind(("127.0.0.1", port))
+        port = random.randrange(*LISTEN_PORTS)
+        with socket.socket() as tcp, socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as udp:
+            try:
+                tcp.bind(("127.0.0.1", port))
+                udp.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        if port not in ports:
             ports.append(port)
-        except OSError:
-            pass
-    for one in held:
-        one.close()
     return ports
 
 
--- a/bench/soak.py
+++ b/bench/soak.py
@@ -21,7 +21,7 @@
 import threading
 import time
 
-from fleet import call
+from fleet import call, free_ports
 
 DAEMONS = 4
 CALLERS = 8
@@ -30,7 +30,6 @@
 CALM_S = 8  # Longer than it takes to suspect, forget and find a daemon again.
 DRAIN_LIMIT_S = 12  # [requests] drain_timeout, the leave notice and a second.
 CALLER_TIMEOUT_S = 6
-LISTEN_PORTS = (12000, 32000)
 LINK_FAULTS = ["delay", "reset", "cut-to", "cut-back", "silence"]
 PROCESS_FAULTS = ["kill", "pause", "restart", "reload", "pause-store"]
 PLANNED_FAULTS = ["restart", "reload"]
@@ -38,22 +37,6 @@
 REGRESSIONS = pathlib.Path(__file__).with_name("soak_seeds.txt")
 
 
-def free_ports(count):
-    """Ports free for TCP and UDP, below the range from which the kernel takes those of connections."""
-    ports = []
-    while len(ports) < count:
-        port = random.randrange(*LISTEN_PORTS)
-        with socket.socket() as tcp, socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as udp:
-            try:
-                tcp.bind(("127.0.0.1", port))
-                udp.bind(("127.0.0.1", port))
-            except OSError:
-                continue
-        if port not in ports:
-            ports.append(port)
-    return ports
-
-
 class Link:
     """Forwards connections to a port and does them harm."""
 
@@ -130,7 +113,6 @@
         self.results, self.violations, self.counts = [], [], collections.Counter()
         self.over, self.version, self.seen = threading.Event(), 0, {}
         self.expected_ends = set()
-        self.away = {}  # Daemon -> time of the last deliberate end.
 
     # Processes
 
--- a/src/common/result_code.cpp
+++ b/src/common/result_code.cpp
@@ -80,7 +80,6 @@
     {result_code::response_malformed, "response-malformed", "The upstream's answer is not valid HTTP/1.1.", 502, execution::may_have_run},
     {result_code::overloaded, "overloaded", "The daemon sheds load.", 503, execution::not_run},
     {result_code::no_configuration, "no-configuration", "No configuration is in force yet.", 503, execution::not_run},
-    {result_code::body_too_large, "body-too-large", "The request's body exceeds the limit.", 413, execution::not_run},
     {result_code::upstream_failed, "upstream-failed", "The upstream answered with a failure and no further attempt succeeded.", 502, execution::may_have_run},
     {result_code::move_taken_back_failures, "move-taken-back-failures", "The move was taken back: the new version fails more calls than the old one.", 0, execution::not_applicable},
     {result_code::move_taken_back_slow, "move-taken-back-slow", "The move was taken back: the new version is slower than the old one.", 0, execution::not_applicable},
--- a/src/common/result_code.h
+++ b/src/common/result_code.h
@@ -93,7 +93,6 @@
     response_malformed = 1419,
     overloaded = 1420,
     no_configuration = 1421,
-    body_too_large = 1422,
     upstream_failed = 1423,
 
     // Moves and state charts.
--- a/src/config/private/row_codec.cpp
+++ b/src/config/private/row_codec.cpp
@@ -119,6 +119,13 @@
     return result;
 }
 
+/// Adds a section under its own name, or replaces the one with that name.
+template <typename Section>
+void put(std::map<std::string, Section>& sections, std::string Section::*key, Section value) {
+    std::string section_name = value.*key;
+    sections.insert_or_assign(std::move(section_name), std::move(value));
+}
+
 caller_limits read_limits(row_reader& row) {
     caller_limits result;
     result.name = row.text();
@@ -225,21 +232,16 @@
 }
 
 void row_writer::write(const intended_state& state) {
-    for (const auto& [name, value] : state.services) {
-        write(value);
-    }
-    for (const auto& [name, value] : state.routes) {
-        write(value);
-    }
-    for (const auto& [name, value] : state.shares) {
-        write(value);
-    }
-    for (const auto& [name, value] : state.moves) {
-        write(value);
-    }
-    for (const auto& [name, value] : state.limits) {
-        write(value);
-    }
+    const auto write_all = [this](const auto& sections) {
+        for (const auto& [name, value] : sections) {
+            write(value);
+        }
+    };
+    write_all(state.services);
+    write_all(state.routes);
+    write_all(state.shares);
+    write_all(state.moves);
+    write_all(state.limits);
 }
 
 row_reader::row_reader(const json::array& row) : m_row(row) {}
@@ -359,25 +361,15 @@
     row_reader reader(row);
     const std::string kind = reader.text();
     if (kind == "service") {
-        service value = read_service(reader);
-        std::string key = value.name;
-        target.services.insert_or_assign(std::move(key), std::move(value));
+        put(target.services, &service::name, read_service(reader));
     } else if (kind == "route") {
-        route value = read_route(reader);
-        std::string key = value.name;
-        target.routes.insert_or_assign(std::move(key), std::move(value));
+        put(target.routes, &route::name, read_route(reader));
     } else if (kind == "share") {
-        share value = read_share(reader);
-        std::string key = value.service;
-        target.shares.insert_or_assign(std::move(key), std::move(value));
+        put(target.shares, &share::service, read_share(reader));
     } else if (kind == "move") {
-        move value = read_move(reader);
-        std::string key = value.name;
-        target.moves.insert_or_assign(std::move(key), std::move(value));
+        put(target.moves, &move::name, read_move(reader));
     } else if (kind == "limits") {
-        caller_limits value = read_limits(reader);
-        std::string key = value.name;
-        target.limits.insert_or_assign(std::move(key), std::move(value));
+        put(target.limits, &caller_limits::name, read_limits(reader));
     } else {
         throw malformed("a row is of an unknown kind");
     }
--- a/src/config/validator.cpp
+++ b/src/config/validator.cpp
@@ -74,12 +74,8 @@
             add(result_code::config_bad_value, "methods",
                 fmt::format("must be a list of {}, each once", fmt::join(route_methods(), ", ")));
         }
-        if (value.timeout != absl::ZeroDuration()) {
-            check_range("timeout_ms", absl::ToInt64Milliseconds(value.timeout));
-        }
-        if (value.target_latency != absl::ZeroDuration()) {
-            check_range("target_latency_ms", absl::ToInt64Milliseconds(value.target_latency));
-        }
+        check_optional("timeout_ms", value.timeout);
+        check_optional("target_latency_ms", value.target_latency);
         check_range("max_attempts", value.max_attempts);
         check_range("priority", value.priority);
     }
@@ -109,12 +105,8 @@
         }
         check_range("max_header_bytes", static_cast<std::int64_t>(value.max_header_bytes));
         check_range("max_body_bytes", static_cast<std::int64_t>(value.max_body_bytes));
-        if (value.header_timeout != absl::ZeroDuration()) {
-            check_range("header_timeout_ms", absl::ToInt64Milliseconds(value.header_timeout));
-        }
-        if (value.idle_timeout != absl::ZeroDuration()) {
-            check_range("idle_timeout_ms", absl::ToInt64Milliseconds(value.idle_timeout));
-        }
+        check_optional("header_timeout_ms", value.header_timeout);
+        check_optional("idle_timeout_ms", value.idle_timeout);
     }
 
     static bool overlap(const route& left, const route& right) {
@@ -230,6 +222,13 @@
         }
     }
 
+    /// Checks a duration that may be left out, which is then zero.
+    void check_optional(std::string_view key, absl::Duration value) {
+        if (value != absl::ZeroDuration()) {
+            check_range(key, absl::ToInt64Milliseconds(value));
+        }
+    }
+
     void start(std::string_view kind, const std::string& name, const source_line& origin) {
         m_kind = kind;
         m_name = &name;
--- a/src/daemon/mesh_daemon.cpp
+++ b/src/daemon/mesh_daemon.cpp
@@ -49,10 +49,11 @@
     return fmt::format("{}{}/{}/{}", idle_key_prefix, order.service, order.introduced_in, upstream_id);
 }
 
-std::string merge_orders(const std::string& held, const std::string& heard) {
+/// Joins two encoded records; one that cannot be read changes nothing.
+template <typename Record> std::string merge_encoded(const std::string& held, const std::string& heard) {
     try {
-        const move_order heard_order = move_order::decode(heard);
-        return held.empty() ? heard : merge(move_order::decode(held), heard_order).encode();
+        const Record heard_record = Record::decode(heard);
+        return held.empty() ? heard : merge(Record::decode(held), heard_record).encode();
     } catch (const error&) {
         return held;
     }
@@ -66,7 +67,7 @@
 
 std::string merge_records(const std::string& key, const std::string& held, const std::string& heard) {
     if (key.starts_with(order_key_prefix)) {
-        return merge_orders(held, heard);
+        return merge_encoded<move_order>(held, heard);
     }
     if (key.starts_with(idle_key_prefix)) {
         return held.empty() ? heard : held;
@@ -74,12 +75,7 @@
     if (key.starts_with(seat_record_prefix)) {
         return merge_seat_records(held, heard);
     }
-    try {
-        const move_record heard_record = move_record::decode(heard);
-        return held.empty() ? heard : merge(move_record::decode(held), heard_record).encode();
-    } catch (const error&) {
-        return held;
-    }
+    return merge_encoded<move_record>(held, heard);
 }
 
 /// Rollbacks and signs of a fault spread before other records; a changed seat holder can wait.
@@ -543,6 +539,14 @@
         if (m_orders.is_empty()) {
             return;
         }
+        if (m_orders.is_any_under_way()) {
+            follow_progress();
+        }
+        supersede_old_versions();
+    }
+
+    /// Tells the orders that have not ended how their moves stand.
+    void follow_progress() {
         std::set<endpoint> living_owners;
         for (const member& one : m_peers.members(member_state::alive)) {
             living_owners.insert(one.http_address);
@@ -552,7 +556,6 @@
             return one.is_withdrawn || !living_owners.contains(one.owner);
         });
         m_orders.follow(m_moves.statuses(), upstreams, reporting_turn(), m_clock.now());
-        supersede_old_versions();
     }
 
     /// @return how many living daemons come before this one in the order of their addresses.
--- a/src/daemon/order_service.cpp
+++ b/src/daemon/order_service.cpp
@@ -10,7 +10,11 @@
 
 std::optional<move_order> order_service::merge(const move_order& order) {
     const absl::MutexLock lock(&m_mutex);
-    return m_board.merge(order);
+    std::optional<move_order> changed = m_board.merge(order);
+    if (changed && changed->is_final()) {
+        m_progress.erase(changed->service);
+    }
+    return changed;
 }
 
 bool order_service::is_empty() const {
@@ -18,6 +22,11 @@
     return m_board.orders().empty();
 }
 
+bool order_service::is_any_under_way() const {
+    const absl::MutexLock lock(&m_mutex);
+    return std::ranges::any_of(m_board.orders(), [](const auto& entry) { return !entry.second.is_final(); });
+}
+
 std::map<std::string, move> order_service::moves() const {
     const absl::MutexLock lock(&m_mutex);
     return m_board.moves();
@@ -38,7 +47,6 @@
     const absl::MutexLock lock(&m_mutex);
     for (const auto& [service, order] : m_board.orders()) {
         if (order.is_final()) {
-            m_progress.erase(service);
             continue;
         }
         const auto status = std::ranges::find_if(statuses, [&order = order](const move_status& one) {
--- a/src/daemon/order_service.h
+++ b/src/daemon/order_service.h
@@ -32,6 +32,9 @@
     /// @return true if no order has been given.
     bool is_empty() const;
 
+    /// @return true if the outcome of an order has not been reported yet.
+    bool is_any_under_way() const;
+
     std::map<std::string, move> moves() const;
     std::map<std::string, std::map<std::string, double>> final_shares() const;
 
--- a/src/http/private/entry_call.cpp
+++ b/src/http/private/entry_call.cpp
@@ -9,7 +9,6 @@
 #include <fmt/format.h>
 
 #include <algorithm>
-#include <charconv>
 #include <utility>
 
 namespace amaranthladder {
@@ -251,23 +250,18 @@
 
 asio::awaitable<entry_call::attempt_end> entry_call::take_owner_refusal(exchange& sent) {
     const http::fields& fields = sent.response().get();
-    const std::string_view code_text = field_value(fields, header::code);
-    int number = 0;
-    std::from_chars(code_text.data(), code_text.data() + code_text.size(), number);
     attempt_end ended;
     ended.report = read_report(fields);
     ended.request_execution =
         field_value(fields, header::outcome) == name(execution::not_run) ? execution::not_run : execution::may_have_run;
     const auto codes = result_codes();
-    const auto known = std::ranges::find(codes, static_cast<result_code>(number), &result_code_entry::code);
+    const auto code = static_cast<result_code>(number_or_zero<int>(fields, header::code));
+    const auto known = std::ranges::find(codes, code, &result_code_entry::code);
     ended.code = known == codes.end() ? result_code::response_malformed : known->code;
     ended.outcome =
         ended.request_execution == execution::not_run ? refusal_outcome(ended.code) : attempt_outcome::sent_no_answer;
     ended.has_reached = !field_value(fields, header::reached).empty();
-    const std::string_view backlog_text = field_value(fields, header::backlog_ms);
-    int backlog_ms = 0;
-    std::from_chars(backlog_text.data(), backlog_text.data() + backlog_text.size(), backlog_ms);
-    ended.backlog = absl::Milliseconds(backlog_ms);
+    ended.backlog = absl::Milliseconds(number_or_zero<int>(fields, header::backlog_ms));
     co_await sent.discard(max_refusal_bytes);
     co_return ended;
 }
--- a/src/http/private/forwarding_headers.cpp
+++ b/src/http/private/forwarding_headers.cpp
@@ -133,10 +133,7 @@
         return std::nullopt;
     }
     const auto microseconds = [&fields](std::string_view name) {
-        const std::string_view value = field_value(fields, name);
-        std::int64_t number = 0;
-        std::from_chars(value.data(), value.data() + value.size(), number);
-        return absl::Microseconds(std::max<std::int64_t>(number, 0));
+        return absl::Microseconds(std::max<std::int64_t>(number_or_zero<std::int64_t>(fields, name), 0));
     };
     report.service_time = microseconds(header::service_us);
     report.route_time = microseconds(header::route_us);
--- a/src/http/private/forwarding_headers.h
+++ b/src/http/private/forwarding_headers.h
@@ -6,6 +6,7 @@
 
 #include <absl/time/time.h>
 
+#include <charconv>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -85,4 +86,14 @@
 /// @return the value of header @p name, or an empty text.
 std::string_view field_value(const http::fields& fields, std::string_view name);
 
+/// @return the number in a header of another daemon's answer, or 0 if there is none: such a figure only adds to what
+/// the
+///         answer says.
+template <typename Number> Number number_or_zero(const http::fields& fields, std::string_view name) {
+    const std::string_view text = field_value(fields, name);
+    Number number = 0;
+    std::from_chars(text.data(), text.data() + text.size(), number);
+    return number;
+}
+
 } // namespace amaranthladder
--- a/src/routing/slot_limiter.cpp
+++ b/src/routing/slot_limiter.cpp
@@ -63,12 +63,10 @@
 
 std::vector<request_id> slot_limiter::expire(absl::Time now) {
     std::vector<request_id> dropped;
-    const bool is_any_in_time =
-        m_policy.order == queue_order::target_first &&
-        std::ranges::any_of(m_queue, [&](const waiting_request& waiting) { return is_in_time(waiting, now); });
+    const bool are_late_dropped = m_policy.order == queue_order::target_first && is_any_in_time(now);
     std::erase_if(m_queue, [&](const waiting_request& waiting) {
         // A late request would wait behind those in time, for which more arrive; another upstream may have room now.
-        if (now < latest_start(waiting) && !(is_any_in_time && !is_in_time(waiting, now))) {
+        if (now < latest_start(waiting) && !(are_late_dropped && !is_in_time(waiting, now))) {
             return false;
         }
         dropped.push_back(waiting.id);
@@ -145,6 +143,10 @@
     return start + m_policy.target_margin * service_time_of(waiting.kind) <= waiting.target;
 }
 
+bool slot_limiter::is_any_in_time(absl::Time now) const {
+    return std::ranges::any_of(m_queue, [&](const waiting_request& waiting) { return is_in_time(waiting, now); });
+}
+
 bool slot_limiter::is_before(const waiting_request& left, const waiting_request& right, absl::Time now) const {
     const bool is_left_in_time = is_in_time(left, now);
     if (is_left_in_time != is_in_time(right, now)) {
@@ -169,10 +171,8 @@
         return admission::verdict::queued;
     }
     // Late requests use what those in time leave: at most one a slot waits for that, and none while others are in time.
-    const bool is_any_in_time =
-        std::ranges::any_of(m_queue, [&](const waiting_request& waiting) { return is_in_time(waiting, now); });
     const bool is_worth_waiting =
-        !is_any_in_time && queued() < m_slots && now + wait + service_time_of(offered.kind) <= offered.deadline;
+        !is_any_in_time(now) && queued() < m_slots && now + wait + service_time_of(offered.kind) <= offered.deadline;
     return is_worth_waiting ? admission::verdict::queued : admission::verdict::refused;
 }
 
--- a/src/routing/slot_limiter.h
+++ b/src/routing/slot_limiter.h
@@ -163,6 +163,7 @@
     absl::Time latest_start(const waiting_request& waiting) const;
     absl::Duration service_time_of(std::size_t kind) const;
     bool is_in_time(const waiting_request& waiting, absl::Time start) const;
+    bool is_any_in_time(absl::Time now) const;
     bool is_before(const waiting_request& left, const waiting_request& right, absl::Time now) const;
     admission::verdict judge(const waiting_request& offered, absl::Time now) const;
     std::ptrdiff_t in_time_ahead(const waiting_request& offered, absl::Time now) const;
--- a/src/store/prefix_store.h
+++ b/src/store/prefix_store.h
@@ -67,7 +67,6 @@
     { store.commit(transaction, limit) } -> std::same_as<store_result<revision>>;
     { store.grant_lease(limit, limit) } -> std::same_as<store_result<std::uint64_t>>;
     { store.keep_lease(lease_id, limit) } -> std::same_as<store_result<revision>>;
-    { store.end_lease(lease_id, limit) } -> std::same_as<store_result<revision>>;
 };
 
 } // namespace amaranthladder
--- a/src/tests/fakes/scripted_store.h
+++ b/src/tests/fakes/scripted_store.h
@@ -137,14 +137,6 @@
         return {m_leases.contains(lease_id) ? store_outcome::ok : store_outcome::absent, revision{0}};
     }
 
-    store_result<revision> end_lease(std::uint64_t lease_id, absl::Duration /*limit*/) {
-        if (const store_outcome outcome = next("end"); outcome != store_outcome::ok) {
-            return {outcome, {}};
-        }
-        expire(lease_id);
-        return {store_outcome::ok, revision{0}};
-    }
-
 private:
     struct held_item {
         stored_item item;
