--- a/bench/fake_upstream.cpp
+++ b/bench/fake_upstream.cpp
@@ -1,5 +1,6 @@
 #include "fake_upstream.h"
 
+#include <absl/cleanup/cleanup.h>
 #include <absl/random/random.h>
 #include <absl/synchronization/mutex.h>
 
@@ -21,6 +22,7 @@
 #include <algorithm>
 #include <atomic>
 #include <charconv>
+#include <tuple>
 #include <utility>
 #include <vector>
 
@@ -35,6 +37,11 @@
 constexpr auto as_result = asio::as_tuple(asio::use_awaitable);
 constexpr std::size_t chunk_bytes = std::size_t{16} * 1024;
 constexpr std::uint64_t max_body_bytes = 256ULL * 1024 * 1024;
+/// Pause between two bytes of a dripping response.
+constexpr auto drip_interval = std::chrono::milliseconds(20);
+/// Pause between a complete response and the bytes after it.
+constexpr auto surplus_delay = std::chrono::milliseconds(5);
+constexpr std::string_view endless_path = "/endless/";
 
 using string_request = http::request<http::string_body>;
 using string_response = http::response<http::string_body>;
@@ -59,6 +66,8 @@
         behavior.reset_at = value;
     } else if (key == "silent") {
         behavior.is_silent = value == "1";
+    } else if (const auto kind = parse_endless_kind(value); key == "endless" && kind) {
+        behavior.endless = *kind;
     } else {
         throw std::invalid_argument("unknown key " + key);
     }
@@ -111,6 +120,10 @@
         return m_accepted;
     }
 
+    int open_connections() const {
+        return m_open;
+    }
+
 private:
     asio::awaitable<void> accept_connections() {
         while (true) {
@@ -125,6 +138,8 @@
     }
 
     asio::awaitable<void> serve_connection(beast::tcp_stream stream, int connection_index) {
+        ++m_open;
+        const absl::Cleanup closed = [this] { --m_open; };
         beast::flat_buffer buffer;
         bool is_open = true;
         while (is_open) {
@@ -180,6 +195,13 @@
             asio::steady_timer timer(m_context, std::chrono::hours(1));
             co_await timer.async_wait(as_result);
         }
+        const endless_kind endless =
+            path.starts_with(endless_path)
+                ? parse_endless_kind(path.substr(endless_path.size())).value_or(endless_kind::none)
+                : behavior.endless;
+        if (endless != endless_kind::none) {
+            co_return co_await write_endless(stream, request, endless);
+        }
         if (behavior.reset_at == "after-body") {
             reset(stream);
             co_return false;
@@ -204,6 +226,47 @@
         co_return co_await write(stream, request, make_response(request, 200, std::move(body)));
     }
 
+    asio::awaitable<bool> write_endless(beast::tcp_stream& stream, const string_request& request, endless_kind kind) {
+        const bool is_duplicate = kind == endless_kind::late_duplicate;
+        if (is_duplicate || kind == endless_kind::surplus || kind == endless_kind::late_surplus) {
+            const string_response response = make_response(request, 200, "whole\n");
+            bool is_open = co_await write(stream, request, response);
+            if (kind != endless_kind::surplus) {
+                co_await pause(surplus_delay);
+            }
+            if (is_duplicate) {
+                co_return is_open&& co_await write(stream, request, response);
+            }
+            const std::string surplus(chunk_bytes, 's');
+            const auto [failure, bytes] = co_await asio::async_write(stream, asio::buffer(surplus), as_result);
+            co_return is_open && !failure;
+        }
+        const endless_bytes bytes = make_endless_bytes(kind, response_headers(request));
+        auto [failure, size] = co_await asio::async_write(stream, asio::buffer(bytes.first), as_result);
+        for (std::size_t position = 0; !failure; position = (position + 1) % bytes.repeated.size()) {
+            const auto piece =
+                bytes.is_drip ? asio::buffer(&bytes.repeated[position], 1) : asio::buffer(bytes.repeated);
+            std::tie(failure, size) = co_await asio::async_write(stream, piece, as_result);
+            if (bytes.is_drip) {
+                co_await pause(drip_interval);
+            }
+        }
+        co_return false;
+    }
+
+    asio::awaitable<void> pause(std::chrono::milliseconds length) {
+        asio::steady_timer timer(m_context, length);
+        co_await timer.async_wait(as_result);
+    }
+
+    std::string response_headers(const string_request& request) const {
+        std::string headers = "x-version: " + m_version + "\r\n";
+        if (const auto id = request["x-amaranthladder-request-id"]; !id.empty()) {
+            headers += "x-amaranthladder-request-id: " + std::string(id) + "\r\n";
+        }
+        return headers;
+    }
+
     string_response make_response(const string_request& request, unsigned status, std::string body) const {
         string_response response(static_cast<http::status>(status), request.version());
         response.set("x-version", m_version);
@@ -329,6 +392,7 @@
     std::map<std::string, int> m_execution_counts ABSL_GUARDED_BY(m_mutex);
     int m_running_requests ABSL_GUARDED_BY(m_mutex) = 0;
     std::atomic<int> m_accepted = 0;
+    std::atomic<int> m_open = 0;
     absl::BitGen m_random;
     asio::io_context m_context{1};
     asio::ip::tcp::acceptor m_acceptor;
@@ -368,6 +432,10 @@
     return m_server->accepted_connections();
 }
 
+int fake_upstream::open_connections() const {
+    return m_server->open_connections();
+}
+
 int fake_upstream::running_requests() const {
     return m_server->running_requests();
 }
--- a/bench/fake_upstream.h
+++ b/bench/fake_upstream.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "common/endpoint.h"
+#include "endless_response.h"
 
 #include <absl/time/time.h>
 
@@ -19,9 +20,10 @@
     std::string fail_path;  ///< Requests with this path prefix run and get status 500.
     /// When the connection is reset: `after-headers`, `after-body` or `in-response`; empty: never.
     std::string reset_at;
-    bool is_silent = false;              ///< Reads and runs requests, but sends no responses.
-    int silent_connections = 0;          ///< This many of the first accepted connections get no more responses.
-    bool sends_wrong_request_id = false; ///< Responses carry the id of another request.
+    bool is_silent = false;                    ///< Reads and runs requests, but sends no responses.
+    int silent_connections = 0;                ///< This many of the first accepted connections get no more responses.
+    bool sends_wrong_request_id = false;       ///< Responses carry the id of another request.
+    endless_kind endless = endless_kind::none; ///< Each request runs and is answered with such bytes.
 };
 
 /// An HTTP back end for tests and benchmarks, which counts the executions of each request and can inject faults.
@@ -32,6 +34,7 @@
 /// - `/close/N` returns N bytes with neither; the end of the body is the end of the connection.
 /// - `/truncated/N` sends a Content-Length of N, half of the bytes, and then resets the connection.
 /// - `/wait/MS` takes MS milliseconds.
+/// - `/endless/KIND` answers with the bytes of that endless_kind.
 /// - `/fake/executed` returns the execution counts as JSON.
 /// - `PUT /fake/behavior?KEY=VALUE&...` changes the behaviour.
 /// - Every other path returns the request's body, or a short text if it has none.
@@ -65,6 +68,10 @@
     /// @return the number of connections accepted since the start.
     int accepted_connections() const;
 
+    /// May be called from any thread.
+    /// @return the number of connections open now.
+    int open_connections() const;
+
     /// May be called from any thread.
     /// @return the number of requests running now.
     int running_requests() const;
--- a/bench/fake_upstream_main.cpp
+++ b/bench/fake_upstream_main.cpp
@@ -7,6 +7,7 @@
 #include <csignal>
 #include <iostream>
 #include <memory>
+#include <stdexcept>
 #include <thread>
 
 using namespace amaranthladder;
@@ -52,6 +53,8 @@
             "slots", po::value<int>()->default_value(12), "concurrent requests")(
             "delay-ms", po::value<int>()->default_value(0), "service time of each request, in ms")(
             "fail-percent", po::value<int>()->default_value(0), "percentage of requests that get status 500")(
+            "endless", po::value<std::string>()->default_value("none"),
+            "bytes without end that answer each request, see endless_response.h")(
             "leave-seconds", po::value<int>()->default_value(3), "seconds between the leave notice and the exit");
         po::variables_map values;
         po::store(po::parse_command_line(argc, argv, options), values);
@@ -63,6 +66,11 @@
         fake_upstream_behavior behavior;
         behavior.delay = absl::Milliseconds(values["delay-ms"].as<int>());
         behavior.fail_percent = values["fail-percent"].as<int>();
+        const auto endless = parse_endless_kind(values["endless"].as<std::string>());
+        if (!endless) {
+            throw std::invalid_argument("unknown value of --endless");
+        }
+        behavior.endless = *endless;
         fake_upstream upstream(parse_endpoint(values["listen"].as<std::string>()), values["version"].as<std::string>(),
                                behavior);
         std::cout << "listening on " << to_string(upstream.address()) << std::endl;
--- a/src/daemon/component_settings.cpp
+++ b/src/daemon/component_settings.cpp
@@ -18,6 +18,8 @@
     options.max_connections = static_cast<std::size_t>(settings.requests.max_connections);
     options.max_header_bytes = settings.requests.max_header_bytes;
     options.body_buffer_bytes = settings.requests.body_buffer_bytes;
+    options.max_requests_ahead = settings.requests.max_ahead;
+    options.max_requests_ahead_total = settings.requests.max_ahead_total;
     options.connect_timeout = settings.requests.connect_timeout;
     options.first_byte_timeout = settings.requests.first_byte_timeout;
     options.header_timeout = settings.requests.header_timeout;
--- a/src/daemon/mesh_daemon.cpp
+++ b/src/daemon/mesh_daemon.cpp
@@ -5,6 +5,7 @@
 #include "common/steady_clock.h"
 #include "daemon/active_configuration.h"
 #include "daemon/announced_upstreams.h"
+#include "daemon/collector_selector.h"
 #include "daemon/component_settings.h"
 #include "daemon/control_server.h"
 #include "daemon/follower_selector.h"
@@ -17,6 +18,7 @@
 #include "http/request_proxy.h"
 #include "peers/peer_server.h"
 
+#include <absl/strings/str_cat.h>
 #include <absl/synchronization/mutex.h>
 
 #include <fmt/format.h>
@@ -29,6 +31,8 @@
 #include <set>
 #include <thread>
 #include <utility>
+#include <variant>
+#include <vector>
 
 namespace amaranthladder {
 
@@ -79,20 +83,10 @@
     return merge_encoded<move_record>(held, heard);
 }
 
-/// Gossip sends urgent records first: rollbacks, signs of a fault, orders and idle upstreams. Watcher lease records are
-/// not urgent.
+/// Gossip sends urgent records first: progress of moves, orders and idle upstreams. Watcher lease records are not
+/// urgent.
 bool is_urgent_record(const opaque_record& record) {
-    if (record.key.starts_with(watcher_lease_record_prefix)) {
-        return false;
-    }
-    if (record.key.starts_with(order_key_prefix) || record.key.starts_with(idle_record_prefix)) {
-        return true;
-    }
-    try {
-        return move_record::decode(record.bytes).is_urgent();
-    } catch (const error&) {
-        return false;
-    }
+    return !record.key.starts_with(watcher_lease_record_prefix);
 }
 
 } // namespace
@@ -276,8 +270,7 @@
     }
 
     /// Updates the selection of the daemons that follow the store from the alive members.
-    void update_follower_selection() {
-        const std::vector<member> alive_members = m_peers.members(member_state::alive);
+    void update_follower_selection(const std::vector<member>& alive_members) {
         std::vector<endpoint> followers;
         {
             const absl::MutexLock lock(&m_mutex);
@@ -410,21 +403,25 @@
         update_moves();
         m_peers.set_configuration({applied->version(), applied->hash()});
         const absl::Time now = m_clock.now();
+        // Configurations of a platform carry no publication time.
+        const bool has_publish_time = applied->publish_time() != absl::UnixEpoch();
         m_log.info(fmt::format("configuration-applied version={} hash={} publish_id={} after_ms={}", applied->version(),
                                applied->hash().substr(0, 16), applied->publish_id(),
-                               absl::ToInt64Milliseconds(now - applied->publish_time())));
+                               has_publish_time ? absl::StrCat(absl::ToInt64Milliseconds(now - applied->publish_time()))
+                                                : "unknown"));
         const absl::MutexLock lock(&m_mutex);
         m_applied_at = now;
-        // Configurations of a platform carry no publication time.
-        if (applied->publish_time() != absl::UnixEpoch()) {
+        if (has_publish_time) {
             m_report_collector.record_convergence(now - applied->publish_time());
         }
         m_are_upstreams_changed = true;
     }
 
     void on_peer_change(const node_output& changes) {
-        for (const auto& record : changes.opaque) {
-            handle_peer_record(record);
+        for (const auto* records : {&changes.opaque, &changes.reports}) {
+            for (const opaque_record& record : *records) {
+                handle_peer_record(record);
+            }
         }
         for (const auto& peer : changes.members) {
             m_log.info(fmt::format("member address={} data_center={} state={}", to_string(peer.address),
@@ -506,9 +503,7 @@
     void tick() {
         expire_announcements();
         leave_if_due();
-        for (const auto& changed : m_moves.tick()) {
-            m_peers.put_opaque({changed.key(), changed.encode()});
-        }
+        distribute(m_moves.tick());
         auto overrides = m_moves.share_override();
         for (const auto& [service, shares] : m_orders.final_shares()) {
             overrides[service] = shares;
@@ -538,8 +533,10 @@
                 suspected.push_back(peer.http_address);
             }
             m_proxy.set_suspected_owners(std::move(suspected));
+            const std::vector<member> alive_members = m_peers.members(member_state::alive);
+            update_collectors(alive_members);
             if (m_platform) {
-                update_follower_selection();
+                update_follower_selection(alive_members);
             }
         }
         if (is_drain_due) {
@@ -547,6 +544,37 @@
         }
     }
 
+    /// Sends the progress of moves to all daemons, and call counts to those that decide.
+    void distribute(const std::vector<move_record>& changed) {
+        std::vector<opaque_record> call_counts;
+        for (const move_record& record : changed) {
+            if (std::holds_alternative<move_progress>(record.content)) {
+                m_peers.put_opaque({record.key(), record.encode()});
+            } else {
+                call_counts.push_back({record.key(), record.encode()});
+            }
+        }
+        if (!call_counts.empty()) {
+            m_peers.send_reports(m_collectors, call_counts);
+        }
+    }
+
+    /// Selects the daemons that receive call counts and decide on moves from the alive members.
+    void update_collectors(const std::vector<member>& alive_members) {
+        std::vector<endpoint> collectors = select_collectors(alive_members);
+        if (collectors == m_collectors) {
+            return;
+        }
+        m_collectors = std::move(collectors);
+        if (m_collectors.empty()) {
+            return;
+        }
+        const bool is_decider = std::ranges::find(m_collectors, m_peers.address()) != m_collectors.end();
+        m_log.info(fmt::format("collectors count={} first={} decides={}", m_collectors.size(),
+                               to_string(m_collectors.front()), is_decider));
+        m_moves.set_is_decider(is_decider);
+    }
+
     void update_orders() {
         if (m_orders.is_empty()) {
             return;
@@ -734,7 +762,8 @@
 
     order_service m_orders;
     move_service m_moves;
-    share_overrides m_share_overrides; ///< Used on the control loop's thread only.
+    share_overrides m_share_overrides;  ///< Used on the control loop's thread only.
+    std::vector<endpoint> m_collectors; ///< The same; peer addresses of the daemons that receive call counts.
     active_configuration m_configuration;
     request_proxy m_proxy;
     peer_server m_peers;
--- a/src/daemon/move_service.cpp
+++ b/src/daemon/move_service.cpp
@@ -34,6 +34,11 @@
     m_engine.set_upstream(service, version, m_clock.now());
 }
 
+void move_service::set_is_decider(bool is_decider) {
+    const absl::MutexLock lock(&m_mutex);
+    m_engine.set_is_decider(is_decider);
+}
+
 void move_service::observe(const upstream_call_result& call) {
     const absl::MutexLock lock(&m_mutex);
     m_engine.observe({call.service, call.version, call.route, outcome_of(call.result), call.latency, call.reported_at});
--- a/src/daemon/move_service.h
+++ b/src/daemon/move_service.h
@@ -31,6 +31,9 @@
     /// Sets the upstream beside this daemon; @p service is empty if there is none.
     void set_upstream(const std::string& service, const std::string& version);
 
+    /// Sets whether this daemon receives the call counts of all daemons and decides on moves.
+    void set_is_decider(bool is_decider);
+
     /// Counts a call of the upstream beside this daemon.
     void observe(const upstream_call_result& call);
 
--- a/src/http/private/connection_pool.cpp
+++ b/src/http/private/connection_pool.cpp
@@ -9,21 +9,34 @@
 
 namespace {
 
-/// An idle connection with readable data or an end of stream must not be reused: no response is due on it.
-bool is_usable(pooled_connection& connection) {
+/// Time for which the connections to a target are not used again after bytes of no response arrived on one of them.
+constexpr absl::Duration reuse_suspension = absl::Seconds(2);
+
+enum class idle_state {
+    quiet,   ///< Can carry another request.
+    closed,  ///< The peer has closed it.
+    surplus, ///< Has unread bytes, although no response is due.
+};
+
+idle_state check_idle(pooled_connection& connection) {
     if (connection.buffer.size() > 0) {
-        return false;
+        return idle_state::surplus;
     }
     char byte = 0;
     const auto received =
         ::recv(connection.stream.socket().native_handle(), &byte, sizeof(byte), MSG_PEEK | MSG_DONTWAIT);
-    return received < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+    if (received > 0) {
+        return idle_state::surplus;
+    }
+    return received < 0 && (errno == EAGAIN || errno == EWOULDBLOCK) ? idle_state::quiet : idle_state::closed;
 }
 
 } // namespace
 
-connection_pool::connection_pool(asio::io_context& context, std::size_t max_idle_per_target, connection_limits limits)
-    : m_context(context), m_max_idle_per_target(max_idle_per_target), m_health(limits) {}
+connection_pool::connection_pool(asio::io_context& context, std::size_t max_idle_per_target,
+                                 std::size_t max_buffer_bytes, connection_limits limits)
+    : m_context(context), m_max_idle_per_target(max_idle_per_target), m_max_buffer_bytes(max_buffer_bytes),
+      m_health(limits) {}
 
 std::unique_ptr<pooled_connection> connection_pool::take(const endpoint& target, bool is_idempotent, absl::Time now) {
     const auto found = m_idle.find(target);
@@ -39,7 +52,12 @@
         }
         auto connection = std::move(idle.back());
         idle.pop_back();
-        if (!m_health.is_expired(connection->info(), now) && is_usable(*connection)) {
+        const idle_state state = check_idle(*connection);
+        if (state == idle_state::surplus) {
+            suspend_reuse(target, now);
+            return nullptr;
+        }
+        if (state == idle_state::quiet && !m_health.is_expired(connection->info(), now)) {
             return connection;
         }
     }
@@ -47,12 +65,21 @@
 }
 
 std::unique_ptr<pooled_connection> connection_pool::create(const endpoint& target) {
-    auto connection = std::make_unique<pooled_connection>(m_context, target);
+    auto connection = std::make_unique<pooled_connection>(m_context, target, m_max_buffer_bytes);
     connection->id = m_next_id++;
     return connection;
 }
 
 void connection_pool::put(std::unique_ptr<pooled_connection> connection, absl::Time now) {
+    if (check_idle(*connection) == idle_state::surplus) {
+        suspend_reuse(connection->target, now);
+    }
+    if (const auto suspended = m_suspended_until.find(connection->target); suspended != m_suspended_until.end()) {
+        if (now < suspended->second) {
+            return;
+        }
+        m_suspended_until.erase(suspended);
+    }
     idle_list& idle = m_idle[connection->target];
     if (idle.size() >= m_max_idle_per_target) {
         return;
@@ -62,6 +89,11 @@
     idle.push_back(std::move(connection));
 }
 
+void connection_pool::suspend_reuse(const endpoint& target, absl::Time now) {
+    m_suspended_until[target] = now + reuse_suspension;
+    m_idle.erase(target);
+}
+
 std::size_t connection_pool::retire(const pooled_connection& timed_out, absl::Time request_sent) {
     const auto found = m_idle.find(timed_out.target);
     if (found == m_idle.end()) {
@@ -83,6 +115,7 @@
         std::erase_if(idle, [&](const auto& connection) { return m_health.is_expired(connection->info(), now); });
     }
     std::erase_if(m_idle, [](const auto& entry) { return entry.second.empty(); });
+    std::erase_if(m_suspended_until, [now](const auto& entry) { return entry.second <= now; });
 }
 
 std::size_t connection_pool::idle_count() const {
--- a/src/http/private/connection_pool.h
+++ b/src/http/private/connection_pool.h
@@ -16,8 +16,8 @@
 
 /// A connection to an upstream or to another daemon. It carries one request at a time.
 struct pooled_connection {
-    pooled_connection(asio::io_context& context, endpoint target_address)
-        : stream(context), target(std::move(target_address)) {}
+    pooled_connection(asio::io_context& context, endpoint target_address, std::size_t max_buffer_bytes)
+        : stream(context), buffer(max_buffer_bytes), target(std::move(target_address)) {}
 
     beast::tcp_stream stream;
     beast::flat_buffer buffer;
@@ -39,8 +39,10 @@
 public:
     /// @param context the event loop that the connections belong to.
     /// @param max_idle_per_target maximum number of idle connections to one target.
+    /// @param max_buffer_bytes maximum number of bytes that are read from a connection but not parsed yet.
     /// @param limits limits of connection_health.
-    connection_pool(asio::io_context& context, std::size_t max_idle_per_target, connection_limits limits);
+    connection_pool(asio::io_context& context, std::size_t max_idle_per_target, std::size_t max_buffer_bytes,
+                    connection_limits limits);
 
     /// @param target address of the upstream or daemon.
     /// @param is_idempotent true if the request may be sent again after the connection fails.
@@ -53,6 +55,10 @@
     /// Returns @p connection to the pool. Its last response must have been read completely.
     void put(std::unique_ptr<pooled_connection> connection, absl::Time now);
 
+    /// Closes the idle connections to @p target and uses new ones for some time, because bytes of no response have
+    /// arrived on one of its connections.
+    void suspend_reuse(const endpoint& target, absl::Time now);
+
     /// Closes the idle connections that may be dead after a first-byte timeout on another connection to the same
     /// target. Connections in use are left open, since their own responses show whether they work.
     /// @param timed_out the connection with the timeout.
@@ -74,9 +80,11 @@
 
     asio::io_context& m_context;
     std::size_t m_max_idle_per_target;
+    std::size_t m_max_buffer_bytes;
     connection_health m_health;
     std::uint64_t m_next_id = 1;
     std::map<endpoint, idle_list> m_idle;
+    std::map<endpoint, absl::Time> m_suspended_until; ///< Targets whose connections are not used again.
 };
 
 } // namespace amaranthladder
--- a/src/http/private/exchange.cpp
+++ b/src/http/private/exchange.cpp
@@ -25,6 +25,12 @@
 constexpr std::size_t discard_chunk_bytes = std::size_t{16} * 1024;
 /// Discarding a longer response takes more time than a new connection.
 constexpr std::size_t max_discarded_bytes = std::size_t{256} * 1024;
+/// Number of interim (1xx) responses that are skipped before the connection is closed.
+constexpr int max_interim_responses = 8;
+/// Lowest status of a final response, RFC 9110, section 15.
+constexpr unsigned min_final_status = 200;
+/// A pooled connection may go silent without a reset. One that was in use within this time has just worked.
+constexpr absl::Duration max_trusted_idle_time = absl::Seconds(1);
 
 } // namespace
 
@@ -34,8 +40,10 @@
 asio::awaitable<exchange_status> exchange::connect(const endpoint& target, bool is_idempotent, absl::Time deadline) {
     m_connection = m_pool.take(target, is_idempotent, m_clock.now());
     if (m_connection) {
+        m_idle_before_send = m_clock.now() - m_connection->last_received_at;
         co_return exchange_status{};
     }
+    m_idle_before_send = absl::ZeroDuration();
     error_code failure;
     const auto address = asio::ip::make_address(target.address, failure);
     if (failure) {
@@ -120,7 +128,7 @@
         message.body().data = is_last ? nullptr : chunk.data();
         message.body().size = size;
         message.body().more = !is_last;
-        m_connection->stream.expires_after(absl::ToChronoNanoseconds(m_options.body_idle_timeout));
+        set_expiry(m_options.body_idle_timeout, outgoing.deadline);
         auto [write_failure, written] = co_await http::async_write(m_connection->stream, serializer, as_result);
         if (write_failure && write_failure != http::error::need_buffer) {
             co_return classify_failure(write_failure, bytes);
@@ -128,22 +136,29 @@
         if (is_last) {
             break;
         }
-        if (const error_code read_failure = co_await outgoing.body.read_more(chunk, size)) {
-            co_return exchange_status{result_code::caller_disconnected, execution::may_have_run};
+        const absl::Duration left = outgoing.deadline - m_clock.now();
+        if (const error_code read_failure = co_await outgoing.body.read_more(chunk, size, left)) {
+            co_return exchange_status{is_timeout(read_failure) && m_clock.now() >= outgoing.deadline
+                                          ? result_code::response_timeout
+                                          : result_code::caller_disconnected,
+                                      execution::may_have_run};
         }
     }
     co_return exchange_status{};
 }
 
 asio::awaitable<exchange_status> exchange::receive_header(const request& outgoing, bool accepts_continue) {
-    while (true) {
+    const bool may_be_silent =
+        m_idle_before_send > max_trusted_idle_time && outgoing.idle_connection_timeout < outgoing.first_byte_timeout;
+    for (int interim = 0; interim <= max_interim_responses; ++interim) {
+        m_body_limit.reset();
         m_response.emplace();
         m_response->header_limit(static_cast<std::uint32_t>(m_options.max_header_bytes));
         m_response->body_limit(boost::none);
         if (outgoing.head.method() == http::verb::head) {
             m_response->skip(true);
         }
-        set_expiry(outgoing.first_byte_timeout, outgoing.deadline);
+        set_expiry(may_be_silent ? outgoing.idle_connection_timeout : outgoing.first_byte_timeout, outgoing.deadline);
         const auto [failure, bytes] =
             co_await http::async_read_header(m_connection->stream, m_connection->buffer, *m_response, as_result);
         if (failure) {
@@ -151,6 +166,10 @@
             if (failed.code == result_code::response_timeout && m_clock.now() < outgoing.deadline) {
                 // The connection may be dead, and so may others that were open when the request was sent.
                 m_pool.retire(*m_connection, m_sent_at);
+                m_has_idle_connection_timed_out = may_be_silent;
+            }
+            if (failed.code == result_code::response_malformed) {
+                m_pool.suspend_reuse(m_connection->target, m_clock.now());
             }
             co_return failed;
         }
@@ -160,13 +179,18 @@
             m_response.reset();
             co_return exchange_status{};
         }
-        if (status >= 200) {
+        if (status >= min_final_status) {
+            m_body_limit.emplace(outgoing.deadline, m_response->content_length().has_value(),
+                                 m_options.body_idle_timeout);
             co_return exchange_status{};
         }
     }
+    m_pool.suspend_reuse(m_connection->target, m_clock.now());
+    co_return exchange_status{result_code::response_malformed, execution::may_have_run};
 }
 
 asio::awaitable<exchange_status> exchange::read_next_response(const request& outgoing) {
+    m_pool.suspend_reuse(m_connection->target, m_clock.now());
     std::string discarded(discard_chunk_bytes, '\0');
     std::size_t total = 0;
     while (!m_response->is_done()) {
@@ -191,10 +215,16 @@
         body.data = chunk.data();
         body.size = chunk.size();
         body.more = true;
-        m_connection->stream.expires_after(absl::ToChronoNanoseconds(m_options.body_idle_timeout));
+        const absl::Time started_at = m_clock.now();
+        const absl::Duration wait = m_body_limit->next_wait(started_at);
+        if (wait <= absl::ZeroDuration()) {
+            co_return beast::error::timeout;
+        }
+        m_connection->stream.expires_after(absl::ToChronoNanoseconds(wait));
         auto [read_failure, bytes] =
             co_await http::async_read_some(m_connection->stream, m_connection->buffer, *m_response, as_result);
         size = chunk.size() - body.size;
+        m_body_limit->on_read(started_at, m_clock.now(), bytes);
         if (read_failure != http::error::need_buffer) {
             failure = read_failure;
         }
@@ -214,6 +244,20 @@
     finish();
 }
 
+absl::Duration exchange::body_write_limit() const {
+    const bool has_length = m_response->content_length().has_value();
+    return has_length ? m_options.body_idle_timeout : m_body_limit->next_wait(m_clock.now());
+}
+
+void exchange::reset() {
+    abort();
+    m_connection.reset();
+    m_response.reset();
+    m_body_limit.reset();
+    m_is_request_sent = false;
+    m_has_idle_connection_timed_out = false;
+}
+
 void exchange::finish() {
     if (!m_connection || !m_response || !m_is_request_sent || !m_response->is_done() || !m_response->keep_alive()) {
         abort();
--- a/src/http/private/exchange.h
+++ b/src/http/private/exchange.h
@@ -3,6 +3,7 @@
 #include "common/result_code.h"
 #include "common/steady_clock.h"
 #include "http/private/asio_types.h"
+#include "http/private/body_time_limit.h"
 #include "http/private/connection_pool.h"
 #include "http/private/request_body.h"
 #include "http/proxy_options.h"
@@ -38,6 +39,8 @@
         bool waits_for_continue = false;
         absl::Time deadline;
         absl::Duration first_byte_timeout;
+        /// The same on a pooled connection that has been idle, which may have gone silent meanwhile.
+        absl::Duration idle_connection_timeout = absl::InfiniteDuration();
     };
 
     exchange(connection_pool& pool, const proxy_options& options, const steady_clock& clock);
@@ -53,6 +56,15 @@
     /// @return ok, or why no further response can be read.
     asio::awaitable<exchange_status> read_next_response(const request& outgoing);
 
+    /// @return true if start() ended with the timeout of a connection that had been idle, so that the same target may
+    ///         well answer on another connection.
+    bool has_idle_connection_timed_out() const {
+        return m_has_idle_connection_timed_out;
+    }
+
+    /// Closes the connection, so that start() can be called again.
+    void reset();
+
     /// @return true if bytes of the request may have been sent.
     bool may_have_sent() const {
         return m_may_have_sent;
@@ -63,6 +75,9 @@
         return *m_response;
     }
 
+    /// @return how long the caller may take to accept the next bytes of the body before the response is given up.
+    absl::Duration body_write_limit() const;
+
     /// Reads more of the response's body.
     /// @param chunk buffer for the bytes.
     /// @param size set to the number of bytes read; after a success it is 0 only at the end of the body.
@@ -90,7 +105,10 @@
     const steady_clock& m_clock;
     std::unique_ptr<pooled_connection> m_connection;
     std::optional<response_parser> m_response;
+    std::optional<body_time_limit> m_body_limit; ///< Set once the header of a response has been read.
     absl::Time m_sent_at;
+    absl::Duration m_idle_before_send; ///< Time for which the connection had been idle in the pool.
+    bool m_has_idle_connection_timed_out = false;
     bool m_has_received_continue = false;
     bool m_is_request_sent = false;
     bool m_may_have_sent = false;
--- a/src/http/private/inbound_session.cpp
+++ b/src/http/private/inbound_session.cpp
@@ -8,6 +8,9 @@
 #include <absl/cleanup/cleanup.h>
 #include <absl/random/distributions.h>
 
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
 #include <fmt/format.h>
 
 #include <algorithm>
@@ -20,10 +23,18 @@
 constexpr std::size_t first_read_bytes = std::size_t{8} * 1024;
 /// Above the depth of the longest call chains; stops requests that loop between upstreams and daemons.
 constexpr int max_hops = 64;
+/// HTTP/1.1; earlier versions do not allow requests before the response to an earlier one.
+constexpr unsigned min_pipelined_version = 11;
 /// Limit for the rest of a request body that is read and discarded before a connection is closed.
 constexpr std::size_t max_discarded_bytes = std::size_t{1024} * 1024;
 constexpr auto discard_timeout = std::chrono::seconds(2);
 
+/// @return true if @p failure is the sender's, and not the end of the connection or a timeout.
+bool is_malformed(error_code failure) {
+    return failure.category() == http::make_error_code(http::error::bad_version).category() &&
+           failure != http::error::end_of_stream && failure != http::error::partial_message;
+}
+
 bool expects_continue(const http::request_header<>& head) {
     return beast::iequals(head[http::field::expect], "100-continue");
 }
@@ -32,22 +43,19 @@
 
 inbound_session::inbound_session(proxy_state& proxy, asio::ip::tcp::socket socket, peer_type peer)
     : m_proxy(proxy), m_peer_type(peer), m_stream(std::move(socket)),
-      m_buffer(proxy.options.max_header_bytes + proxy.options.body_buffer_bytes) {}
+      m_buffer(proxy.options.max_header_bytes + proxy.options.body_buffer_bytes),
+      m_pipeline(1 + proxy.options.max_requests_ahead) {}
 
 asio::awaitable<void> inbound_session::run() {
     bool is_open = true;
     while (is_open) {
-        m_is_idle = true;
-        if (!(co_await wait_for_request())) {
+        const request_pointer next = co_await next_request();
+        if (!next) {
             break;
         }
-        m_is_idle = false;
-        m_received_at = m_proxy.clock.now();
-        if (!(co_await read_header())) {
-            break;
-        }
-        is_open = co_await serve_request();
+        is_open = co_await serve_front(next);
     }
+    co_await end_pipeline();
     m_stream.close();
 }
 
@@ -64,6 +72,37 @@
     m_stream.close();
 }
 
+asio::awaitable<inbound_session::request_pointer> inbound_session::next_request() {
+    if (m_pipeline.is_empty()) {
+        co_await stop_reading_ahead();
+    }
+    if (!m_pipeline.is_empty()) {
+        co_return m_pipeline.front();
+    }
+    error_code failure = m_read_failure;
+    if (!failure) {
+        if (!m_reading) {
+            m_is_idle = true;
+            if (!(co_await wait_for_request())) {
+                co_return nullptr;
+            }
+            m_is_idle = false;
+            m_reading = make_pending_request();
+        }
+        if (!m_reading->parser.is_header_done()) {
+            m_stream.expires_after(absl::ToChronoNanoseconds(m_proxy.options.header_timeout));
+            failure = co_await read_header(*m_reading);
+        }
+    }
+    if (failure) {
+        co_await refuse_header(failure);
+        co_return nullptr;
+    }
+    const request_pointer read = std::exchange(m_reading, nullptr);
+    add_read_request(read);
+    co_return read;
+}
+
 asio::awaitable<bool> inbound_session::wait_for_request() {
     if (m_buffer.size() > 0) {
         co_return true;
@@ -76,27 +115,27 @@
     co_return !failure;
 }
 
-asio::awaitable<bool> inbound_session::read_header() {
-    m_parser.emplace();
-    m_parser->header_limit(static_cast<std::uint32_t>(m_proxy.options.max_header_bytes));
-    m_parser->body_limit(boost::none);
-    m_stream.expires_after(absl::ToChronoNanoseconds(m_proxy.options.header_timeout));
-    const auto [failure, size] = co_await http::async_read_header(m_stream, m_buffer, *m_parser, as_result);
-    if (failure) {
-        co_await refuse_header(failure);
-        co_return false;
-    }
-    co_return true;
+inbound_session::request_pointer inbound_session::make_pending_request() {
+    auto reading = std::make_shared<pending_request>(m_stream.get_executor(), m_proxy.clock.now());
+    reading->parser.header_limit(static_cast<std::uint32_t>(m_proxy.options.max_header_bytes));
+    reading->parser.body_limit(boost::none);
+    return reading;
+}
+
+asio::awaitable<error_code> inbound_session::read_header(pending_request& reading) {
+    const auto [failure, size] = co_await http::async_read_header(m_stream, m_buffer, reading.parser, as_result);
+    co_return failure;
 }
 
 asio::awaitable<void> inbound_session::refuse_header(error_code failure) {
     ++m_proxy.counters.malformed_requests;
-    if (failure == http::error::end_of_stream || failure == http::error::partial_message) {
+    if (!is_malformed(failure)) {
         co_return;
     }
     const http::request_header<> no_header;
-    request_body no_body(m_stream, m_buffer, *m_parser, 0, m_proxy.options.body_idle_timeout);
-    served_request request{m_stream, no_header, no_body, {}, m_received_at, false, false};
+    const request_pointer reading = m_reading ? std::exchange(m_reading, nullptr) : make_pending_request();
+    request_body no_body(m_stream, m_buffer, reading->parser, 0, m_proxy.options.body_idle_timeout);
+    served_request request{m_stream, no_header, no_body, {}, reading->received_at, false, false};
     const bool is_too_large = failure == http::error::header_limit || failure == http::error::buffer_overflow;
     std::string detail = failure.message();
     m_proxy.log.warning(fmt::format("malformed-request reason=\"{}\"", detail));
@@ -105,36 +144,197 @@
     co_await close_after_response();
 }
 
-asio::awaitable<bool> inbound_session::serve_request() {
-    ++m_proxy.counters.requests_in_flight;
-    const absl::Cleanup ended = [this] { --m_proxy.counters.requests_in_flight; };
-    const http::request_header<>& head = m_parser->get();
-    request_body body(m_stream, m_buffer, *m_parser, m_proxy.options.body_buffer_bytes,
+void inbound_session::add_read_request(const request_pointer& read) {
+    prepare(*read);
+    if (!m_pipeline.is_empty()) {
+        ++m_proxy.requests_ahead;
+    }
+    const served_request& request = *read->request;
+    const bool is_last = !read->body->is_at_end() || request.expects_continue || !request.keeps_connection ||
+                         request.head.version() < min_pipelined_version || !read->problem.empty() ||
+                         request.info.is_from_entry();
+    m_pipeline.push(read, is_repeatable(*read), is_last);
+}
+
+void inbound_session::prepare(pending_request& next) {
+    const http::request_header<>& head = next.parser.get();
+    next.body.emplace(m_stream, m_buffer, next.parser, m_proxy.options.body_buffer_bytes,
                       m_proxy.options.body_idle_timeout);
-    served_request request{m_stream, head, body, {}, m_received_at, false, m_parser->keep_alive()};
-    request.expects_continue = expects_continue(head);
-    std::string problem;
+    next.request.emplace(served_request{
+        m_stream, head, *next.body, {}, next.received_at, expects_continue(head), next.parser.keep_alive()});
+    next.request->turn = &next.turn;
     try {
-        request.info = read_forwarding_info(head);
+        next.request->info = read_forwarding_info(head);
     } catch (const error& failure) {
-        problem = failure.what();
+        next.problem = failure.what();
     }
-    serve_result result;
-    if (!problem.empty()) {
-        request.keeps_connection = false;
-        result = co_await write_refusal(request, result_code::request_malformed, execution::not_run, problem);
-    } else if (request.info.is_from_entry()) {
-        result = co_await serve_as_owner(request);
+}
+
+bool inbound_session::is_repeatable(const pending_request& next) const {
+    const served_request& request = *next.request;
+    if (!next.problem.empty() || request.expects_continue || !next.body->is_at_end() || request.info.is_from_entry()) {
+        return false;
+    }
+    const auto path = request.head.target();
+    const auto host = request.head[http::field::host];
+    const route_match found =
+        m_proxy.request_router.match({host.data(), host.size()}, request.method(), {path.data(), path.size()});
+    return found.refusal == result_code::ok &&
+           found.matched->may_repeat(retry_policy::is_idempotent_method(request.method()));
+}
+
+asio::awaitable<bool> inbound_session::serve_front(const request_pointer& next) {
+    next->turn.set();
+    if (m_pipeline.start_front()) {
+        co_await serve_request(next);
+        next->ended.set();
     } else {
-        result = co_await serve_as_entry(request);
+        start_reading_ahead();
+        const std::unique_ptr<disconnect_watch> watch = watch_for_disconnect();
+        co_await next->ended.wait();
     }
-    if (!request.keeps_connection || !body.is_at_end()) {
+    if (m_pipeline.is_empty()) {
+        co_return false; // The caller has left.
+    }
+    pop_front();
+    if (!next->request->keeps_connection || !next->body->is_at_end()) {
+        co_await end_pipeline();
         co_await close_after_response();
         co_return false;
     }
     co_return m_stream.socket().is_open();
 }
 
+asio::awaitable<void> inbound_session::serve_ahead(request_pointer next) {
+    try {
+        co_await serve_request(next);
+    } catch (const std::exception& problem) {
+        m_proxy.log.error(
+            fmt::format("request-failed request={} reason=\"{}\"", next->request->info.request_id, problem.what()));
+        next->request->keeps_connection = false;
+    }
+    next->ended.set();
+}
+
+asio::awaitable<void> inbound_session::serve_request(const request_pointer& next) {
+    ++m_proxy.counters.requests_in_flight;
+    const absl::Cleanup ended = [&proxy = m_proxy] { --proxy.counters.requests_in_flight; };
+    served_request& request = *next->request;
+    if (!next->problem.empty()) {
+        request.keeps_connection = false;
+        co_await write_refusal(request, result_code::request_malformed, execution::not_run, next->problem);
+    } else if (request.info.is_from_entry()) {
+        co_await serve_as_owner(*next);
+    } else {
+        co_await serve_as_entry(*next);
+    }
+}
+
+bool inbound_session::may_read_ahead() {
+    return m_peer_type != peer_type::daemon && !m_is_read_stopping && !m_read_failure && !m_proxy.is_draining &&
+           m_pipeline.may_read() && m_proxy.requests_ahead < m_proxy.options.max_requests_ahead_total;
+}
+
+void inbound_session::start_reading_ahead() {
+    if (!m_read_end && may_read_ahead()) {
+        m_read_end = std::make_shared<one_shot_event>(m_stream.get_executor());
+        asio::co_spawn(m_proxy.context, read_ahead(), asio::detached);
+    }
+}
+
+std::unique_ptr<disconnect_watch> inbound_session::watch_for_disconnect() {
+    if (m_read_end) {
+        return nullptr;
+    }
+    return std::make_unique<disconnect_watch>(
+        m_stream, [this] { disconnect(); }, [this] { start_reading_ahead(); });
+}
+
+asio::awaitable<void> inbound_session::read_ahead() {
+    const std::shared_ptr<one_shot_event> end = m_read_end;
+    while (may_read_ahead()) {
+        // Without a time limit: a timeout would close the connection under the requests that are being served.
+        m_stream.expires_never();
+        error_code failure;
+        if (!m_reading && m_buffer.size() == 0) {
+            const auto [read_failure, size] =
+                co_await m_stream.async_read_some(m_buffer.prepare(first_read_bytes), as_result);
+            m_buffer.commit(size);
+            failure = read_failure;
+        } else {
+            if (!m_reading) {
+                m_reading = make_pending_request();
+            }
+            if (!m_reading->parser.is_header_done()) {
+                failure = co_await read_header(*m_reading);
+            }
+        }
+        if (failure) {
+            m_read_failure = m_is_read_stopping && failure == asio::error::operation_aborted ? error_code{} : failure;
+            break;
+        }
+        // Other connections may have read ahead meanwhile, so the limit is checked again.
+        if (m_reading && m_reading->parser.is_header_done() && may_read_ahead()) {
+            add_read_request(std::exchange(m_reading, nullptr));
+            start_behind();
+        }
+    }
+    m_read_end = nullptr;
+    end->set();
+    if (m_read_failure && !is_malformed(m_read_failure)) {
+        disconnect();
+    }
+}
+
+void inbound_session::start_behind() {
+    for (const request_pointer& next : m_pipeline.start_behind()) {
+        m_proxy.log.info(fmt::format("request-ahead request={} in_front={} outstanding={} outstanding_in_all={}",
+                                     next->request->info.request_id, m_pipeline.front()->request->info.request_id,
+                                     m_pipeline.size(), m_proxy.requests_ahead));
+        asio::co_spawn(m_proxy.context, serve_ahead(next), asio::detached);
+    }
+}
+
+asio::awaitable<void> inbound_session::stop_reading_ahead() {
+    if (const std::shared_ptr<one_shot_event> end = m_read_end) {
+        m_is_read_stopping = true;
+        m_stream.cancel();
+        co_await end->wait();
+        m_is_read_stopping = false;
+    }
+}
+
+void inbound_session::pop_front() {
+    m_pipeline.pop();
+    m_proxy.requests_ahead -= m_pipeline.is_empty() ? 0 : 1;
+}
+
+void inbound_session::cancel_all() {
+    m_proxy.requests_ahead -= m_pipeline.is_empty() ? 0 : m_pipeline.size() - 1;
+    for (request_pointer& started : m_pipeline.clear()) {
+        started->is_cancelled = true;
+        if (started->cancel) {
+            started->cancel();
+        }
+        started->turn.set();
+        m_cancelled.push_back(std::move(started));
+    }
+}
+
+void inbound_session::disconnect() {
+    m_stream.close();
+    cancel_all();
+}
+
+asio::awaitable<void> inbound_session::end_pipeline() {
+    co_await stop_reading_ahead();
+    cancel_all();
+    // The requests refer to this session.
+    for (const request_pointer& started : std::exchange(m_cancelled, {})) {
+        co_await started->ended.wait();
+    }
+}
+
 forwarding_info inbound_session::read_forwarding_info(const http::request_header<>& head) const {
     const bool names_upstream = !field_value(head, header::upstream).empty();
     if (m_peer_type == peer_type::daemon && !names_upstream) {
@@ -144,7 +344,8 @@
                                                               : read_caller_headers(head, m_proxy.options.headers);
 }
 
-asio::awaitable<serve_result> inbound_session::serve_as_entry(served_request& request) {
+asio::awaitable<serve_result> inbound_session::serve_as_entry(pending_request& next) {
+    served_request& request = *next.request;
     if (request.info.request_id.empty()) {
         request.info.request_id = make_request_id();
     }
@@ -157,21 +358,37 @@
         request.keeps_connection = false;
         co_return serve_result{result_code::caller_disconnected, 0};
     }
-    if (const error_code failure = co_await request.body.read_prefix()) {
+    if (!request.body.is_at_end()) {
+        if (const error_code failure = co_await request.body.read_prefix()) {
+            request.keeps_connection = false;
+            co_return co_await write_refusal(request, result_code::request_malformed, execution::not_run,
+                                             failure.message());
+        }
+        if (request.body.is_whole() && request.head.version() >= min_pipelined_version && request.keeps_connection) {
+            m_pipeline.reopen();
+        }
+    }
+    if (next.is_cancelled) {
         request.keeps_connection = false;
-        co_return co_await write_refusal(request, result_code::request_malformed, execution::not_run,
-                                         failure.message());
+        co_return serve_result{result_code::caller_disconnected, 0};
     }
     entry_call call(m_proxy, request);
-    if (!request.body.is_whole()) {
-        // The body is still being read, and that read detects a disconnect.
+    next.cancel = [&call] { call.cancel(); };
+    const absl::Cleanup forget = [&next] { next.cancel = nullptr; };
+    const bool is_front = next.turn.is_set();
+    if (!is_front || !request.body.is_whole()) {
+        // A disconnect is detected by what reads from the connection: read_ahead(), or the transfer of the body.
         co_return co_await call.serve();
     }
-    const disconnect_watch watch(m_stream, [&call] { call.cancel(); });
+    if (m_buffer.size() > 0) {
+        start_reading_ahead();
+    }
+    const std::unique_ptr<disconnect_watch> watch = watch_for_disconnect();
     co_return co_await call.serve();
 }
 
-asio::awaitable<serve_result> inbound_session::serve_as_owner(served_request& request) {
+asio::awaitable<serve_result> inbound_session::serve_as_owner(pending_request& next) {
+    served_request& request = *next.request;
     ++m_proxy.counters.owner_requests;
     if (request.info.mesh != m_proxy.options.mesh) {
         request.keeps_connection = false;
@@ -191,7 +408,7 @@
         request.keeps_connection = request.keeps_connection && request.body.is_at_end();
         co_return co_await write_refusal(request, result_code::no_upstream, execution::not_run, request.info.upstream);
     }
-    const absl::Time deadline = m_received_at + request.info.time_left.value_or(m_proxy.options.default_timeout);
+    const absl::Time deadline = request.received_at + request.info.time_left.value_or(m_proxy.options.default_timeout);
     owner_call call(m_proxy, *upstream, request, request.info.route, request.info.is_idempotent, deadline);
     std::optional<disconnect_watch> watch;
     if (request.body.is_whole()) {
--- a/src/http/private/owner_call.cpp
+++ b/src/http/private/owner_call.cpp
@@ -115,8 +115,16 @@
                                      m_is_idempotent,
                                      false,
                                      m_deadline,
-                                     m_proxy.options.first_byte_timeout};
-    const exchange_status started = co_await m_exchange.start(outgoing);
+                                     m_proxy.options.first_byte_timeout,
+                                     first_byte_timeout()};
+    exchange_status started = co_await m_exchange.start(outgoing);
+    if (started.code == result_code::response_timeout && may_resend()) {
+        m_proxy.log.info(fmt::format("resend request={} upstream={} reason=silent-connection after_ms={}",
+                                     m_request.info.request_id, m_upstream.id,
+                                     absl::ToInt64Milliseconds(m_proxy.clock.now() - m_started_at)));
+        m_exchange.reset();
+        started = co_await m_exchange.start(outgoing);
+    }
     if (started.code != result_code::ok) {
         co_return started;
     }
@@ -181,6 +189,11 @@
     return head;
 }
 
+bool owner_call::may_resend() {
+    return m_exchange.has_idle_connection_timed_out() && m_is_idempotent && !m_is_cancelled &&
+           m_request.body.is_replayable() && m_proxy.budget.try_spend(m_upstream.service, m_proxy.clock.now());
+}
+
 absl::Duration owner_call::first_byte_timeout() const {
     const auto known = m_proxy.latency_by_route.find(m_route);
     const first_byte_latency latency = known == m_proxy.latency_by_route.end() ? first_byte_latency{} : known->second;
@@ -199,8 +212,11 @@
             write_report(fields, reported);
         }
     };
+    // The slot is free once the response is here, however long its caller takes to accept it.
+    const auto free_slot = [this] { m_permit.reset(); };
     const relay_result relayed = co_await m_proxy.relay.relay(
-        m_exchange, m_request, is_for_entry ? owner_buffer_bytes : m_proxy.options.response_buffer_bytes, set_headers);
+        m_exchange, m_request, is_for_entry ? owner_buffer_bytes : m_proxy.options.response_buffer_bytes, set_headers,
+        free_slot);
     if (relayed.code == result_code::response_truncated) {
         report_call(upstream_call_result::outcome::failed);
     }
--- a/src/http/private/owner_call.h
+++ b/src/http/private/owner_call.h
@@ -67,6 +67,8 @@
     asio::awaitable<exchange_status> check_response(const exchange::request& outgoing);
     asio::awaitable<exchange_status> handle_upstream_refusal();
     bool has_field(const std::string& name);
+    /// @return true if the request may be sent again on a new connection. Spends a retry.
+    bool may_resend();
     absl::Duration first_byte_timeout() const;
     void report_call(upstream_call_result::outcome outcome);
 
--- a/src/http/private/proxy_state.h
+++ b/src/http/private/proxy_state.h
@@ -34,7 +34,8 @@
                 std::function<void(const upstream_call_result&)> report)
         : options(proxy_settings), clock(time_source), log(logger), report_call(std::move(report)),
           request_router(std::move(routing)), budget(budget_policy), relay(options),
-          pool(context, max_idle_connections_per_target, pool_limits(proxy_settings)) {}
+          pool(context, max_idle_connections_per_target, proxy_settings.max_header_bytes + stream_chunk_bytes,
+               pool_limits(proxy_settings)) {}
 
     /// Covers the number of requests that a daemon commonly has in flight to one target.
     static constexpr std::size_t max_idle_connections_per_target = 128;
@@ -77,6 +78,7 @@
     absl::BitGen random;
     proxy_counters counters;
     request_id next_request_id = 1;
+    std::size_t requests_ahead = 0; ///< Requests on all connections that were read behind others.
     bool is_draining = false;
 
     // The destructor of the event loop destroys suspended requests, which use the members above. The sockets of the
--- a/src/http/private/request_body.cpp
+++ b/src/http/private/request_body.cpp
@@ -31,7 +31,7 @@
         if (m_prefix.size() == used) {
             m_prefix.resize(std::min(m_prefix_limit, std::max(2 * used, first_prefix_bytes)));
         }
-        failure = co_await read_into(std::span(m_prefix).subspan(used), size);
+        failure = co_await read_into(std::span(m_prefix).subspan(used), size, m_idle_timeout);
         used += size;
     }
     m_prefix.resize(used);
@@ -42,22 +42,22 @@
     return m_parser.is_done() && !m_has_streamed;
 }
 
-asio::awaitable<error_code> request_body::read_more(std::span<char> chunk, std::size_t& size) {
+asio::awaitable<error_code> request_body::read_more(std::span<char> chunk, std::size_t& size, absl::Duration limit) {
     size = 0;
     m_has_streamed = true;
     error_code failure;
     while (!failure && !m_parser.is_done() && size == 0) {
-        failure = co_await read_into(chunk, size);
+        failure = co_await read_into(chunk, size, std::min(limit, m_idle_timeout));
     }
     co_return failure;
 }
 
-asio::awaitable<error_code> request_body::read_into(std::span<char> chunk, std::size_t& size) {
+asio::awaitable<error_code> request_body::read_into(std::span<char> chunk, std::size_t& size, absl::Duration limit) {
     auto& body = m_parser.get().body();
     body.data = chunk.data();
     body.size = chunk.size();
     body.more = true;
-    m_stream.expires_after(absl::ToChronoNanoseconds(m_idle_timeout));
+    m_stream.expires_after(absl::ToChronoNanoseconds(std::max(limit, absl::ZeroDuration())));
     auto [failure, transferred] = co_await http::async_read_some(m_stream, m_buffer, m_parser, as_result);
     // The parser reports a full buffer as an error.
     if (failure == http::error::need_buffer) {
--- a/src/http/private/request_body.h
+++ b/src/http/private/request_body.h
@@ -42,7 +42,8 @@
     /// Reads more of the body after the prefix. The request cannot be sent again afterwards.
     /// @param chunk buffer for the bytes.
     /// @param size set to the number of bytes read; after a success it is 0 only at the end of the body.
-    asio::awaitable<error_code> read_more(std::span<char> chunk, std::size_t& size);
+    /// @param limit longest time that the read may take; the idle timeout applies as well.
+    asio::awaitable<error_code> read_more(std::span<char> chunk, std::size_t& size, absl::Duration limit);
 
     /// @return true if the body has been read completely.
     bool is_at_end() const {
@@ -50,7 +51,7 @@
     }
 
 private:
-    asio::awaitable<error_code> read_into(std::span<char> chunk, std::size_t& size);
+    asio::awaitable<error_code> read_into(std::span<char> chunk, std::size_t& size, absl::Duration limit);
 
     beast::tcp_stream& m_stream;
     beast::flat_buffer& m_buffer;
--- a/src/http/private/response_relay.h
+++ b/src/http/private/response_relay.h
@@ -17,7 +17,7 @@
     bool has_begun = false; ///< Bytes of the response may have been sent, so a refusal can no longer be sent.
 };
 
-/// Relays the response of an exchange to the caller.
+/// Relays the response of an exchange to the caller. Used on the event loop's thread only.
 class response_relay {
 public:
     explicit response_relay(const proxy_options& options);
@@ -26,20 +26,23 @@
     /// refusal if it is truncated. A larger one is streamed; if it is truncated, the caller's connection is reset.
     /// @param source the exchange; the header of its response has been read.
     /// @param request the caller's request.
-    /// @param buffer_limit maximum number of buffered bytes of the body.
+    /// @param buffer_limit maximum number of buffered bytes of the body. The limit for all responses together applies
+    ///        as well, but not below a small number of bytes.
     /// @param set_headers sets headers of the response before it is sent.
-    asio::awaitable<relay_result> relay(exchange& source, served_request& request, std::size_t buffer_limit,
-                                        const std::function<void(http::fields&)>& set_headers) const;
+    /// @param on_received called when the response has been read completely, before the caller has accepted it.
+    asio::awaitable<relay_result> relay(
+        exchange& source, served_request& request, std::size_t buffer_limit,
+        const std::function<void(http::fields&)>& set_headers, const std::function<void()>& on_received = [] {}) const;
 
 private:
-    asio::awaitable<relay_result> relay_head_only(exchange& source, served_request& request,
-                                                  http::response_header<> head) const;
-    asio::awaitable<relay_result> relay_whole(exchange& source, served_request& request, http::response_header<> head,
+    asio::awaitable<relay_result> relay_head_only(served_request& request, http::response_header<> head) const;
+    asio::awaitable<relay_result> relay_whole(served_request& request, http::response_header<> head,
                                               std::string body) const;
     asio::awaitable<relay_result> relay_stream(exchange& source, served_request& request, http::response_header<> head,
                                                std::string buffered) const;
 
     const proxy_options& m_options;
+    mutable std::size_t m_buffered_bytes = 0; ///< Of all responses that are being buffered.
 };
 
 } // namespace amaranthladder
--- a/src/http/private/served_request.cpp
+++ b/src/http/private/served_request.cpp
@@ -52,6 +52,9 @@
     if (!request.is_head_only()) {
         response.body() = std::move(body);
     }
+    if (request.is_behind()) {
+        co_await request.turn->wait();
+    }
     request.stream.expires_after(refusal_write_timeout);
     const auto [failure, bytes] = co_await http::async_write(request.stream, response, as_result);
     if (failure) {
--- a/src/http/private/served_request.h
+++ b/src/http/private/served_request.h
@@ -3,6 +3,7 @@
 #include "common/result_code.h"
 #include "http/private/asio_types.h"
 #include "http/private/forwarding_headers.h"
+#include "http/private/one_shot_event.h"
 #include "http/private/request_body.h"
 #include "routing/router.h"
 
@@ -27,12 +28,18 @@
     std::optional<absl::Duration> backlog = {};     ///< For refusals to another daemon: expected wait for a slot.
     std::optional<owner_report> report = {};        ///< For refusals to another daemon.
     std::optional<absl::Duration> retry_after = {}; ///< For refusals: time after which the caller may retry.
+    one_shot_event* turn = nullptr; ///< Set once the responses to earlier requests on the connection have been sent.
 
     std::string_view method() const {
         const auto text = head.method_string();
         return {text.data(), text.size()};
     }
 
+    /// @return true if responses to earlier requests have to be sent first; wait for `turn` before writing.
+    bool is_behind() const {
+        return turn != nullptr && !turn->is_set();
+    }
+
     bool is_head_only() const {
         return head.method() == http::verb::head;
     }
--- a/src/http/proxy_options.h
+++ b/src/http/proxy_options.h
@@ -27,6 +27,14 @@
     std::size_t body_buffer_bytes = std::size_t{64} * 1024;
     /// The entry buffers responses up to this size, so that a truncated one can be replaced by another attempt.
     std::size_t response_buffer_bytes = std::size_t{1024} * 1024;
+    /// The same for all responses together; those that do not fit are streamed sooner.
+    std::size_t response_buffer_total_bytes = std::size_t{8} * 1024 * 1024;
+    /// Requests that a caller may send on a connection before the response to an earlier one.
+    std::size_t max_requests_ahead = 16;
+    /// The same for all connections together; bounds the memory that such requests take.
+    std::size_t max_requests_ahead_total = 256;
+    /// Responses up to this size are buffered while those to earlier requests on the connection are awaited.
+    std::size_t ahead_buffer_bytes = std::size_t{64} * 1024;
     absl::Duration connect_timeout = absl::Milliseconds(250);
     absl::Duration first_byte_timeout = absl::Seconds(5);
     /// Time to receive a request's headers after their first byte.
--- a/src/moves/move_engine.cpp
+++ b/src/moves/move_engine.cpp
@@ -68,6 +68,10 @@
         }
     }
 
+    void set_is_decider(bool is_decider) {
+        m_is_decider = is_decider;
+    }
+
     void observe(const call_sample& sample) {
         for (auto& [identity, controller] : m_controllers) {
             controller.observe(sample);
@@ -93,7 +97,7 @@
         m_ticked_at = std::max(m_ticked_at, now);
         std::vector<move_record> changed;
         for (auto& [identity, controller] : m_controllers) {
-            controller.tick(now >= m_decisions_resume_at, now);
+            controller.tick(m_is_decider, now >= m_decisions_resume_at, now);
             for (move_record& record : controller.take_due(now)) {
                 changed.push_back(std::move(record));
             }
@@ -182,6 +186,7 @@
     state_chart m_chart;
     std::string m_service;
     std::string m_version;
+    bool m_is_decider = true;
     std::map<move_identity, move_controller> m_controllers;
     std::map<move_identity, bool> m_is_declared;
     std::map<move_identity, undeclared_record> m_undeclared;
@@ -202,6 +207,10 @@
     m_implementation->set_upstream(service, version);
 }
 
+void move_engine::set_is_decider(bool is_decider) {
+    m_implementation->set_is_decider(is_decider);
+}
+
 void move_engine::observe(const call_sample& sample) {
     m_implementation->observe(sample);
 }
--- a/src/moves/move_engine.h
+++ b/src/moves/move_engine.h
@@ -57,6 +57,10 @@
     /// @param now current time.
     void set_upstream(const std::string& service, const std::string& version, absl::Time now);
 
+    /// Sets whether this daemon decides on moves; a new engine does. Call counts are sent to a few daemons, which
+    /// decide; a daemon that knows only its own calls must not.
+    void set_is_decider(bool is_decider);
+
     /// Counts a call that the upstream beside this daemon has answered, failed or refused.
     void observe(const call_sample& sample);
 
--- a/src/moves/move_policy.h
+++ b/src/moves/move_policy.h
@@ -50,13 +50,13 @@
     absl::Duration recovery_time = absl::Seconds(3);
 
     // Exchange of call counts.
-    absl::Duration publish_interval = absl::Seconds(2);       ///< Minimum interval between sends of a row.
+    absl::Duration publish_interval = absl::Seconds(1);       ///< Minimum interval between sends of a row.
     absl::Duration urgent_interval = absl::Milliseconds(500); ///< The same while a daemon suspects a fault.
     absl::Duration heartbeat_interval = absl::Seconds(5);     ///< Unchanged rows are sent again at this interval.
     absl::Duration contributor_timeout = absl::Seconds(15);   ///< A contributor silent for longer counts as absent.
     absl::Duration max_tick_gap = absl::Seconds(3);  ///< A longer gap between ticks means that this process was paused.
     absl::Duration pause_grace = absl::Seconds(3);   ///< No decisions for this time after such a pause.
-    std::size_t max_contributors = 64;               ///< Other daemons whose call counts are kept per move.
+    std::size_t max_contributors = 512;              ///< Other daemons whose call counts are kept per move.
     std::size_t max_routes = 8;                      ///< Routes with separate counts; further routes share a row.
     absl::Duration ended_retention = absl::Hours(1); ///< Records of moves that are not declared are kept this long.
     std::size_t max_records = 4096;                  ///< Maximum number of moves held, declared or not.
--- a/src/moves/private/move_controller.cpp
+++ b/src/moves/private/move_controller.cpp
@@ -91,7 +91,7 @@
     sync_state();
 }
 
-void move_controller::tick(bool may_decide, absl::Time now) {
+void move_controller::tick(bool is_decider, bool may_decide, absl::Time now) {
     m_may_decide = may_decide;
     for (const call_count_delta& delta : m_call_counts.take_own_deltas(now)) {
         add(delta, now);
@@ -100,6 +100,9 @@
         m_final_since = std::min(m_final_since, now);
         return;
     }
+    if (!is_decider) {
+        return;
+    }
     evaluate(may_decide, now);
     if (may_decide && !is_final()) {
         check_deadline(now);
--- a/src/moves/private/move_controller.h
+++ b/src/moves/private/move_controller.h
@@ -52,9 +52,10 @@
     void replace();
 
     /// Evaluates the call counts and advances the move.
+    /// @param is_decider false if other daemons decide, because this one does not receive all call counts.
     /// @param may_decide false just after a pause of this process, when its call counts are stale.
     /// @param now current time.
-    void tick(bool may_decide, absl::Time now);
+    void tick(bool is_decider, bool may_decide, absl::Time now);
 
     /// @return records that are due for sending.
     std::vector<move_record> take_due(absl::Time now);
--- a/src/peers/messages.h
+++ b/src/peers/messages.h
@@ -59,7 +59,8 @@
     endpoint target; ///< ping_req: the member to probe. Relayed ack: the member that answered.
     peer_digest digest;
     std::vector<table_record> records;
-    bool follows_store = false; ///< The sender watches the store and sees its changes at once.
+    bool follows_store = false;       ///< The sender watches the store and sees its changes at once.
+    std::vector<std::string> reports; ///< Encoded opaque records for the receiver only, which no table holds.
 
     friend bool operator==(const datagram&, const datagram&) = default;
 };
--- a/src/peers/peer_node.cpp
+++ b/src/peers/peer_node.cpp
@@ -22,6 +22,8 @@
 constexpr std::size_t max_repair_bytes = std::size_t{900} * 1024; // The frame stays below 1 MB.
 // Bytes by which the list header of a datagram may grow when records are added.
 constexpr std::size_t list_overhead_bytes = 4;
+// Bytes of a datagram that reports may take; the rest is for the header, the digest and the sender.
+constexpr std::size_t max_report_bytes = 900;
 
 template <typename Table> std::vector<std::uint64_t> bucket_hashes(const Table& table) {
     const auto buckets = table.buckets();
@@ -120,6 +122,13 @@
             return {};
         }
     }
+    for (const std::string& report : message->reports) {
+        if (std::optional<opaque_record> decoded = message_codec::decode_opaque(report)) {
+            m_pending_output.reports.push_back(std::move(*decoded));
+        } else {
+            ++m_drops.malformed;
+        }
+    }
     m_pending_output.received = message->kind;
     m_membership.merge(message->sender, now);
     for (const decoded_record& record : records) {
@@ -243,9 +252,10 @@
         return false;
     }
     const opaque_record& merged = m_opaque_table.find(received.key)->record;
-    m_gossip_queue.add(table_id::opaque, merged.key, message_codec::encode(merged), absl::InfiniteFuture(), false);
-    if (rules.is_urgent && rules.is_urgent(merged)) {
-        request_notifications(1);
+    const bool is_urgent = rules.is_urgent && rules.is_urgent(merged);
+    m_gossip_queue.add(table_id::opaque, merged.key, message_codec::encode(merged), absl::InfiniteFuture(), is_urgent);
+    if (is_urgent) {
+        request_notifications(m_settings.urgent_rounds);
     }
     m_pending_output.opaque.push_back(merged);
     return true;
@@ -375,6 +385,32 @@
     return is_changed;
 }
 
+void peer_node::send_reports(const std::vector<endpoint>& to, const std::vector<opaque_record>& records,
+                             absl::Time now) {
+    std::vector<std::vector<std::string>> datagrams;
+    std::size_t used = max_report_bytes;
+    for (const opaque_record& record : records) {
+        std::string bytes = message_codec::encode(record);
+        if (bytes.size() > max_report_bytes) {
+            ++m_drops.too_large;
+            continue;
+        }
+        if (used + bytes.size() > max_report_bytes) {
+            datagrams.emplace_back();
+            used = 0;
+        }
+        used += bytes.size() + list_overhead_bytes;
+        datagrams.back().push_back(std::move(bytes));
+    }
+    for (const endpoint& receiver : to) {
+        for (const std::vector<std::string>& reports : datagrams) {
+            if (receiver != m_settings.address) {
+                send({receiver, message_kind::notify, 0, {}}, now, reports);
+            }
+        }
+    }
+}
+
 void peer_node::add_contacts(const std::vector<endpoint>& contacts, absl::Time now) {
     m_membership.add_contacts(contacts, now);
 }
@@ -438,8 +474,9 @@
     m_next_notify = now + m_settings.notify_interval;
 }
 
-void peer_node::send(const probe_message& message, absl::Time now) {
+void peer_node::send(const probe_message& message, absl::Time now, std::vector<std::string> reports) {
     datagram out;
+    out.reports = std::move(reports);
     out.kind = message.kind;
     out.sequence = message.sequence;
     out.sender = self();
--- a/src/peers/peer_node.h
+++ b/src/peers/peer_node.h
@@ -40,6 +40,7 @@
     std::vector<member> members;            ///< Members whose state changed.
     std::vector<upstream_record> upstreams; ///< Upstream records that changed.
     std::vector<opaque_record> opaque;      ///< Records of the opaque table that changed.
+    std::vector<opaque_record> reports;     ///< Records that a peer sent to this daemon only.
 };
 
 /// Numbers of datagrams and records that were dropped.
@@ -89,6 +90,12 @@
     /// @throws error with result_code::message_too_large if the record exceeds max_opaque_bytes.
     bool put_opaque(const opaque_record& record, absl::Time now);
 
+    /// Sends records to some daemons only. They enter no table and are neither acknowledged nor repeated, so the next
+    /// report must include what a lost one said.
+    /// @param to addresses of the receivers; this daemon's own is skipped.
+    /// @param records records that each fit into a datagram; larger ones are dropped and counted.
+    void send_reports(const std::vector<endpoint>& to, const std::vector<opaque_record>& records, absl::Time now);
+
     /// Adds addresses of daemons to join the mesh through.
     void add_contacts(const std::vector<endpoint>& contacts, absl::Time now);
 
@@ -208,7 +215,7 @@
     void sweep_opaque();
     void request_notifications(int rounds);
     void send_notifications(absl::Time now, absl::BitGenRef random);
-    void send(const probe_message& message, absl::Time now);
+    void send(const probe_message& message, absl::Time now, std::vector<std::string> reports = {});
     node_output take_output(absl::Time now, absl::BitGenRef random);
     int transmissions() const;
     upstream_directory::owner_query owner_query() const;
--- a/src/peers/peer_server.cpp
+++ b/src/peers/peer_server.cpp
@@ -175,7 +175,8 @@
             m_tasks.insert(m_tasks.end(), output.pulls.begin(), output.pulls.end());
             m_tasks.insert(m_tasks.end(), output.repairs.begin(), output.repairs.end());
         }
-        const bool is_changed = !output.members.empty() || !output.upstreams.empty() || !output.opaque.empty();
+        const bool is_changed =
+            !output.members.empty() || !output.upstreams.empty() || !output.opaque.empty() || !output.reports.empty();
         if (is_changed && m_callbacks.on_change) {
             m_callbacks.on_change(output);
         }
@@ -327,6 +328,10 @@
     return m_implementation->change([&](peer_node& node, absl::Time now) { return node.put_opaque(record, now); });
 }
 
+void peer_server::send_reports(const std::vector<endpoint>& to, const std::vector<opaque_record>& records) {
+    m_implementation->change([&](peer_node& node, absl::Time now) { node.send_reports(to, records, now); });
+}
+
 void peer_server::add_contacts(const std::vector<endpoint>& contacts) {
     m_implementation->change([&](peer_node& node, absl::Time now) { node.add_contacts(contacts, now); });
 }
--- a/src/peers/peer_server.h
+++ b/src/peers/peer_server.h
@@ -76,6 +76,8 @@
     upstream_record announce_upstream(const upstream_record& record);
     void withdraw_upstream(const std::string& id);
     bool put_opaque(const opaque_record& record);
+    /// Sends records to some daemons only, see peer_node::send_reports().
+    void send_reports(const std::vector<endpoint>& to, const std::vector<opaque_record>& records);
     void add_contacts(const std::vector<endpoint>& contacts);
     void set_configuration(const configuration_digest& current);
     void set_follows_store(bool follows);
--- a/src/peers/peer_settings.h
+++ b/src/peers/peer_settings.h
@@ -41,9 +41,11 @@
 
     int notify_fan_out = 5; ///< Peers notified at once of a new configuration version or a leaving upstream.
     int notify_rounds = 2;  ///< Rounds of notifications for a new configuration version, in case some are lost.
-    absl::Duration notify_interval = absl::Milliseconds(200); ///< Minimum time between two rounds of notifications.
-    double notify_per_second = 4; ///< Sustained rate of notifications; bounds the bytes sent during many changes.
-    double notify_burst = 40;     ///< Maximum number of notifications in a burst.
+    /// Rounds of notifications for an urgent record, sent by each daemon that learns of it.
+    int urgent_rounds = 3;
+    absl::Duration notify_interval = absl::Milliseconds(100); ///< Minimum time between two rounds of notifications.
+    double notify_per_second = 20; ///< Sustained rate of notifications; bounds the bytes sent during many changes.
+    double notify_burst = 120;     ///< Maximum number of notifications in a burst.
 
     int concurrent_pulls = 3;
     absl::Duration pull_jitter = absl::Milliseconds(20);
--- a/src/peers/private/wire_conversion.cpp
+++ b/src/peers/private/wire_conversion.cpp
@@ -223,6 +223,7 @@
     out.table_roots = hashes_to_wire(value.digest.table_roots);
     records_to_wire(value.records, out);
     out.follows_store = value.follows_store;
+    out.reports = value.reports;
     return out;
 }
 
@@ -242,6 +243,7 @@
     std::ranges::copy(roots, out.digest.table_roots.begin());
     out.records = records_from_wire(value.records);
     out.follows_store = value.follows_store;
+    out.reports = value.reports;
     return out;
 }
 
--- a/src/routing/retry_budget.cpp
+++ b/src/routing/retry_budget.cpp
@@ -9,18 +9,15 @@
 void retry_budget::on_request(const std::string& service, absl::Time now) {
     service_budget& budget = m_budgets[service];
     advance_window(budget, now);
-    ++budget.requests_by_bucket[static_cast<std::size_t>(budget.newest_bucket) % bucket_count];
-    ++budget.recent_requests;
-    budget.tokens = std::min(budget.tokens + m_policy.retries_per_request,
-                             static_cast<double>(budget.recent_requests) * m_policy.retries_per_request);
+    ++newest(budget).requests;
     m_reserve = std::min(m_reserve + m_policy.reserve_per_request, m_policy.reserve);
 }
 
 bool retry_budget::try_spend(const std::string& service, absl::Time now) {
     service_budget& budget = m_budgets[service];
     advance_window(budget, now);
-    if (budget.tokens >= 1) {
-        budget.tokens -= 1;
+    if (unused_retries(budget) >= 1) {
+        ++newest(budget).retries;
         return true;
     }
     if (m_reserve >= 1) {
@@ -37,11 +34,12 @@
     }
     service_budget copy = found->second;
     advance_window(copy, now);
-    return copy.tokens + m_reserve;
+    return unused_retries(copy) + m_reserve;
 }
 
 std::int64_t retry_budget::bucket_number(absl::Time now) const {
-    const std::int64_t bucket_us = absl::ToInt64Microseconds(m_policy.window) / static_cast<std::int64_t>(bucket_count);
+    const std::int64_t bucket_us =
+        absl::ToInt64Microseconds(m_policy.window) / static_cast<std::int64_t>(buckets_per_window);
     return absl::ToUnixMicros(now) / std::max<std::int64_t>(bucket_us, 1);
 }
 
@@ -49,13 +47,25 @@
     const std::int64_t current = std::max<std::int64_t>(bucket_number(now), 0);
     const std::int64_t steps = std::min<std::int64_t>(current - budget.newest_bucket, bucket_count);
     for (std::int64_t step = 0; step < steps; ++step) {
-        std::uint32_t& oldest = budget.requests_by_bucket[static_cast<std::size_t>(current - step) % bucket_count];
-        budget.recent_requests -= oldest;
-        oldest = 0;
+        budget.buckets[static_cast<std::size_t>(current - step) % bucket_count] = {};
     }
     // The newest bucket stays in place when the clock steps back.
     budget.newest_bucket = std::max(budget.newest_bucket, current);
-    budget.tokens = std::min(budget.tokens, static_cast<double>(budget.recent_requests) * m_policy.retries_per_request);
+}
+
+double retry_budget::unused_retries(const service_budget& budget) const {
+    std::uint64_t requests = 0;
+    std::uint64_t retries = 0;
+    const std::size_t oldest = static_cast<std::size_t>(budget.newest_bucket + 1) % bucket_count;
+    for (std::size_t index = 0; index < bucket_count; ++index) {
+        requests += index == oldest ? 0 : budget.buckets[index].requests;
+        retries += budget.buckets[index].retries;
+    }
+    return std::max(0.0, static_cast<double>(requests) * m_policy.retries_per_request - static_cast<double>(retries));
+}
+
+retry_budget::bucket& retry_budget::newest(service_budget& budget) {
+    return budget.buckets[static_cast<std::size_t>(budget.newest_bucket) % bucket_count];
 }
 
 } // namespace amaranthladder
--- a/src/routing/retry_budget.h
+++ b/src/routing/retry_budget.h
@@ -12,16 +12,18 @@
 
 /// Parameters of retry_budget; docs/routing.md gives the reasons.
 struct retry_budget_policy {
-    double retries_per_request = 0.08; ///< Retries that each caller request adds to its service's budget.
+    double retries_per_request = 0.08; ///< Retries per caller request of the same service, in any window.
     double reserve_per_request = 0.01; ///< Retries that each caller request adds to the reserve of all services.
     double reserve = 2;                ///< Retries in the reserve at the start, and its upper limit.
-    absl::Duration window = absl::Seconds(10); ///< Unused retries expire after this.
+    absl::Duration window = absl::Seconds(10);
 };
 
 /// Limits the retries of one entry to a share of its caller requests.
 ///
-/// At every moment: retries granted <= (retries_per_request + reserve_per_request) * caller requests + reserve. With
-/// the defaults, upstream calls are under 1.1 times caller calls from 200 caller calls on.
+/// In any window: retries granted <= (retries_per_request + reserve_per_request) * caller requests + reserve. With the
+/// defaults, upstream calls are under 1.1 times caller calls from 200 caller calls on. Retries that were not used do
+/// not add to those of the next window: a service that begins to fail after a quiet period would get twice the share,
+/// and so would the services that its repeated calls need.
 class retry_budget {
 public:
     explicit retry_budget(retry_budget_policy policy = {});
@@ -37,17 +39,25 @@
     double available(const std::string& service, absl::Time now) const;
 
 private:
-    static constexpr std::size_t bucket_count = 10;
+    static constexpr std::size_t buckets_per_window = 20;
+    /// Retries are counted for one bucket longer than requests, so that no window holds more than its share although
+    /// the oldest bucket is dropped as a whole.
+    static constexpr std::size_t bucket_count = buckets_per_window + 1;
+
+    struct bucket {
+        std::uint32_t requests = 0;
+        std::uint32_t retries = 0;
+    };
 
     struct service_budget {
-        double tokens = 0;
-        std::array<std::uint32_t, bucket_count> requests_by_bucket{};
+        std::array<bucket, bucket_count> buckets{};
         std::int64_t newest_bucket = 0;
-        std::uint64_t recent_requests = 0; ///< Sum of requests_by_bucket.
     };
 
     std::int64_t bucket_number(absl::Time now) const;
     void advance_window(service_budget& budget, absl::Time now) const;
+    double unused_retries(const service_budget& budget) const;
+    static bucket& newest(service_budget& budget);
 
     retry_budget_policy m_policy;
     double m_reserve;
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -284,6 +284,7 @@
     candidate_set preferred{{}, choice_reason::none};
     std::vector<upstream_state*> penalised;
     std::vector<upstream_state*> ejected;
+    std::vector<upstream_state*> unreachable;
     for (upstream_state* upstream : group.upstreams) {
         if (!can_serve(upstream->record, matched_route, request)) {
             continue;
@@ -292,9 +293,11 @@
         if (state == availability::probe && request.tried_upstreams.empty()) {
             return {{upstream}, choice_reason::probe};
         }
-        if (state != availability::active) {
+        if (may_be_unreachable(*upstream, now)) {
+            unreachable.push_back(upstream);
+        } else if (state != availability::active) {
             ejected.push_back(upstream);
-        } else if (now < upstream->penalised_until || may_be_unreachable(*upstream, now)) {
+        } else if (now < upstream->penalised_until) {
             penalised.push_back(upstream);
         } else {
             preferred.upstreams.push_back(upstream);
@@ -303,7 +306,13 @@
     if (!preferred.upstreams.empty()) {
         return preferred;
     }
-    return {penalised.empty() ? std::move(ejected) : std::move(penalised), choice_reason::ejection_ignored};
+    // An upstream that fails a part of its requests serves the others; an owner that is out of reach serves none.
+    for (std::vector<upstream_state*>* others : {&penalised, &ejected, &unreachable}) {
+        if (!others->empty()) {
+            return {std::move(*others), choice_reason::ejection_ignored};
+        }
+    }
+    return preferred;
 }
 
 std::vector<pick_candidate> router::make_pick_candidates(const std::vector<upstream_state*>& upstreams,
--- a/src/settings/daemon_settings.cpp
+++ b/src/settings/daemon_settings.cpp
@@ -44,6 +44,8 @@
     result.requests = {static_cast<int>(values.integer("requests", "max_connections")),
                        static_cast<std::size_t>(values.integer("requests", "max_header_bytes")),
                        static_cast<std::size_t>(values.integer("requests", "body_buffer_bytes")),
+                       static_cast<std::size_t>(values.integer("requests", "max_ahead")),
+                       static_cast<std::size_t>(values.integer("requests", "max_ahead_total")),
                        values.duration("requests", "connect_timeout"),
                        values.duration("requests", "first_byte_timeout"),
                        values.duration("requests", "header_timeout"),
--- a/src/settings/daemon_settings.h
+++ b/src/settings/daemon_settings.h
@@ -54,6 +54,8 @@
         int max_connections = 0;
         std::size_t max_header_bytes = 0;
         std::size_t body_buffer_bytes = 0;
+        std::size_t max_ahead = 0;
+        std::size_t max_ahead_total = 0;
         absl::Duration connect_timeout;
         absl::Duration first_byte_timeout;
         absl::Duration header_timeout;
--- a/src/settings/settings_table.cpp
+++ b/src/settings/settings_table.cpp
@@ -43,6 +43,8 @@
     {"requests", "max_connections", setting_type::integer, false, "2000", 1, 100'000, "Connections accepted on the request port."},
     {"requests", "max_header_bytes", setting_type::size, false, "64KiB", 1 * kibibyte, 1 * mebibyte, "Largest header block of a request or response."},
     {"requests", "body_buffer_bytes", setting_type::size, false, "64KiB", 1 * kibibyte, 16 * mebibyte, "A body up to this size is buffered and can be sent again; a larger one is streamed."},
+    {"requests", "max_ahead", setting_type::integer, false, "16", 0, 1'000, "Requests that a caller may send on a connection before the response to an earlier one; those that may be repeated are served side by side. 0: each waits for the response before it."},
+    {"requests", "max_ahead_total", setting_type::integer, false, "256", 0, 100'000, "The same for all connections together."},
     {"requests", "connect_timeout", setting_type::duration, false, "250ms", 10, 30 * second, "Timeout for opening a connection to a daemon or an upstream."},
     {"requests", "first_byte_timeout", setting_type::duration, false, "5s", 10, 1 * hour, "Timeout for the first byte of a response."},
     {"requests", "header_timeout", setting_type::duration, false, "10s", 100, 10 * minute, "Timeout for a request's headers after their first byte has arrived."},
--- a/src/store/http_store.cpp
+++ b/src/store/http_store.cpp
@@ -5,7 +5,6 @@
 
 #include <fmt/format.h>
 
-#include <algorithm>
 #include <charconv>
 #include <utility>
 
@@ -13,10 +12,9 @@
 
 namespace {
 
-// A watch asks the store to respond earlier than the deadline by this fraction of it, so that an unchanged key is
-// reported as unchanged and not as a timeout.
-constexpr double watch_margin_fraction = 0.1;
-constexpr absl::Duration max_watch_margin = absl::Milliseconds(500);
+// Time that the store may take to respond to a watch after its wait has ended. With a margin inside a short wait, a
+// pause of this process of the same length made an unchanged key a timeout.
+constexpr absl::Duration watch_response_margin = absl::Milliseconds(500);
 
 bool read_number(const store_http_response& reply, const char* header, std::uint64_t& number) {
     const std::string text = reply.header(header);
@@ -144,9 +142,10 @@
 }
 
 store_result<versioned_value> http_store::watch(const std::string& key, revision after, absl::Duration deadline) {
-    const absl::Duration wait = deadline - std::min(deadline * watch_margin_fraction, max_watch_margin);
-    const std::string path = fmt::format("/v1/kv/{}?after={}&wait_ms={}", key, after, absl::ToInt64Milliseconds(wait));
-    return to_value(call(*m_connections, m_counter, make_request(store_call_kind::watch, "GET", path), deadline));
+    const std::string path =
+        fmt::format("/v1/kv/{}?after={}&wait_ms={}", key, after, absl::ToInt64Milliseconds(deadline));
+    return to_value(call(*m_connections, m_counter, make_request(store_call_kind::watch, "GET", path),
+                         deadline + watch_response_margin));
 }
 
 void http_store::close() {
--- a/src/tests/fakes/peer_network.cpp
+++ b/src/tests/fakes/peer_network.cpp
@@ -19,6 +19,9 @@
     rules.merge = [](const std::string&, const std::string& stored, const std::string& received) {
         return std::max(stored, received);
     };
+    rules.is_urgent = [](const opaque_record& record) {
+        return record.key.starts_with(peer_network::urgent_key_prefix);
+    };
     return rules;
 }
 
@@ -271,6 +274,23 @@
     m_daemons[node].upstream_version.reset();
 }
 
+void peer_network::put_record(std::size_t node, const opaque_record& record) {
+    m_daemons[node].node->put_opaque(record, m_now);
+}
+
+double peer_network::fraction_holding(const std::string& key) const {
+    double running = 0;
+    double holding = 0;
+    for (std::size_t node = 0; node < size(); ++node) {
+        if (is_running(node)) {
+            const std::vector<opaque_record> records = m_daemons[node].node->opaque_records();
+            running += 1;
+            holding += std::ranges::any_of(records, [&](const opaque_record& held) { return held.key == key; }) ? 1 : 0;
+        }
+    }
+    return holding / running;
+}
+
 void peer_network::put_opaque(std::size_t node) {
     m_daemons[node].node->put_opaque({"move", fmt::format("{:08}", ++m_opaque_value)}, m_now);
 }
--- a/src/tests/fakes/peer_network.h
+++ b/src/tests/fakes/peer_network.h
@@ -68,6 +68,15 @@
     void set_leaving(std::size_t node);
     void put_opaque(std::size_t node);
 
+    /// Keys of records that are urgent.
+    static constexpr const char* urgent_key_prefix = "urgent/";
+
+    /// Puts @p record at @p node.
+    void put_record(std::size_t node, const opaque_record& record);
+
+    /// @return the fraction of the running daemons that hold a record with that key.
+    double fraction_holding(const std::string& key) const;
+
     void run_for(absl::Duration duration);
 
     absl::Time now() const {
--- a/src/tests/request_proxy_test.cpp
+++ b/src/tests/request_proxy_test.cpp
@@ -1,5 +1,4 @@
-#include "fake_upstream.h"
-#include "http/request_proxy.h"
+#include "fakes/two_daemons.h"
 
 #include <absl/synchronization/mutex.h>
 #include <boost/test/data/monomorphic.hpp>
@@ -24,112 +23,6 @@
 
 BOOST_AUTO_TEST_SUITE(request_proxy_test)
 
-namespace {
-
-constexpr endpoint any_port() {
-    return {"127.0.0.1", 0};
-}
-
-/// A service with one upstream, which is local to the daemon "owner". Callers connect to the daemon "entry" or to the
-/// owner.
-class two_daemons {
-public:
-    explicit two_daemons(int slots = 64, int queue_limit = 16)
-        : upstream({"127.0.0.1", 0}, "v1", {}), entry(make_proxy("entry")),
-          owner(make_proxy("owner")), m_threads{std::thread([this] { upstream.run(); }),
-                                                std::thread([this] { entry->run(); }),
-                                                std::thread([this] { owner->run(); })} {
-        auto state = std::make_shared<intended_state>();
-        state->services["tienda"] = {"tienda", absl::Seconds(5), queue_limit, {}};
-        state->routes["orders"] = {"orders", "tienda", "/", {}, route_kind::by_method, absl::ZeroDuration(), {}};
-        state->routes["reads"] = {"reads", "tienda", "/only-get", {"GET"}, route_kind::by_method, absl::ZeroDuration(),
-                                  {}};
-        record.id = "tienda-1";
-        record.service = "tienda";
-        record.version = "v1";
-        record.data_center = "rosario-a";
-        record.owner = owner->address();
-        record.address = upstream.address();
-        record.slots = slots;
-        for (auto* proxy : {entry.get(), owner.get()}) {
-            proxy->set_configuration(state);
-            proxy->set_upstreams({record});
-        }
-        owner->set_local_upstream(record, queue_limit);
-    }
-
-    ~two_daemons() {
-        upstream.stop();
-        entry->stop();
-        owner->stop();
-        for (auto& thread : m_threads) {
-            thread.join();
-        }
-    }
-
-    two_daemons(const two_daemons&) = delete;
-    two_daemons& operator=(const two_daemons&) = delete;
-
-    httplib::Client client(bool through_entry = true) const {
-        const endpoint address = through_entry ? entry->address() : owner->address();
-        httplib::Client result(address.address, address.port);
-        result.set_tcp_nodelay(true);
-        result.set_keep_alive(true);
-        result.set_read_timeout(std::chrono::seconds(30));
-        return result;
-    }
-
-    event_log log{event_log_options{log_level::off, "", 64}};
-    steady_clock clock;
-    fake_upstream upstream;
-    std::unique_ptr<request_proxy> entry;
-    std::unique_ptr<request_proxy> owner;
-    upstream_record record;
-
-private:
-    std::unique_ptr<request_proxy> make_proxy(const std::string& worker) {
-        proxy_options options;
-        options.mesh = "litoral";
-        options.worker = worker;
-        options.listen_address = any_port();
-        options.header_timeout = absl::Milliseconds(300);
-        options.first_byte_timeout = absl::Milliseconds(700);
-        return std::make_unique<request_proxy>(options, router_settings{.data_center = "rosario-a"},
-                                               retry_budget_policy{}, clock, log,
-                                               [](const upstream_call_result& /*call*/) {});
-    }
-
-    std::thread m_threads[3];
-};
-
-std::string code_of(const httplib::Result& result) {
-    return result ? result->get_header_value("x-amaranthladder-code") : "no answer";
-}
-
-/// Sends bytes and reads until the peer closes the connection or sends nothing for two seconds.
-std::string send_raw(const endpoint& address, const std::string& bytes) {
-    const int socket = ::socket(AF_INET, SOCK_STREAM, 0);
-    sockaddr_in remote{};
-    remote.sin_family = AF_INET;
-    remote.sin_port = htons(address.port);
-    inet_pton(AF_INET, address.address.c_str(), &remote.sin_addr);
-    timeval limit{2, 0};
-    setsockopt(socket, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof(limit));
-    std::string received;
-    if (::connect(socket, reinterpret_cast<const sockaddr*>(&remote), sizeof(remote)) == 0) {
-        ::send(socket, bytes.data(), bytes.size(), MSG_NOSIGNAL);
-        char chunk[4096];
-        for (auto size = ::recv(socket, chunk, sizeof(chunk), 0); size > 0;
-             size = ::recv(socket, chunk, sizeof(chunk), 0)) {
-            received.append(chunk, static_cast<std::size_t>(size));
-        }
-    }
-    ::close(socket);
-    return received;
-}
-
-} // namespace
-
 // Guards against bodies that are truncated, duplicated or swapped, for each way in which HTTP delimits a body.
 BOOST_DATA_TEST_CASE(relays_complete_responses, boost::unit_test::data::make({true, false}), through_entry) {
     const two_daemons mesh;
--- a/src/tests/router_test.cpp
+++ b/src/tests/router_test.cpp
@@ -291,6 +291,32 @@
     BOOST_TEST(subject.choose(target, {}, later, random).upstream_id == "frozen");
 }
 
+// Guards against requests that are sent to a frozen owner because the only other upstream is ejected for failing a part
+// of them: 100 of 400 orders were refused as queue-full while the slots of the other upstream were idle.
+BOOST_AUTO_TEST_CASE(prefers_ejected_upstream_to_unresponsive_owner) {
+    router subject(router_settings{.data_center = "a"});
+    subject.set_configuration(state_with_shares({}));
+    upstream_record frozen = make_record("frozen", "1");
+    frozen.owner = {"10.0.0.1", 1};
+    subject.set_upstreams({frozen, make_record("failing", "1")}, start);
+    absl::BitGen random;
+    const route target = werkbank_route();
+    for (int request = 0; request < 40; ++request) {
+        subject.on_started("frozen", start);
+        subject.on_finished("frozen", attempt_outcome::answered, absl::Milliseconds(10), std::nullopt, start);
+        subject.on_started("failing", start);
+        subject.on_finished("failing", attempt_outcome::answer_broken, absl::Milliseconds(10), std::nullopt, start);
+    }
+    BOOST_REQUIRE(subject.choose(target, {}, start, random).upstream_id == "frozen");
+    for (int request = 0; request < 3; ++request) {
+        subject.on_started("frozen", start);
+    }
+    const absl::Time later = start + absl::Milliseconds(600);
+    for (int request = 0; request < 50; ++request) {
+        BOOST_TEST(subject.choose(target, {}, later, random).upstream_id == "failing");
+    }
+}
+
 // Guards against traffic between data centres while the local one answers in time, and against staying local when the
 // response would be late.
 BOOST_AUTO_TEST_CASE(prefers_the_local_data_center_within_the_target) {
--- a/thrift/gen/peers_types.cpp
+++ b/thrift/gen/peers_types.cpp
@@ -1026,6 +1026,10 @@
 void datagram::__set_follows_store(const bool val) {
   this->follows_store = val;
 }
+
+void datagram::__set_reports(const std::vector<std::string> & val) {
+  this->reports = val;
+}
 std::ostream& operator<<(std::ostream& out, const datagram& obj)
 {
   obj.printTo(out);
@@ -1138,6 +1142,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->reports.clear();
+            uint32_t _size23;
+            ::apache::thrift::protocol::TType _etype26;
+            xfer += iprot->readListBegin(_etype26, _size23);
+            this->reports.resize(_size23);
+            uint32_t _i27;
+            for (_i27 = 0; _i27 < _size23; ++_i27)
+            {
+              xfer += iprot->readBinary(this->reports[_i27]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.reports = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1187,10 +1211,10 @@
   xfer += oprot->writeFieldBegin("records", ::apache::thrift::protocol::T_LIST, 8);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->records.size()));
-    std::vector<record> ::const_iterator _iter23;
-    for (_iter23 = this->records.begin(); _iter23 != this->records.end(); ++_iter23)
+    std::vector<record> ::const_iterator _iter28;
+    for (_iter28 = this->records.begin(); _iter28 != this->records.end(); ++_iter28)
     {
-      xfer += (*_iter23).write(oprot);
+      xfer += (*_iter28).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1200,6 +1224,18 @@
   xfer += oprot->writeBool(this->follows_store);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("reports", ::apache::thrift::protocol::T_LIST, 10);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->reports.size()));
+    std::vector<std::string> ::const_iterator _iter29;
+    for (_iter29 = this->reports.begin(); _iter29 != this->reports.end(); ++_iter29)
+    {
+      xfer += oprot->writeBinary((*_iter29));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1216,32 +1252,35 @@
   swap(a.table_roots, b.table_roots);
   swap(a.records, b.records);
   swap(a.follows_store, b.follows_store);
+  swap(a.reports, b.reports);
   swap(a.__isset, b.__isset);
 }
 
-datagram::datagram(const datagram& other24) {
-  mesh_hash = other24.mesh_hash;
-  kind = other24.kind;
-  sequence = other24.sequence;
-  sender = other24.sender;
-  target = other24.target;
-  configuration = other24.configuration;
-  table_roots = other24.table_roots;
-  records = other24.records;
-  follows_store = other24.follows_store;
-  __isset = other24.__isset;
-}
-datagram& datagram::operator=(const datagram& other25) {
-  mesh_hash = other25.mesh_hash;
-  kind = other25.kind;
-  sequence = other25.sequence;
-  sender = other25.sender;
-  target = other25.target;
-  configuration = other25.configuration;
-  table_roots = other25.table_roots;
-  records = other25.records;
-  follows_store = other25.follows_store;
-  __isset = other25.__isset;
+datagram::datagram(const datagram& other30) {
+  mesh_hash = other30.mesh_hash;
+  kind = other30.kind;
+  sequence = other30.sequence;
+  sender = other30.sender;
+  target = other30.target;
+  configuration = other30.configuration;
+  table_roots = other30.table_roots;
+  records = other30.records;
+  follows_store = other30.follows_store;
+  reports = other30.reports;
+  __isset = other30.__isset;
+}
+datagram& datagram::operator=(const datagram& other31) {
+  mesh_hash = other31.mesh_hash;
+  kind = other31.kind;
+  sequence = other31.sequence;
+  sender = other31.sender;
+  target = other31.target;
+  configuration = other31.configuration;
+  table_roots = other31.table_roots;
+  records = other31.records;
+  follows_store = other31.follows_store;
+  reports = other31.reports;
+  __isset = other31.__isset;
   return *this;
 }
 void datagram::printTo(std::ostream& out) const {
@@ -1256,6 +1295,7 @@
   out << ", " << "table_roots=" << to_string(table_roots);
   out << ", " << "records=" << to_string(records);
   out << ", " << "follows_store=" << to_string(follows_store);
+  out << ", " << "reports=" << to_string(reports);
   out << ")";
 }
 
@@ -1352,15 +1392,15 @@
   swap(a.__isset, b.__isset);
 }
 
-pull_request::pull_request(const pull_request& other26) {
-  mesh_hash = other26.mesh_hash;
-  held = other26.held;
-  __isset = other26.__isset;
+pull_request::pull_request(const pull_request& other32) {
+  mesh_hash = other32.mesh_hash;
+  held = other32.held;
+  __isset = other32.__isset;
 }
-pull_request& pull_request::operator=(const pull_request& other27) {
-  mesh_hash = other27.mesh_hash;
-  held = other27.held;
-  __isset = other27.__isset;
+pull_request& pull_request::operator=(const pull_request& other33) {
+  mesh_hash = other33.mesh_hash;
+  held = other33.held;
+  __isset = other33.__isset;
   return *this;
 }
 void pull_request::printTo(std::ostream& out) const {
@@ -1464,15 +1504,15 @@
   swap(a.__isset, b.__isset);
 }
 
-table_offer::table_offer(const table_offer& other28) {
-  table = other28.table;
-  bucket_hashes = other28.bucket_hashes;
-  __isset = other28.__isset;
+table_offer::table_offer(const table_offer& other34) {
+  table = other34.table;
+  bucket_hashes = other34.bucket_hashes;
+  __isset = other34.__isset;
 }
-table_offer& table_offer::operator=(const table_offer& other29) {
-  table = other29.table;
-  bucket_hashes = other29.bucket_hashes;
-  __isset = other29.__isset;
+table_offer& table_offer::operator=(const table_offer& other35) {
+  table = other35.table;
+  bucket_hashes = other35.bucket_hashes;
+  __isset = other35.__isset;
   return *this;
 }
 void table_offer::printTo(std::ostream& out) const {
@@ -1535,14 +1575,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->tables.clear();
-            uint32_t _size30;
-            ::apache::thrift::protocol::TType _etype33;
-            xfer += iprot->readListBegin(_etype33, _size30);
-            this->tables.resize(_size30);
-            uint32_t _i34;
-            for (_i34 = 0; _i34 < _size30; ++_i34)
+            uint32_t _size36;
+            ::apache::thrift::protocol::TType _etype39;
+            xfer += iprot->readListBegin(_etype39, _size36);
+            this->tables.resize(_size36);
+            uint32_t _i40;
+            for (_i40 = 0; _i40 < _size36; ++_i40)
             {
-              xfer += this->tables[_i34].read(iprot);
+              xfer += this->tables[_i40].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1575,10 +1615,10 @@
   xfer += oprot->writeFieldBegin("tables", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->tables.size()));
-    std::vector<table_offer> ::const_iterator _iter35;
-    for (_iter35 = this->tables.begin(); _iter35 != this->tables.end(); ++_iter35)
+    std::vector<table_offer> ::const_iterator _iter41;
+    for (_iter41 = this->tables.begin(); _iter41 != this->tables.end(); ++_iter41)
     {
-      xfer += (*_iter35).write(oprot);
+      xfer += (*_iter41).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1596,15 +1636,15 @@
   swap(a.__isset, b.__isset);
 }
 
-repair_offer::repair_offer(const repair_offer& other36) {
-  mesh_hash = other36.mesh_hash;
-  tables = other36.tables;
-  __isset = other36.__isset;
+repair_offer::repair_offer(const repair_offer& other42) {
+  mesh_hash = other42.mesh_hash;
+  tables = other42.tables;
+  __isset = other42.__isset;
 }
-repair_offer& repair_offer::operator=(const repair_offer& other37) {
-  mesh_hash = other37.mesh_hash;
-  tables = other37.tables;
-  __isset = other37.__isset;
+repair_offer& repair_offer::operator=(const repair_offer& other43) {
+  mesh_hash = other43.mesh_hash;
+  tables = other43.tables;
+  __isset = other43.__isset;
   return *this;
 }
 void repair_offer::printTo(std::ostream& out) const {
@@ -1725,17 +1765,17 @@
   swap(a.__isset, b.__isset);
 }
 
-table_difference::table_difference(const table_difference& other38) {
-  table = other38.table;
-  buckets = other38.buckets;
-  fingerprints = other38.fingerprints;
-  __isset = other38.__isset;
+table_difference::table_difference(const table_difference& other44) {
+  table = other44.table;
+  buckets = other44.buckets;
+  fingerprints = other44.fingerprints;
+  __isset = other44.__isset;
 }
-table_difference& table_difference::operator=(const table_difference& other39) {
-  table = other39.table;
-  buckets = other39.buckets;
-  fingerprints = other39.fingerprints;
-  __isset = other39.__isset;
+table_difference& table_difference::operator=(const table_difference& other45) {
+  table = other45.table;
+  buckets = other45.buckets;
+  fingerprints = other45.fingerprints;
+  __isset = other45.__isset;
   return *this;
 }
 void table_difference::printTo(std::ostream& out) const {
@@ -1787,14 +1827,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->tables.clear();
-            uint32_t _size40;
-            ::apache::thrift::protocol::TType _etype43;
-            xfer += iprot->readListBegin(_etype43, _size40);
-            this->tables.resize(_size40);
-            uint32_t _i44;
-            for (_i44 = 0; _i44 < _size40; ++_i44)
+            uint32_t _size46;
+            ::apache::thrift::protocol::TType _etype49;
+            xfer += iprot->readListBegin(_etype49, _size46);
+            this->tables.resize(_size46);
+            uint32_t _i50;
+            for (_i50 = 0; _i50 < _size46; ++_i50)
             {
-              xfer += this->tables[_i44].read(iprot);
+              xfer += this->tables[_i50].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1823,10 +1863,10 @@
   xfer += oprot->writeFieldBegin("tables", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->tables.size()));
-    std::vector<table_difference> ::const_iterator _iter45;
-    for (_iter45 = this->tables.begin(); _iter45 != this->tables.end(); ++_iter45)
+    std::vector<table_difference> ::const_iterator _iter51;
+    for (_iter51 = this->tables.begin(); _iter51 != this->tables.end(); ++_iter51)
     {
-      xfer += (*_iter45).write(oprot);
+      xfer += (*_iter51).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1843,13 +1883,13 @@
   swap(a.__isset, b.__isset);
 }
 
-repair_difference::repair_difference(const repair_difference& other46) {
-  tables = other46.tables;
-  __isset = other46.__isset;
+repair_difference::repair_difference(const repair_difference& other52) {
+  tables = other52.tables;
+  __isset = other52.__isset;
 }
-repair_difference& repair_difference::operator=(const repair_difference& other47) {
-  tables = other47.tables;
-  __isset = other47.__isset;
+repair_difference& repair_difference::operator=(const repair_difference& other53) {
+  tables = other53.tables;
+  __isset = other53.__isset;
   return *this;
 }
 void repair_difference::printTo(std::ostream& out) const {
@@ -1952,15 +1992,15 @@
   swap(a.__isset, b.__isset);
 }
 
-table_wanted::table_wanted(const table_wanted& other48) {
-  table = other48.table;
-  fingerprints = other48.fingerprints;
-  __isset = other48.__isset;
+table_wanted::table_wanted(const table_wanted& other54) {
+  table = other54.table;
+  fingerprints = other54.fingerprints;
+  __isset = other54.__isset;
 }
-table_wanted& table_wanted::operator=(const table_wanted& other49) {
-  table = other49.table;
-  fingerprints = other49.fingerprints;
-  __isset = other49.__isset;
+table_wanted& table_wanted::operator=(const table_wanted& other55) {
+  table = other55.table;
+  fingerprints = other55.fingerprints;
+  __isset = other55.__isset;
   return *this;
 }
 void table_wanted::printTo(std::ostream& out) const {
@@ -2027,14 +2067,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->wanted.clear();
-            uint32_t _size50;
-            ::apache::thrift::protocol::TType _etype53;
-            xfer += iprot->readListBegin(_etype53, _size50);
-            this->wanted.resize(_size50);
-            uint32_t _i54;
-            for (_i54 = 0; _i54 < _size50; ++_i54)
+            uint32_t _size56;
+            ::apache::thrift::protocol::TType _etype59;
+            xfer += iprot->readListBegin(_etype59, _size56);
+            this->wanted.resize(_size56);
+            uint32_t _i60;
+            for (_i60 = 0; _i60 < _size56; ++_i60)
             {
-              xfer += this->wanted[_i54].read(iprot);
+              xfer += this->wanted[_i60].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2047,14 +2087,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->records.clear();
-            uint32_t _size55;
-            ::apache::thrift::protocol::TType _etype58;
-            xfer += iprot->readListBegin(_etype58, _size55);
-            this->records.resize(_size55);
-            uint32_t _i59;
-            for (_i59 = 0; _i59 < _size55; ++_i59)
+            uint32_t _size61;
+            ::apache::thrift::protocol::TType _etype64;
+            xfer += iprot->readListBegin(_etype64, _size61);
+            this->records.resize(_size61);
+            uint32_t _i65;
+            for (_i65 = 0; _i65 < _size61; ++_i65)
             {
-              xfer += this->records[_i59].read(iprot);
+              xfer += this->records[_i65].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2087,10 +2127,10 @@
   xfer += oprot->writeFieldBegin("wanted", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->wanted.size()));
-    std::vector<table_wanted> ::const_iterator _iter60;
-    for (_iter60 = this->wanted.begin(); _iter60 != this->wanted.end(); ++_iter60)
+    std::vector<table_wanted> ::const_iterator _iter66;
+    for (_iter66 = this->wanted.begin(); _iter66 != this->wanted.end(); ++_iter66)
     {
-      xfer += (*_iter60).write(oprot);
+      xfer += (*_iter66).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2099,10 +2139,10 @@
   xfer += oprot->writeFieldBegin("records", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->records.size()));
-    std::vector<record> ::const_iterator _iter61;
-    for (_iter61 = this->records.begin(); _iter61 != this->records.end(); ++_iter61)
+    std::vector<record> ::const_iterator _iter67;
+    for (_iter67 = this->records.begin(); _iter67 != this->records.end(); ++_iter67)
     {
-      xfer += (*_iter61).write(oprot);
+      xfer += (*_iter67).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2121,17 +2161,17 @@
   swap(a.__isset, b.__isset);
 }
 
-repair_exchange::repair_exchange(const repair_exchange& other62) {
-  mesh_hash = other62.mesh_hash;
-  wanted = other62.wanted;
-  records = other62.records;
-  __isset = other62.__isset;
+repair_exchange::repair_exchange(const repair_exchange& other68) {
+  mesh_hash = other68.mesh_hash;
+  wanted = other68.wanted;
+  records = other68.records;
+  __isset = other68.__isset;
 }
-repair_exchange& repair_exchange::operator=(const repair_exchange& other63) {
-  mesh_hash = other63.mesh_hash;
-  wanted = other63.wanted;
-  records = other63.records;
-  __isset = other63.__isset;
+repair_exchange& repair_exchange::operator=(const repair_exchange& other69) {
+  mesh_hash = other69.mesh_hash;
+  wanted = other69.wanted;
+  records = other69.records;
+  __isset = other69.__isset;
   return *this;
 }
 void repair_exchange::printTo(std::ostream& out) const {
@@ -2187,14 +2227,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->records.clear();
-            uint32_t _size64;
-            ::apache::thrift::protocol::TType _etype67;
-            xfer += iprot->readListBegin(_etype67, _size64);
-            this->records.resize(_size64);
-            uint32_t _i68;
-            for (_i68 = 0; _i68 < _size64; ++_i68)
+            uint32_t _size70;
+            ::apache::thrift::protocol::TType _etype73;
+            xfer += iprot->readListBegin(_etype73, _size70);
+            this->records.resize(_size70);
+            uint32_t _i74;
+            for (_i74 = 0; _i74 < _size70; ++_i74)
             {
-              xfer += this->records[_i68].read(iprot);
+              xfer += this->records[_i74].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2231,10 +2271,10 @@
   xfer += oprot->writeFieldBegin("records", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->records.size()));
-    std::vector<record> ::const_iterator _iter69;
-    for (_iter69 = this->records.begin(); _iter69 != this->records.end(); ++_iter69)
+    std::vector<record> ::const_iterator _iter75;
+    for (_iter75 = this->records.begin(); _iter75 != this->records.end(); ++_iter75)
     {
-      xfer += (*_iter69).write(oprot);
+      xfer += (*_iter75).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2256,15 +2296,15 @@
   swap(a.__isset, b.__isset);
 }
 
-repair_records::repair_records(const repair_records& other70) {
-  records = other70.records;
-  answered = other70.answered;
-  __isset = other70.__isset;
+repair_records::repair_records(const repair_records& other76) {
+  records = other76.records;
+  answered = other76.answered;
+  __isset = other76.__isset;
 }
-repair_records& repair_records::operator=(const repair_records& other71) {
-  records = other71.records;
-  answered = other71.answered;
-  __isset = other71.__isset;
+repair_records& repair_records::operator=(const repair_records& other77) {
+  records = other77.records;
+  answered = other77.answered;
+  __isset = other77.__isset;
   return *this;
 }
 void repair_records::printTo(std::ostream& out) const {
@@ -2351,13 +2391,13 @@
   swap(a.__isset, b.__isset);
 }
 
-refusal::refusal(const refusal& other72) noexcept : TException() {
-  code = other72.code;
-  __isset = other72.__isset;
+refusal::refusal(const refusal& other78) noexcept : TException() {
+  code = other78.code;
+  __isset = other78.__isset;
 }
-refusal& refusal::operator=(const refusal& other73) noexcept {
-  code = other73.code;
-  __isset = other73.__isset;
+refusal& refusal::operator=(const refusal& other79) noexcept {
+  code = other79.code;
+  __isset = other79.__isset;
   return *this;
 }
 void refusal::printTo(std::ostream& out) const {
--- a/thrift/gen/peers_types.h
+++ b/thrift/gen/peers_types.h
@@ -447,7 +447,7 @@
 std::ostream& operator<<(std::ostream& out, const record& obj);
 
 typedef struct _datagram__isset {
-  _datagram__isset() : mesh_hash(false), kind(false), sequence(false), sender(false), target(false), configuration(false), table_roots(false), records(false), follows_store(false) {}
+  _datagram__isset() : mesh_hash(false), kind(false), sequence(false), sender(false), target(false), configuration(false), table_roots(false), records(false), follows_store(false), reports(false) {}
   bool mesh_hash :1;
   bool kind :1;
   bool sequence :1;
@@ -457,6 +457,7 @@
   bool table_roots :1;
   bool records :1;
   bool follows_store :1;
+  bool reports :1;
 } _datagram__isset;
 
 class datagram : public virtual ::apache::thrift::TBase {
@@ -482,6 +483,7 @@
   std::string table_roots;
   std::vector<record>  records;
   bool follows_store;
+  std::vector<std::string>  reports;
 
   _datagram__isset __isset;
 
@@ -503,6 +505,8 @@
 
   void __set_follows_store(const bool val);
 
+  void __set_reports(const std::vector<std::string> & val);
+
   bool operator == (const datagram & rhs) const
   {
     if (!(mesh_hash == rhs.mesh_hash))
@@ -525,6 +529,8 @@
       return false;
     if (!(follows_store == rhs.follows_store))
       return false;
+    if (!(reports == rhs.reports))
+      return false;
     return true;
   }
   bool operator != (const datagram &rhs) const {
--- a/thrift/peers.thrift
+++ b/thrift/peers.thrift
@@ -55,6 +55,7 @@
   7: binary table_roots  // 8 bytes per table, little-endian
   8: list<record> records
   9: bool follows_store  // the sender watches the store and sees its changes at once
+  10: list<binary> reports  // encoded opaque records for the receiver only
 }
 
 struct pull_request {
