--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -34,3 +34,10 @@
   echo "lint: the platform's wire names belong in platform/" >&2
   exit 1
 fi
+# Clocks of hosts jump, so nothing in the daemon may depend on the time of day, except the times in its log and the start
+# of steady_clock. The operator's tool and the publisher that it uses run on the operator's host.
+if git grep -nE 'absl::Now\(|system_clock|AwaitWith(Timeout|Deadline)|WaitWith(Timeout|Deadline)' \
+  -- src platform ':!src/tests' ':!src/tool' ':!src/common/steady_clock.cpp' ':!src/store/publisher.h'; then
+  echo "lint: use steady_clock or stop_signal, the time of day may jump" >&2
+  exit 1
+fi
--- a/src/daemon/intent_store_client.h
+++ b/src/daemon/intent_store_client.h
@@ -4,6 +4,7 @@
 #include "common/error.h"
 #include "common/event_log.h"
 #include "common/steady_clock.h"
+#include "common/stop_signal.h"
 #include "daemon/intent_format.h"
 #include "daemon/store_client.h"
 #include "store/call_counter.h"
@@ -73,10 +74,7 @@
           m_follow_thread([this] { follow(); }), m_maintenance_thread([this] { run_maintenance(); }) {}
 
     ~intent_store_client() override {
-        {
-            const absl::MutexLock lock(&m_mutex);
-            m_is_stopped = true;
-        }
+        m_stop.stop();
         m_store->close();
         m_follow_thread.join();
         m_maintenance_thread.join();
@@ -120,7 +118,7 @@
 
     void set_reachable(bool is_reachable, store_outcome outcome) {
         const absl::MutexLock lock(&m_mutex);
-        if (m_is_stopped) {
+        if (m_stop.is_stopped()) {
             return;
         }
         if (is_reachable) {
@@ -297,13 +295,11 @@
     }
 
     bool is_stopped() const {
-        const absl::MutexLock lock(&m_mutex);
-        return m_is_stopped;
+        return m_stop.is_stopped();
     }
 
     void wait(absl::Duration delay) {
-        const absl::MutexLock lock(&m_mutex);
-        m_mutex.AwaitWithTimeout(absl::Condition(&m_is_stopped), delay);
+        m_stop.wait(delay);
     }
 
     absl::Duration m_watch_delay;
@@ -314,7 +310,7 @@
     const steady_clock& m_clock;
     event_log& m_log;
     mutable absl::Mutex m_mutex;
-    bool m_is_stopped ABSL_GUARDED_BY(m_mutex) = false;
+    stop_signal m_stop;
     std::optional<absl::Time> m_unreachable_since ABSL_GUARDED_BY(m_mutex);
     prefix_follower<Store> m_follower;
     bool m_follows_store = false;
--- a/src/daemon/store_follower.cpp
+++ b/src/daemon/store_follower.cpp
@@ -9,6 +9,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <chrono>
 #include <utility>
 
 namespace amaranthladder {
@@ -58,10 +59,7 @@
 }
 
 store_follower::~store_follower() {
-    {
-        const absl::MutexLock lock(&m_mutex);
-        m_is_stopped = true;
-    }
+    m_stop.stop();
     m_store.close();
     m_thread.join();
 }
@@ -72,8 +70,7 @@
 }
 
 bool store_follower::is_stopped() const {
-    const absl::MutexLock lock(&m_mutex);
-    return m_is_stopped;
+    return m_stop.is_stopped();
 }
 
 void store_follower::run() {
@@ -169,7 +166,8 @@
         const auto held = m_configuration.current();
         if (!held || head.version > held->version()) {
             head_reader<http_store> reader(m_store);
-            const auto bytes = reader.read_pieces(head, absl::Now() + version_read_timeout);
+            const auto bytes = reader.read_pieces(head, std::chrono::steady_clock::now() +
+                                                            absl::ToChronoNanoseconds(version_read_timeout));
             // No bytes: a newer head has replaced this one, and the next watch will return it.
             if (bytes && m_configuration.apply_encoded(*bytes, head.hash) != pull_outcome::applied) {
                 m_log.error(fmt::format("configuration-refused version={} source=store", head.version));
@@ -198,15 +196,14 @@
         m_log.info(fmt::format("store-reachable after_ms={}",
                                absl::ToInt64Milliseconds(m_clock.now() - *m_unreachable_since)));
         m_unreachable_since.reset();
-    } else if (!is_answered && !m_unreachable_since && !m_is_stopped) {
+    } else if (!is_answered && !m_unreachable_since && !m_stop.is_stopped()) {
         m_unreachable_since = m_clock.now();
         m_log.warning("store-unreachable");
     }
 }
 
 void store_follower::wait(absl::Duration delay) {
-    const absl::MutexLock lock(&m_mutex);
-    m_mutex.AwaitWithTimeout(absl::Condition(&m_is_stopped), delay);
+    m_stop.wait(delay);
 }
 
 } // namespace amaranthladder
--- a/src/daemon/store_follower.h
+++ b/src/daemon/store_follower.h
@@ -2,6 +2,7 @@
 
 #include "common/event_log.h"
 #include "common/steady_clock.h"
+#include "common/stop_signal.h"
 #include "daemon/active_configuration.h"
 #include "daemon/store_client.h"
 #include "report/month_record.h"
@@ -91,7 +92,7 @@
     absl::Time m_next_read;
     backoff m_read_backoff;
     mutable absl::Mutex m_mutex;
-    bool m_is_stopped ABSL_GUARDED_BY(m_mutex) = false;
+    stop_signal m_stop;
     bool m_is_watching ABSL_GUARDED_BY(m_mutex) = false;
     std::optional<absl::Time> m_unreachable_since ABSL_GUARDED_BY(m_mutex);
     std::thread m_thread;
--- a/src/store/head_reader.h
+++ b/src/store/head_reader.h
@@ -7,6 +7,7 @@
 #include <absl/time/clock.h>
 #include <absl/time/time.h>
 
+#include <chrono>
 #include <cstddef>
 #include <optional>
 #include <string>
@@ -28,6 +29,8 @@
 /// Reads the active configuration from a store.
 template <key_value_store Store> class head_reader {
 public:
+    using time_point = std::chrono::steady_clock::time_point;
+
     /// Larger than the largest snapshot; bounds the memory that a damaged head can demand.
     static constexpr std::size_t max_content_bytes = 17'000'000;
 
@@ -40,7 +43,7 @@
     /// @throws error with store_unavailable, store_bad_answer, store_key_absent (a piece is missing) or
     /// snapshot_hash_mismatch.
     std::optional<config_content> read(absl::Duration deadline) {
-        const absl::Time end = absl::Now() + deadline;
+        const time_point end = std::chrono::steady_clock::now() + absl::ToChronoNanoseconds(deadline);
         for (bool is_last_attempt : {false, true}) {
             auto head = read_head(end);
             if (!head) {
@@ -61,7 +64,7 @@
     /// @param end when to give up.
     /// @return the bytes, or nothing if a piece is missing because a newer head has replaced this one.
     /// @throws error with store_unavailable, store_bad_answer or snapshot_hash_mismatch.
-    std::optional<std::string> read_pieces(const config_head& head, absl::Time end) {
+    std::optional<std::string> read_pieces(const config_head& head, time_point end) {
         std::string bytes;
         for (const std::string& name : head.pieces) {
             const auto piece = m_store.get(config_piece_key(name), time_left(end));
@@ -82,7 +85,7 @@
     }
 
 private:
-    std::optional<config_head> read_head(absl::Time end) {
+    std::optional<config_head> read_head(time_point end) {
         const auto found = m_store.get(config_head_key, time_left(end));
         if (found.outcome == store_outcome::absent) {
             return std::nullopt;
@@ -93,8 +96,8 @@
         return config_head::parse(found.value->value);
     }
 
-    static absl::Duration time_left(absl::Time end) {
-        const absl::Duration left = end - absl::Now();
+    static absl::Duration time_left(time_point end) {
+        const absl::Duration left = absl::FromChrono(end - std::chrono::steady_clock::now());
         if (left <= absl::ZeroDuration()) {
             throw error(result_code::store_unavailable, "the deadline has passed");
         }
--- a/src/store/store_connection_pool.cpp
+++ b/src/store/store_connection_pool.cpp
@@ -8,6 +8,7 @@
 #include <httplib.h>
 
 #include <algorithm>
+#include <chrono>
 #include <set>
 
 namespace amaranthladder {
@@ -55,9 +56,9 @@
         for (const auto& [name, value] : sent.headers) {
             request.set_header(name, value);
         }
-        const absl::Time end = absl::Now() + std::max(deadline, min_deadline);
+        const auto end = std::chrono::steady_clock::now() + absl::ToChronoNanoseconds(std::max(deadline, min_deadline));
         set_timeouts(*client, std::max(deadline, min_deadline));
-        request.progress = [end](std::uint64_t, std::uint64_t) { return absl::Now() < end; };
+        request.progress = [end](std::uint64_t, std::uint64_t) { return std::chrono::steady_clock::now() < end; };
         httplib::Error failure = httplib::Error::Success;
         httplib::Response response;
         const bool is_answered = client->send(request, response, failure);
@@ -83,7 +84,7 @@
 private:
     struct idle_client {
         std::unique_ptr<httplib::Client> client;
-        absl::Time since;
+        std::chrono::steady_clock::time_point since;
     };
 
     std::unique_ptr<httplib::Client> acquire() {
@@ -91,7 +92,7 @@
         if (m_is_closed) {
             return nullptr;
         }
-        const absl::Time oldest = absl::Now() - max_idle_time;
+        const auto oldest = std::chrono::steady_clock::now() - absl::ToChronoNanoseconds(max_idle_time);
         std::erase_if(m_idle, [oldest](const idle_client& idle) { return idle.since < oldest; });
         std::unique_ptr<httplib::Client> client;
         if (m_idle.empty()) {
@@ -114,7 +115,7 @@
         const absl::MutexLock lock(&m_mutex);
         m_busy.erase(client.get());
         if (is_reusable && !m_is_closed && m_idle.size() < max_idle_connections) {
-            m_idle.push_back({std::move(client), absl::Now()});
+            m_idle.push_back({std::move(client), std::chrono::steady_clock::now()});
         }
     }
 
--- a/src/tests/publisher_test.cpp
+++ b/src/tests/publisher_test.cpp
@@ -11,6 +11,7 @@
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 
+#include <chrono>
 #include <functional>
 #include <random>
 #include <set>
@@ -279,7 +280,8 @@
     // A head whose hash differs from that of its content must be rejected.
     config_head damaged = content->head;
     damaged.hash[0] = damaged.hash[0] == '0' ? '1' : '0';
-    BOOST_CHECK_EXCEPTION(reader.read_pieces(damaged, absl::Now() + absl::Seconds(10)), error,
+    BOOST_CHECK_EXCEPTION(reader.read_pieces(damaged, std::chrono::steady_clock::now() + std::chrono::seconds(10)),
+                          error,
                           [](const error& problem) { return problem.code() == result_code::snapshot_hash_mismatch; });
 }
 
