--- a/src/tests/endless_response_test.cpp
+++ b/src/tests/endless_response_test.cpp
@@ -27,7 +27,7 @@
 constexpr absl::Duration release_limit = absl::Milliseconds(500);
 /// Allowance for thread scheduling in checks of times.
 constexpr absl::Duration scheduling_allowance = absl::Milliseconds(500);
-constexpr long max_growth_kib = 16 * 1024;
+constexpr long max_growth_kib = 16L * 1024;
 
 long resident_kib() {
     std::ifstream file("/proc/self/statm");
