--- a/src/tests/move_engine_test.cpp
+++ b/src/tests/move_engine_test.cpp
@@ -191,6 +191,22 @@
     BOOST_TEST(daemons.new_owner.share_override().empty());
 }
 
+// Guards against a daemon that advances a move, or takes it back at the deadline, on its own calls: call counts of
+// others are sent to the collectors only.
+BOOST_AUTO_TEST_CASE(daemon_that_does_not_decide_follows_the_others) {
+    daemon_pair pair;
+    pair.new_owner.set_is_decider(false);
+    pair.run(0, 20, call_outcome::good, call_outcome::good);
+    BOOST_TEST(pair.old_owner.status("kiln", at(20))->stage > 0);
+    BOOST_TEST(pair.new_owner.status("kiln", at(20))->stage == pair.old_owner.status("kiln", at(20))->stage);
+    daemon_pair undecided;
+    undecided.old_owner.set_is_decider(false);
+    undecided.new_owner.set_is_decider(false);
+    undecided.run(0, 90, call_outcome::good, call_outcome::good);
+    BOOST_TEST(undecided.new_owner.status("kiln", at(90))->stage == 0);
+    BOOST_TEST(!undecided.new_owner.status("kiln", at(90))->is_final);
+}
+
 // Guards against a rollback or completion decided by a daemon that knows of no calls.
 BOOST_AUTO_TEST_CASE(daemon_without_call_counts_decides_nothing) {
     move_engine engine("host", 1);
--- a/src/tests/peer_node_test.cpp
+++ b/src/tests/peer_node_test.cpp
@@ -11,6 +11,7 @@
 #include <algorithm>
 #include <iterator>
 #include <ostream>
+#include <random>
 #include <string>
 #include <vector>
 
@@ -211,4 +212,39 @@
     BOOST_CHECK_THROW(peer_network(1, settings, 1).start(0), error);
 }
 
+// Guards against reports that spread to all daemons, that stay in a table, or of which some are lost because they do
+// not fit into one datagram.
+BOOST_AUTO_TEST_CASE(reports_reach_their_receivers_only) {
+    constexpr int report_count = 5;
+    constexpr std::size_t report_bytes = 400;
+    const absl::Time now = absl::FromUnixSeconds(1'700'000'000);
+    std::mt19937_64 random(1);
+    peer_settings settings;
+    settings.mesh = "tirol";
+    settings.http_address = {"127.0.0.1", 8080};
+    settings.address = {"127.0.0.1", 1001};
+    peer_node sender(settings, {}, now);
+    settings.address = {"127.0.0.1", 1002};
+    peer_node receiver(settings, {}, now);
+    std::vector<opaque_record> sent;
+    sent.reserve(report_count);
+    for (int number = 0; number < report_count; ++number) {
+        sent.push_back({"counts/" + std::to_string(number), std::string(report_bytes, 'c')});
+    }
+    std::vector<opaque_record> with_too_large = sent;
+    with_too_large.push_back({"too large", std::string(max_datagram_bytes, 'c')});
+    sender.send_reports({sender.self().address, receiver.self().address}, with_too_large, now);
+    std::vector<opaque_record> received;
+    for (const outgoing_datagram& datagram : sender.tick(now, random).datagrams) {
+        BOOST_TEST((datagram.to == receiver.self().address));
+        BOOST_TEST(datagram.bytes.size() <= max_datagram_bytes);
+        const node_output output = receiver.receive(datagram.bytes, now, random);
+        received.insert(received.end(), output.reports.begin(), output.reports.end());
+    }
+    BOOST_TEST((received == sent));
+    BOOST_TEST(sender.drops().too_large == 1U);
+    BOOST_TEST(receiver.opaque_records().empty());
+    BOOST_TEST(sender.opaque_records().empty());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
