--- a/src/http/private/inbound_session.cpp
+++ b/src/http/private/inbound_session.cpp
@@ -47,14 +47,17 @@
       m_pipeline(1 + proxy.options.max_requests_ahead) {}
 
 asio::awaitable<void> inbound_session::run() {
-    bool is_open = true;
-    while (is_open) {
-        const request_pointer next = co_await next_request();
-        if (!next) {
-            break;
+    try {
+        bool is_open = true;
+        while (is_open) {
+            const request_pointer next = co_await next_request();
+            is_open = next && co_await serve_front(next);
         }
-        is_open = co_await serve_front(next);
+    } catch (const std::exception& problem) {
+        m_proxy.log.error(fmt::format("session-failed reason=\"{}\"", problem.what()));
+        m_stream.close();
     }
+    // Requests that are still being served refer to this session.
     co_await end_pipeline();
     m_stream.close();
 }
@@ -186,8 +189,7 @@
 asio::awaitable<bool> inbound_session::serve_front(const request_pointer& next) {
     next->turn.set();
     if (m_pipeline.start_front()) {
-        co_await serve_request(next);
-        next->ended.set();
+        co_await serve_logged(next);
     } else {
         start_reading_ahead();
         const std::unique_ptr<disconnect_watch> watch = watch_for_disconnect();
@@ -205,7 +207,7 @@
     co_return m_stream.socket().is_open();
 }
 
-asio::awaitable<void> inbound_session::serve_ahead(request_pointer next) {
+asio::awaitable<void> inbound_session::serve_logged(request_pointer next) {
     try {
         co_await serve_request(next);
     } catch (const std::exception& problem) {
@@ -252,6 +254,20 @@
 
 asio::awaitable<void> inbound_session::read_ahead() {
     const std::shared_ptr<one_shot_event> end = m_read_end;
+    try {
+        co_await read_ahead_until_stopped();
+    } catch (const std::exception& problem) {
+        m_proxy.log.error(fmt::format("session-failed reason=\"{}\"", problem.what()));
+        m_read_failure = asio::error::connection_aborted;
+    }
+    m_read_end = nullptr;
+    end->set();
+    if (m_read_failure && !is_malformed(m_read_failure)) {
+        disconnect();
+    }
+}
+
+asio::awaitable<void> inbound_session::read_ahead_until_stopped() {
     while (may_read_ahead()) {
         // Without a time limit: a timeout would close the connection under the requests that are being served.
         m_stream.expires_never();
@@ -271,7 +287,7 @@
         }
         if (failure) {
             m_read_failure = m_is_read_stopping && failure == asio::error::operation_aborted ? error_code{} : failure;
-            break;
+            co_return;
         }
         // Other connections may have read ahead meanwhile, so the limit is checked again.
         if (m_reading && m_reading->parser.is_header_done() && may_read_ahead()) {
@@ -279,11 +295,6 @@
             start_behind();
         }
     }
-    m_read_end = nullptr;
-    end->set();
-    if (m_read_failure && !is_malformed(m_read_failure)) {
-        disconnect();
-    }
 }
 
 void inbound_session::start_behind() {
@@ -291,7 +302,7 @@
         m_proxy.log.info(fmt::format("request-ahead request={} in_front={} outstanding={} outstanding_in_all={}",
                                      next->request->info.request_id, m_pipeline.front()->request->info.request_id,
                                      m_pipeline.size(), m_proxy.requests_ahead));
-        asio::co_spawn(m_proxy.context, serve_ahead(next), asio::detached);
+        asio::co_spawn(m_proxy.context, serve_logged(next), asio::detached);
     }
 }
 
@@ -329,7 +340,6 @@
 asio::awaitable<void> inbound_session::end_pipeline() {
     co_await stop_reading_ahead();
     cancel_all();
-    // The requests refer to this session.
     for (const request_pointer& started : std::exchange(m_cancelled, {})) {
         co_await started->ended.wait();
     }
--- a/src/http/private/inbound_session.h
+++ b/src/http/private/inbound_session.h
@@ -71,7 +71,8 @@
     void prepare(pending_request& next);
     asio::awaitable<bool> serve_front(const request_pointer& next);
     asio::awaitable<void> serve_request(const request_pointer& next);
-    asio::awaitable<void> serve_ahead(request_pointer next);
+    /// Serves a request; an exception ends its connection. The parameter keeps the request alive.
+    asio::awaitable<void> serve_logged(request_pointer next);
     forwarding_info read_forwarding_info(const http::request_header<>& head) const;
     absl::Duration time_left(const served_request& request) const;
     asio::awaitable<serve_result> serve_as_entry(pending_request& next);
@@ -82,6 +83,7 @@
     /// @return a watch on the connection; null while read_ahead() reads from it, since that detects a disconnect.
     std::unique_ptr<disconnect_watch> watch_for_disconnect();
     asio::awaitable<void> read_ahead();
+    asio::awaitable<void> read_ahead_until_stopped();
     asio::awaitable<void> stop_reading_ahead();
     void add_read_request(const request_pointer& read);
     void start_behind();
