Forget waiting requests that the event loop destroys

A stopped daemon destroyed requests that waited for a slot; one that held a slot then woke the timer of a destroyed one (found by valgrind). It may be what ended the test program with std::length_error; that was not shown.

--- a/src/http/private/slot_semaphore.cpp
+++ b/src/http/private/slot_semaphore.cpp
@@ -1,5 +1,7 @@
 #include "http/private/slot_semaphore.h"
 
+#include <absl/cleanup/cleanup.h>
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
@@ -29,15 +31,15 @@
     }
     asio::steady_timer timer(m_context, asio::steady_timer::time_point::max());
     m_waiters[id].timer = &timer;
+    // Also when the event loop destroys the suspended request: another one that frees its slot would wake this timer.
+    const absl::Cleanup forget = [this, id] { m_waiters.erase(id); };
     if (!std::exchange(m_is_expiry_running, true)) {
         asio::co_spawn(m_context, expire_waiters(shared_from_this()), asio::detached);
     }
     while (!m_waiters[id].result) {
         co_await timer.async_wait(as_result);
     }
-    const result_code result = *m_waiters[id].result;
-    m_waiters.erase(id);
-    co_return result;
+    co_return *m_waiters[id].result;
 }
 
 void slot_semaphore::release(request_id id) {
--- a/src/tests/request_proxy_test.cpp
+++ b/src/tests/request_proxy_test.cpp
@@ -288,6 +288,23 @@
     BOOST_TEST(mesh.upstream.execution_counts().empty());
 }
 
+// Guards against a stopped daemon that wakes requests which it has destroyed: some of them hold slots, others wait for
+// one. Seen under valgrind; without it the process may crash.
+BOOST_AUTO_TEST_CASE(stops_while_requests_wait_for_slots) {
+    constexpr int caller_count = 12;
+    std::vector<std::unique_ptr<raw_connection>> callers;
+    two_daemons mesh(2, caller_count);
+    fake_upstream_behavior behavior;
+    behavior.is_silent = true;
+    mesh.upstream.set_behavior(behavior);
+    for (int caller = 0; caller < caller_count; ++caller) {
+        callers.push_back(std::make_unique<raw_connection>(mesh.entry->address()));
+        BOOST_REQUIRE(callers.back()->send("GET /x HTTP/1.1\r\nHost: x\r\n\r\n"));
+    }
+    mesh.upstream.wait_for_running_request();
+    std::this_thread::sleep_for(std::chrono::milliseconds(100));
+}
+
 // Guards against a drain that interrupts a request, such as a long download.
 BOOST_AUTO_TEST_CASE(drain_completes_requests_in_flight) {
     two_daemons mesh;
