--- a/src/peers/membership.cpp
+++ b/src/peers/membership.cpp
@@ -135,15 +135,15 @@
         m_probe = probe{*target, m_next_sequence++, now, false, 0};
         out.push_back({*target, message_kind::ping, m_probe->sequence, {}});
     }
-    if (!m_dead_members.empty() && m_round % static_cast<std::uint64_t>(m_settings.rounds_per_dead_probe) == 0) {
-        auto chosen = m_dead_members.begin();
-        std::advance(chosen, absl::Uniform<std::size_t>(random, 0, m_dead_members.size()));
+    if (!m_gone_members.empty() && m_round % static_cast<std::uint64_t>(m_settings.rounds_per_dead_probe) == 0) {
+        auto chosen = m_gone_members.begin();
+        std::advance(chosen, absl::Uniform<std::size_t>(random, 0, m_gone_members.size()));
         out.push_back({*chosen, message_kind::ping, m_next_sequence++, {}});
     }
 }
 
 void membership::prune_indexes() {
-    std::erase_if(m_dead_members, [&](const endpoint& address) { return find(address) == nullptr; });
+    std::erase_if(m_gone_members, [&](const endpoint& address) { return find(address) == nullptr; });
     for (auto& [http_address, addresses] : m_by_http_address) {
         std::erase_if(addresses, [&](const endpoint& address) { return find(address) == nullptr; });
     }
@@ -335,7 +335,7 @@
     m_suspicions.clear();
     m_live.clear();
     m_live_position.clear();
-    m_dead_members.clear();
+    m_gone_members.clear();
     m_by_http_address.clear();
     m_probe.reset();
     m_seed_backoff = m_settings.join_retry_initial;
@@ -361,10 +361,11 @@
         return;
     }
     set_live(changed.address, changed.state == member_state::alive || changed.state == member_state::suspected);
-    if (changed.state == member_state::dead) {
-        m_dead_members.insert(changed.address);
+    // A member that has left may be back at the same address without knowing any peer.
+    if (changed.state == member_state::dead || changed.state == member_state::left) {
+        m_gone_members.insert(changed.address);
     } else {
-        m_dead_members.erase(changed.address);
+        m_gone_members.erase(changed.address);
     }
     if (changed.state == member_state::suspected) {
         m_suspicions[changed.address] = {now + suspicion_time(), absl::InfiniteFuture()};
--- a/src/peers/membership.h
+++ b/src/peers/membership.h
@@ -149,7 +149,7 @@
     std::map<endpoint, suspicion> m_suspicions;
     std::vector<endpoint> m_live;                    ///< Alive and suspected members, without this daemon.
     std::map<endpoint, std::size_t> m_live_position; ///< Index in m_live.
-    std::set<endpoint> m_dead_members;
+    std::set<endpoint> m_gone_members;               ///< Members that are dead or have left; probed now and then.
     std::map<endpoint, std::set<endpoint>> m_by_http_address;
     std::vector<endpoint> m_probe_order; ///< Remaining targets of this pass; the last one is probed next.
     std::vector<endpoint> m_preferred_targets;
--- a/src/peers/peer_settings.h
+++ b/src/peers/peer_settings.h
@@ -21,7 +21,7 @@
     absl::Duration probe_interval = absl::Seconds(1);
     absl::Duration probe_timeout = absl::Milliseconds(300); ///< Time without an ack before indirect probes are sent.
     int indirect_probe_count = 3;
-    int rounds_per_dead_probe = 4;      ///< A dead member is probed in addition once in this many rounds.
+    int rounds_per_dead_probe = 4;      ///< A dead or left member is probed in addition once in this many rounds.
     double suspicion_multiplier = 4.0;  ///< Suspicion lasts this many probe intervals, times log10(members + 9).
     double transmission_multiplier = 3; ///< A change is sent this factor times log2(members + 1) times.
 
--- a/src/tests/peer_node_test.cpp
+++ b/src/tests/peer_node_test.cpp
@@ -247,4 +247,25 @@
     BOOST_TEST(sender.opaque_records().empty());
 }
 
+// Guards against a daemon that is stopped and started again while nobody can tell it of its peers: its seeds are gone
+// and the store is silent. It had no configuration for about 3 s (aulas-valle inc-d729), because nobody probed members
+// that had left.
+BOOST_AUTO_TEST_CASE(restarted_daemon_is_found_by_its_peers) {
+    constexpr std::size_t daemon_count = 12;
+    constexpr std::size_t restarted = 5;
+    peer_settings settings;
+    settings.probe_interval = absl::Milliseconds(300);
+    settings.probe_timeout = absl::Milliseconds(150);
+    peer_network network(daemon_count, settings, scenario_seed());
+    start_all(network);
+    network.run_for(absl::Seconds(15));
+    network.kill(0);
+    network.kill(1);
+    network.leave(restarted);
+    network.run_for(absl::Milliseconds(500));
+    network.start(restarted);
+    network.run_for(absl::Milliseconds(1500));
+    BOOST_TEST(network.node(restarted).members(member_state::alive).size() > 2U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
