--- a/src/tests/request_proxy_test.cpp
+++ b/src/tests/request_proxy_test.cpp
@@ -301,7 +301,10 @@
         callers.push_back(std::make_unique<raw_connection>(mesh.entry->address()));
         BOOST_REQUIRE(callers.back()->send("GET /x HTTP/1.1\r\nHost: x\r\n\r\n"));
     }
-    mesh.upstream.wait_for_running_request();
+    // A silent upstream counts a request as ended before it stays silent.
+    while (mesh.upstream.execution_counts().empty()) {
+        std::this_thread::sleep_for(std::chrono::milliseconds(10));
+    }
     std::this_thread::sleep_for(std::chrono::milliseconds(100));
 }
 
