Log and count the limit and the leaving that upstreams name in responses

Neither header was read, so the logs could not tell an owner that ignores a limit from one that has not heard of it. The owner now keeps what the responses say (requested_rate_limit: a response that was overtaken does not lift a limit), writes a line for each change, and each admission names the limit that it knew and its age. No decision depends on it yet.

--- a/bench/fake_upstream.cpp
+++ b/bench/fake_upstream.cpp
@@ -274,6 +274,9 @@
         if (!id.empty()) {
             response.set("x-amaranthladder-request-id", current_behavior().sends_wrong_request_id ? "another" : id);
         }
+        for (const auto& [name, value] : current_behavior().headers) {
+            response.set(name, value);
+        }
         response.keep_alive(request.keep_alive());
         response.body() = std::move(body);
         response.prepare_payload();
--- a/bench/fake_upstream.h
+++ b/bench/fake_upstream.h
@@ -20,10 +20,11 @@
     std::string fail_path;  ///< Requests with this path prefix run and get status 500.
     /// When the connection is reset: `after-headers`, `after-body` or `in-response`; empty: never.
     std::string reset_at;
-    bool is_silent = false;                    ///< Reads and runs requests, but sends no responses.
-    int silent_connections = 0;                ///< This many of the first accepted connections get no more responses.
-    bool sends_wrong_request_id = false;       ///< Responses carry the id of another request.
-    endless_kind endless = endless_kind::none; ///< Each request runs and is answered with such bytes.
+    bool is_silent = false;                     ///< Reads and runs requests, but sends no responses.
+    int silent_connections = 0;                 ///< This many of the first accepted connections get no more responses.
+    bool sends_wrong_request_id = false;        ///< Responses carry the id of another request.
+    endless_kind endless = endless_kind::none;  ///< Each request runs and is answered with such bytes.
+    std::map<std::string, std::string> headers; ///< Further headers of each response.
 };
 
 /// An HTTP back end for tests and benchmarks, which counts the executions of each request and can inject faults.
--- a/src/daemon/status_text.cpp
+++ b/src/daemon/status_text.cpp
@@ -189,6 +189,10 @@
     add_metric(text, "retries_total", "counter", "", static_cast<double>(status.requests.retries));
     add_metric(text, "malformed_requests_total", "counter", "",
                static_cast<double>(status.requests.malformed_requests));
+    add_metric(text, "upstream_rate_limit_changes_total", "counter", "",
+               static_cast<double>(status.requests.rate_limit_changes));
+    add_metric(text, "upstream_rate_limits_malformed_total", "counter", "",
+               static_cast<double>(status.requests.malformed_rate_limits));
     add_metric(text, "connections", "gauge", "", static_cast<double>(status.requests.connections_open));
     add_metric(text, "log_lines_dropped_total", "counter", "", static_cast<double>(status.dropped_log_lines));
     return text;
--- a/src/http/header_names.h
+++ b/src/http/header_names.h
@@ -13,9 +13,12 @@
     std::string deadline_ms = "x-amaranthladder-deadline-ms"; ///< Time for which the sender waits for the response.
     std::string expected_upstream;                            ///< Id of the only upstream that may execute the request.
     std::string caller_service;                               ///< Service that runs on the caller's host.
-    std::string signature;           ///< If set, responses of upstreams without this header are rejected.
-    std::string not_executed;        ///< In a response of an upstream: the request was not executed.
-    bool passes_mesh_headers = true; ///< Upstreams also receive the route, hop and attempt headers.
+    std::string signature;    ///< If set, responses of upstreams without this header are rejected.
+    std::string not_executed; ///< In a response of an upstream: the request was not executed.
+    /// In a response of an upstream: requests per second that it takes from all callers together, a decimal number.
+    std::string rate_limit = "x-amaranthladder-rate-limit";
+    std::string leaving = "x-amaranthladder-leaving"; ///< In a response of an upstream: `1` if it ends soon.
+    bool passes_mesh_headers = true;                  ///< Upstreams also receive the route, hop and attempt headers.
 };
 
 } // namespace amaranthladder
--- a/src/http/private/forwarding_headers.cpp
+++ b/src/http/private/forwarding_headers.cpp
@@ -121,6 +121,16 @@
     }
 }
 
+upstream_signals read_upstream_signals(const http::fields& fields, const header_names& names) {
+    upstream_signals signals;
+    if (!names.rate_limit.empty() && fields.count(beast_view(names.rate_limit)) > 0) {
+        signals.rate_limit = parse_rate_limit(field_value(fields, names.rate_limit));
+        signals.is_rate_limit_malformed = !signals.rate_limit;
+    }
+    signals.is_leaving = !names.leaving.empty() && field_value(fields, names.leaving) == "1";
+    return signals;
+}
+
 void write_report(http::fields& fields, const owner_report& report) {
     fields.set(beast_view(header::load), fmt::format("{:.3f}", report.load));
     fields.set(beast_view(header::service_us), std::to_string(absl::ToInt64Microseconds(report.service_time)));
--- a/src/http/private/forwarding_headers.h
+++ b/src/http/private/forwarding_headers.h
@@ -3,6 +3,7 @@
 #include "http/header_names.h"
 #include "http/private/asio_types.h"
 #include "routing/router.h"
+#include "routing/upstream_signals.h"
 
 #include <absl/time/time.h>
 
@@ -74,6 +75,9 @@
 void write_upstream_headers(http::fields& fields, const forwarding_info& info, const header_names& names,
                             const std::string& expected_upstream);
 
+/// @return what an upstream says of itself in the headers of a response.
+upstream_signals read_upstream_signals(const http::fields& fields, const header_names& names);
+
 /// Sets the headers in which an owner reports the load of its upstream to an entry.
 void write_report(http::fields& fields, const owner_report& report);
 
--- a/src/http/private/local_upstream.h
+++ b/src/http/private/local_upstream.h
@@ -2,6 +2,7 @@
 
 #include "http/private/slot_semaphore.h"
 #include "peers/upstream_record.h"
+#include "routing/upstream_signals.h"
 
 #include <absl/time/time.h>
 
@@ -16,6 +17,8 @@
     upstream_record record;
     bool is_version_refused = false; ///< Its version was rolled back; other versions serve the requests.
     absl::Time unreachable_until = absl::InfinitePast(); ///< Requests are refused until then after a failed connection.
+    requested_rate_limit rate_limit;
+    bool has_said_leaving = false; ///< A response of this upstream said so.
     std::shared_ptr<slot_semaphore>
         semaphore; ///< Limits its concurrent requests; shared with those that hold or wait for a slot.
 };
--- a/src/http/private/owner_call.cpp
+++ b/src/http/private/owner_call.cpp
@@ -24,6 +24,10 @@
 /// The owner streams larger responses; the entry buffers them, so that it can replace a truncated one.
 constexpr std::size_t owner_buffer_bytes = std::size_t{64} * 1024;
 
+std::string rate_limit_text(std::optional<double> limit) {
+    return limit ? fmt::format("{:g}", *limit) : "none";
+}
+
 upstream_call_result::outcome outcome_of(unsigned status) {
     if (status == static_cast<unsigned>(http::status::service_unavailable)) {
         return upstream_call_result::outcome::refused;
@@ -54,17 +58,7 @@
         wanted.target_time = m_request.received_at + *m_request.info.target_time_left;
     }
     const result_code granted = co_await m_semaphore->acquire(wanted);
-    if (m_proxy.log.is_enabled(log_level::info)) {
-        const absl::Time now = m_proxy.clock.now();
-        const slot_limiter& limiter = m_semaphore->limiter();
-        m_proxy.log.info(fmt::format(
-            "admission request={} upstream={} route={} result={} running={} queued={} priority={} "
-            "waited_ms={} target_in_ms={} deadline_in_ms={} service_ms={}",
-            m_request.info.request_id, m_upstream.id, m_route, name(granted), limiter.running(), limiter.queued(),
-            wanted.priority, absl::ToInt64Milliseconds(now - m_request.received_at),
-            m_request.info.target_time_left ? absl::ToInt64Milliseconds(wanted.target_time - now) : 0,
-            absl::ToInt64Milliseconds(m_deadline - now), absl::ToInt64Milliseconds(limiter.service_time(m_route))));
-    }
+    log_admission(granted, wanted);
     if (granted != result_code::ok) {
         if (granted != result_code::upstream_leaving && granted != result_code::caller_disconnected) {
             report_call(upstream_call_result::outcome::refused);
@@ -89,6 +83,25 @@
     co_return started;
 }
 
+void owner_call::log_admission(result_code granted, const slot_request& wanted) {
+    if (!m_proxy.log.is_enabled(log_level::info)) {
+        return;
+    }
+    const absl::Time now = m_proxy.clock.now();
+    const slot_limiter& limiter = m_semaphore->limiter();
+    const local_upstream* const known = m_proxy.find_local_upstream(m_upstream.id);
+    const std::optional<double> limit = known == nullptr ? std::nullopt : known->rate_limit.value();
+    m_proxy.log.info(fmt::format(
+        "admission request={} upstream={} route={} result={} attempt={} running={} queued={} limit_per_s={} "
+        "limit_age_ms={} priority={} waited_ms={} target_in_ms={} deadline_in_ms={} service_ms={}",
+        m_request.info.request_id, m_upstream.id, m_route, name(granted), m_request.info.attempt, limiter.running(),
+        limiter.queued(), rate_limit_text(limit),
+        limit ? absl::ToInt64Milliseconds(now - known->rate_limit.named_at()) : 0, wanted.priority,
+        absl::ToInt64Milliseconds(now - m_request.received_at),
+        m_request.info.target_time_left ? absl::ToInt64Milliseconds(wanted.target_time - now) : 0,
+        absl::ToInt64Milliseconds(m_deadline - now), absl::ToInt64Milliseconds(limiter.service_time(m_route))));
+}
+
 asio::awaitable<exchange_status> owner_call::send_request() {
     const exchange_status connected = co_await m_exchange.connect(m_upstream.address, m_is_idempotent, m_deadline);
     if (connected.code != result_code::ok) {
@@ -149,6 +162,7 @@
         }
     }
     if (has_field(names.not_executed) || status() == misdirected_status) {
+        observe_signals(false);
         co_return co_await handle_upstream_refusal();
     }
     // Requests do not ask for a content encoding, so an encoded body does not come from the upstream.
@@ -157,9 +171,35 @@
         m_exchange.abort();
         co_return exchange_status{result_code::response_malformed, execution::may_have_run};
     }
+    observe_signals(true);
     co_return exchange_status{};
 }
 
+void owner_call::observe_signals(bool is_complete) {
+    local_upstream* const known = m_proxy.find_local_upstream(m_upstream.id);
+    if (known == nullptr || status() == misdirected_status) {
+        return;
+    }
+    const upstream_signals signals = read_upstream_signals(m_exchange.response().get(), m_proxy.options.headers);
+    if (signals.is_rate_limit_malformed) {
+        ++m_proxy.counters.malformed_rate_limits;
+        m_proxy.log.warning(fmt::format("upstream-limit-ignored upstream={} request={} code={}", m_upstream.id,
+                                        m_request.info.request_id, name(result_code::response_malformed)));
+    } else if (signals.rate_limit || is_complete) {
+        const std::optional<double> previous = known->rate_limit.value();
+        if (known->rate_limit.observe(signals.rate_limit, m_started_at, m_proxy.clock.now())) {
+            ++m_proxy.counters.rate_limit_changes;
+            m_proxy.log.info(fmt::format("upstream-limit upstream={} request={} limit_per_s={} previous={}",
+                                         m_upstream.id, m_request.info.request_id, rate_limit_text(signals.rate_limit),
+                                         rate_limit_text(previous)));
+        }
+    }
+    if (signals.is_leaving && !std::exchange(known->has_said_leaving, true)) {
+        m_proxy.log.info(fmt::format("upstream-leaving upstream={} request={} record_leaving={}", m_upstream.id,
+                                     m_request.info.request_id, known->record.is_leaving));
+    }
+}
+
 asio::awaitable<exchange_status> owner_call::handle_upstream_refusal() {
     const bool is_other_upstream = status() == misdirected_status;
     co_await discard_response();
--- a/src/http/private/owner_call.h
+++ b/src/http/private/owner_call.h
@@ -66,6 +66,10 @@
     http::request_header<> make_request_header() const;
     asio::awaitable<exchange_status> check_response(const exchange::request& outgoing);
     asio::awaitable<exchange_status> handle_upstream_refusal();
+    /// Records what the upstream says of itself in its response.
+    /// @param is_complete false if the response may lack what other responses of the upstream contain.
+    void observe_signals(bool is_complete);
+    void log_admission(result_code granted, const slot_request& wanted);
     bool has_field(const std::string& name);
     /// @return true if the request may be sent again on a new connection. Spends a retry.
     bool may_resend();
--- a/src/http/proxy_statistics.h
+++ b/src/http/proxy_statistics.h
@@ -37,6 +37,8 @@
     std::uint64_t retries = 0;
     std::uint64_t refusals_not_run = 0;
     std::uint64_t refusals_may_have_run = 0;
+    std::uint64_t rate_limit_changes = 0;    ///< Of local upstreams, as named in their responses.
+    std::uint64_t malformed_rate_limits = 0; ///< Responses with a rate limit that is not a number.
     std::uint64_t requests_in_flight = 0;
     std::uint64_t idle_upstream_connections = 0;
 };
