Limit the starts of requests to the rate that an upstream names in its responses

Callers noticed nothing.

Cause: the owner, through which all requests pass, admits by free slots only and never read the limit.

The owner now starts no more requests than the limit lets it (start_rate, in slot_limiter), for first and further attempts, calls of running requests and repeated sends alike. A request waits for its start by priority or is refused at once if it would come too late. Owners report the wait, so that entries choose other upstreams.

--- a/bench/routing_model.cpp
+++ b/bench/routing_model.cpp
@@ -528,7 +528,7 @@
     double reported_load(const attempt_pointer& attempt) {
         worker_host& host = host_of(attempt);
         if (!m_scenario.has_lagging_reports || m_events.now() - host.reported_at >= report_lag) {
-            host.reported_load = host.limiter.load();
+            host.reported_load = host.limiter.load(m_events.now());
             host.reported_at = m_events.now();
         }
         return is_faulty(attempt->worker, worker_fault::lying) ? 0 : host.reported_load;
--- a/src/common/token_bucket.cpp
+++ b/src/common/token_bucket.cpp
@@ -11,8 +11,9 @@
 
 } // namespace
 
-token_bucket::token_bucket(double capacity, absl::Duration refill_interval, absl::Time now)
-    : m_capacity(capacity), m_refill_interval(refill_interval), m_tokens(capacity), m_updated(now) {}
+token_bucket::token_bucket(double capacity, absl::Duration refill_interval, absl::Time now,
+                           std::optional<double> initial)
+    : m_capacity(capacity), m_refill_interval(refill_interval), m_tokens(initial.value_or(capacity)), m_updated(now) {}
 
 bool token_bucket::try_take(absl::Time now) {
     m_tokens = tokens(now);
@@ -24,8 +25,13 @@
     return true;
 }
 
-absl::Time token_bucket::available_at(absl::Time now) const {
-    const double missing = 1.0 - tokens(now);
+void token_bucket::take(absl::Time now) {
+    m_tokens = tokens(now) - 1.0;
+    m_updated = std::max(m_updated, now);
+}
+
+absl::Time token_bucket::available_at(absl::Time now, double count) const {
+    const double missing = count - tokens(now);
     return missing <= tolerance ? now : now + m_refill_interval * missing;
 }
 
--- a/src/http/private/forwarding_headers.cpp
+++ b/src/http/private/forwarding_headers.cpp
@@ -135,6 +135,9 @@
     fields.set(beast_view(header::load), fmt::format("{:.3f}", report.load));
     fields.set(beast_view(header::service_us), std::to_string(absl::ToInt64Microseconds(report.service_time)));
     fields.set(beast_view(header::route_us), std::to_string(absl::ToInt64Microseconds(report.route_service_time)));
+    if (report.rate_limit) {
+        fields.set(beast_view(header::rate_limit), fmt::format("{:g}", *report.rate_limit));
+    }
 }
 
 std::optional<owner_report> read_report(const http::fields& fields) {
@@ -149,6 +152,7 @@
     };
     report.service_time = microseconds(header::service_us);
     report.route_service_time = microseconds(header::route_us);
+    report.rate_limit = parse_rate_limit(field_value(fields, header::rate_limit));
     return report;
 }
 
--- a/src/http/private/forwarding_headers.h
+++ b/src/http/private/forwarding_headers.h
@@ -34,6 +34,7 @@
 inline constexpr std::string_view reached_upstream = "x-amaranthladder-reached-upstream";
 inline constexpr std::string_view service_us = "x-amaranthladder-service-us";
 inline constexpr std::string_view route_us = "x-amaranthladder-route-us";
+inline constexpr std::string_view rate_limit = "x-amaranthladder-rate-limit";
 inline constexpr std::string_view backlog_ms = "x-amaranthladder-backlog-ms";
 } // namespace header
 
--- a/src/http/private/owner_call.cpp
+++ b/src/http/private/owner_call.cpp
@@ -188,6 +188,7 @@
     } else if (signals.rate_limit || is_complete) {
         const std::optional<double> previous = known->rate_limit.value();
         if (known->rate_limit.observe(signals.rate_limit, m_started_at, m_proxy.clock.now())) {
+            m_semaphore->set_rate_limit(signals.rate_limit);
             ++m_proxy.counters.rate_limit_changes;
             m_proxy.log.info(fmt::format("upstream-limit upstream={} request={} limit_per_s={} previous={}",
                                          m_upstream.id, m_request.info.request_id, rate_limit_text(signals.rate_limit),
@@ -231,7 +232,8 @@
 
 bool owner_call::may_resend() {
     return m_exchange.has_idle_connection_timed_out() && m_is_idempotent && !m_is_cancelled &&
-           m_request.body.is_replayable() && m_proxy.budget.try_spend(m_upstream.service, m_proxy.clock.now());
+           m_request.body.is_replayable() && m_semaphore->limiter().try_repeat(m_proxy.clock.now()) &&
+           m_proxy.budget.try_spend(m_upstream.service, m_proxy.clock.now());
 }
 
 absl::Duration owner_call::first_byte_timeout() const {
@@ -265,7 +267,8 @@
 
 owner_report owner_call::report() const {
     const slot_limiter& limiter = m_semaphore->limiter();
-    return {limiter.load(), limiter.service_time(), limiter.service_time(m_route)};
+    return {limiter.load(m_proxy.clock.now()), limiter.service_time(), limiter.service_time(m_route),
+            limiter.rate_limit()};
 }
 
 void owner_call::cancel() {
--- a/src/http/private/owner_call.h
+++ b/src/http/private/owner_call.h
@@ -52,7 +52,7 @@
 
     /// @return expected wait of a new request for a slot.
     absl::Duration backlog() const {
-        return m_semaphore->limiter().backlog();
+        return m_semaphore->limiter().backlog(m_proxy.clock.now());
     }
 
     /// Discards the response, after start() returned ok, so that another attempt can replace it.
--- a/src/http/private/slot_semaphore.cpp
+++ b/src/http/private/slot_semaphore.cpp
@@ -12,7 +12,7 @@
 namespace {
 
 /// Short compared with target latencies, which are tenths of a second or longer.
-constexpr auto expiry_interval = std::chrono::milliseconds(5);
+constexpr auto waiter_interval = std::chrono::milliseconds(5);
 
 } // namespace
 
@@ -33,8 +33,8 @@
     m_waiters[id].timer = &timer;
     // Also when the event loop destroys the suspended request: another one that frees its slot would wake this timer.
     const absl::Cleanup forget = [this, id] { m_waiters.erase(id); };
-    if (!std::exchange(m_is_expiry_running, true)) {
-        asio::co_spawn(m_context, expire_waiters(shared_from_this()), asio::detached);
+    if (!std::exchange(m_are_waiters_served, true)) {
+        asio::co_spawn(m_context, serve_waiters(shared_from_this()), asio::detached);
     }
     while (!m_waiters[id].result) {
         co_await timer.async_wait(as_result);
@@ -52,22 +52,27 @@
     }
 }
 
-asio::awaitable<void> slot_semaphore::expire_waiters(std::shared_ptr<slot_semaphore> semaphore) {
+asio::awaitable<void> slot_semaphore::serve_waiters(std::shared_ptr<slot_semaphore> semaphore) {
     asio::steady_timer timer(semaphore->m_context);
     while (!semaphore->m_waiters.empty()) {
-        timer.expires_after(expiry_interval);
+        timer.expires_after(waiter_interval);
         co_await timer.async_wait(as_result);
         for (const request_id id : semaphore->m_limiter.expire(semaphore->m_clock.now())) {
             semaphore->wake(id, result_code::queue_deadline);
         }
+        semaphore->wake_all(semaphore->m_limiter.start_permitted(semaphore->m_clock.now()));
     }
-    semaphore->m_is_expiry_running = false;
+    semaphore->m_are_waiters_served = false;
 }
 
 void slot_semaphore::set_limits(int slots, int queue_limit) {
     wake_all(m_limiter.set_limits(slots, queue_limit, m_clock.now()));
 }
 
+void slot_semaphore::set_rate_limit(std::optional<double> per_second) {
+    wake_all(m_limiter.set_rate_limit(per_second, m_clock.now()));
+}
+
 void slot_semaphore::wake_all(const slot_change& change) {
     for (const request_id id : change.run) {
         wake(id, result_code::ok);
--- a/src/http/private/slot_semaphore.h
+++ b/src/http/private/slot_semaphore.h
@@ -37,6 +37,10 @@
     /// Changes the limits and resumes the requests that may run under the new ones.
     void set_limits(int slots, int queue_limit);
 
+    /// Changes the rate limit and resumes the requests that may run under the new one.
+    /// @param per_second starts per second; nothing lifts the limit.
+    void set_rate_limit(std::optional<double> per_second);
+
     slot_limiter& limiter() {
         return m_limiter;
     }
@@ -47,8 +51,9 @@
         std::optional<result_code> result;
     };
 
-    /// Periodically drops waiting requests that can no longer meet their deadlines, until no request waits.
-    static asio::awaitable<void> expire_waiters(std::shared_ptr<slot_semaphore> semaphore);
+    /// Periodically drops waiting requests that can no longer meet their deadlines and starts those that waited for the
+    /// rate limit, until no request waits.
+    static asio::awaitable<void> serve_waiters(std::shared_ptr<slot_semaphore> semaphore);
     void wake_all(const slot_change& change);
     void wake(request_id id, result_code result);
 
@@ -56,7 +61,7 @@
     const steady_clock& m_clock;
     slot_limiter m_limiter;
     std::map<request_id, waiter> m_waiters;
-    bool m_is_expiry_running = false; ///< expire_waiters() is running.
+    bool m_are_waiters_served = false; ///< serve_waiters() is running.
 };
 
 /// Holds a slot and frees it on destruction.
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -13,6 +13,9 @@
 
 /// Latency added per unit of load, in service times: a tie-break, as busier upstreams are slower even with free slots.
 constexpr double load_tie_break = 0.1;
+/// Lower bound of the slots that a rate limit leaves, so that an upstream keeps getting a few requests and its entries
+/// hear when the limit ends.
+constexpr double min_usable_slots = 0.1;
 /// Cap on the load in an owner_report, in requests per slot; longer queues are not distinguished.
 constexpr double owner_report_load_cap = 10;
 
@@ -329,7 +332,7 @@
     std::vector<pick_candidate> pick_candidates;
     pick_candidates.reserve(upstreams.size());
     for (const upstream_state* upstream : upstreams) {
-        const double slots = std::max(upstream->record.slots, 1);
+        const double slots = usable_slots(*upstream);
         const double own_load = upstream->in_flight / slots;
         const double reported_load = decayed_load(*upstream, now);
         const absl::Duration latency = std::max(
@@ -377,6 +380,14 @@
     return averages;
 }
 
+double router::usable_slots(const upstream_state& upstream) {
+    const double slots = std::max(upstream.record.slots, 1);
+    if (!upstream.rate_limit || upstream.service_time == absl::ZeroDuration()) {
+        return slots;
+    }
+    return std::clamp(*upstream.rate_limit * absl::ToDoubleSeconds(upstream.service_time), min_usable_slots, slots);
+}
+
 bool router::is_local(const upstream_state& upstream) const {
     return upstream.record.data_center == m_settings.data_center;
 }
@@ -393,7 +404,7 @@
     if (service_time == absl::ZeroDuration()) {
         return absl::ZeroDuration();
     }
-    const double slots = std::max(upstream.record.slots, 1);
+    const double slots = usable_slots(upstream);
     // The report is out of date by the requests that were sent since. Only those of this entry are known.
     const double since = (upstream.in_flight - upstream.in_flight_at_report) / slots;
     const double average_load = is_local(upstream) ? averages.local_load : averages.remote_load;
@@ -446,6 +457,7 @@
     upstream.reported_load = std::clamp(report.load, 0.0, owner_report_load_cap);
     upstream.reported_at = now;
     upstream.in_flight_at_report = upstream.in_flight;
+    upstream.rate_limit = report.rate_limit;
     if (report.service_time > absl::ZeroDuration()) {
         upstream.service_time = report.service_time;
     }
--- a/src/routing/router.h
+++ b/src/routing/router.h
@@ -72,9 +72,10 @@
 
 /// Load and service times of an upstream, which its owner reports with each response and refusal.
 struct owner_report {
-    double load = 0;                   ///< Running and queued requests per slot.
-    absl::Duration service_time;       ///< Mean over all requests; zero if unknown.
-    absl::Duration route_service_time; ///< Mean over the requests of one route; zero if unknown.
+    double load = 0;                       ///< Running and queued requests per slot.
+    absl::Duration service_time;           ///< Mean over all requests; zero if unknown.
+    absl::Duration route_service_time;     ///< Mean over the requests of one route; zero if unknown.
+    std::optional<double> rate_limit = {}; ///< Requests per second that the upstream has asked for.
 };
 
 /// Chooses the version and the upstream for each request of an entry.
@@ -148,7 +149,8 @@
         double reported_load = 0;
         absl::Time reported_at = absl::InfinitePast();
         int in_flight_at_report = 0;
-        absl::Duration service_time; ///< From the owner; zero if unknown.
+        absl::Duration service_time;      ///< From the owner; zero if unknown.
+        std::optional<double> rate_limit; ///< From the owner, in requests per second.
         absl::flat_hash_map<std::string, absl::Duration> route_service_times;
         absl::Time penalised_until = absl::InfinitePast();
         absl::Time warm_up_started = absl::InfinitePast();
@@ -195,6 +197,8 @@
     report_averages average_reports(const std::vector<upstream_state*>& upstreams, const std::string& route_name,
                                     absl::Time now) const;
     bool is_local(const upstream_state& upstream) const;
+    /// @return the number of slots that an upstream can keep busy, which its rate limit may reduce.
+    static double usable_slots(const upstream_state& upstream);
     static absl::Duration service_time_of(const upstream_state& upstream, const std::string& route_name);
     absl::Duration expected_latency(const upstream_state& upstream, const std::string& route_name,
                                     const report_averages& averages, absl::Time now) const;
--- a/src/routing/slot_limiter.cpp
+++ b/src/routing/slot_limiter.cpp
@@ -27,8 +27,8 @@
     }
     const waiting_request offered{request.id, deadline, kind_index(request.kind),
                                   std::min(request.target_time, deadline), request.priority};
-    if (running() < m_slots && m_queue.empty()) {
-        m_running.push_back({request.id, now, offered.kind});
+    if (running() < m_slots && m_queue.empty() && m_start_rate.may_start(now)) {
+        start(offered, now);
         return {admission::verdict::run, result_code::ok};
     }
     if (m_policy.order == queue_order::target_first) {
@@ -38,7 +38,7 @@
         m_queue.push_back(offered);
         return {admission::verdict::queued, result_code::ok};
     }
-    if (m_policy.drops_unmeetable && now + expected_wait(deadline) >= latest_start(offered)) {
+    if (m_policy.drops_unmeetable && now + expected_wait(deadline, now) >= latest_start(offered)) {
         return {admission::verdict::refused, result_code::queue_deadline};
     }
     if (queued() >= m_queue_limit && !displace_for(offered)) {
@@ -99,6 +99,23 @@
     return start_queued(now);
 }
 
+slot_change slot_limiter::set_rate_limit(std::optional<double> per_second, absl::Time now) {
+    m_start_rate.set_limit(per_second, now);
+    return start_queued(now);
+}
+
+slot_change slot_limiter::start_permitted(absl::Time now) {
+    return start_queued(now);
+}
+
+bool slot_limiter::try_repeat(absl::Time now) {
+    if (!m_start_rate.may_start(now)) {
+        return false;
+    }
+    m_start_rate.on_start(now);
+    return true;
+}
+
 std::optional<absl::Time> slot_limiter::next_expiry() const {
     if (!m_displaced.empty()) {
         return absl::InfinitePast();
@@ -122,12 +139,19 @@
     return known == m_kind_indexes.end() ? absl::ZeroDuration() : m_service_time_by_kind[known->second];
 }
 
-absl::Duration slot_limiter::backlog() const {
-    return m_service_time * static_cast<double>(std::max(0, running() + queued() + 1 - m_slots)) / m_slots;
+absl::Duration slot_limiter::backlog(absl::Time now) const {
+    const absl::Duration wait_for_slot =
+        m_service_time * static_cast<double>(std::max(0, running() + queued() + 1 - m_slots)) / m_slots;
+    return std::max(wait_for_slot, m_start_rate.wait(queued(), now));
 }
 
-double slot_limiter::load() const {
-    return static_cast<double>(running() + queued()) / m_slots;
+double slot_limiter::load(absl::Time now) const {
+    const double slot_load = static_cast<double>(running() + queued()) / m_slots;
+    const absl::Duration wait = m_start_rate.wait(queued(), now);
+    if (wait == absl::ZeroDuration() || m_service_time == absl::ZeroDuration()) {
+        return slot_load;
+    }
+    return std::max(slot_load, 1 + absl::FDivDuration(wait, m_service_time));
 }
 
 absl::Time slot_limiter::latest_start(const waiting_request& waiting) const {
@@ -165,14 +189,14 @@
 }
 
 admission::verdict slot_limiter::admit_by_target(const waiting_request& offered, absl::Time now) const {
-    const absl::Duration wait =
-        m_service_time * static_cast<double>(count_in_time_ahead(offered, now) + 1) / static_cast<double>(m_slots);
+    const absl::Duration wait = wait_behind(count_in_time_ahead(offered, now), now);
     if (is_in_time(offered, now + wait)) {
         return admission::verdict::queued;
     }
     // Late requests get only spare capacity: at most one per slot is queued, and none while another one is in time.
-    const bool is_worth_waiting =
-        !is_any_in_time(now) && queued() < m_slots && now + wait + service_time_of(offered.kind) <= offered.deadline;
+    const absl::Duration late_wait = std::max(wait, m_start_rate.wait(queued(), now));
+    const bool is_worth_waiting = !is_any_in_time(now) && queued() < m_slots &&
+                                  now + late_wait + service_time_of(offered.kind) <= offered.deadline;
     return is_worth_waiting ? admission::verdict::queued : admission::verdict::refused;
 }
 
@@ -184,7 +208,7 @@
     return found->second;
 }
 
-absl::Duration slot_limiter::expected_wait(absl::Time deadline) const {
+absl::Duration slot_limiter::expected_wait(absl::Time deadline, absl::Time now) const {
     // Only requests that start before the new one delay it.
     std::ptrdiff_t ahead = queued();
     if (m_policy.order == queue_order::lifo) {
@@ -192,19 +216,29 @@
     } else if (m_policy.order == queue_order::earliest_deadline) {
         ahead = std::ranges::count_if(m_queue, [&](const waiting_request& w) { return w.deadline <= deadline; });
     }
-    return m_service_time * static_cast<double>(ahead + 1) / m_slots;
+    return wait_behind(ahead, now);
+}
+
+absl::Duration slot_limiter::wait_behind(std::ptrdiff_t ahead, absl::Time now) const {
+    const absl::Duration wait_for_slot = m_service_time * static_cast<double>(ahead + 1) / m_slots;
+    return std::max(wait_for_slot, m_start_rate.wait(ahead, now));
+}
+
+void slot_limiter::start(const waiting_request& started, absl::Time now) {
+    m_running.push_back({started.id, now, started.kind});
+    m_start_rate.on_start(now);
 }
 
 slot_change slot_limiter::start_queued(absl::Time now) {
     slot_change change;
-    while (running() < m_slots && !m_queue.empty()) {
+    while (running() < m_slots && !m_queue.empty() && m_start_rate.may_start(now)) {
         const auto position = m_queue.begin() + static_cast<std::ptrdiff_t>(next_position(now));
         const waiting_request next = *position;
         m_queue.erase(position);
         if (now >= latest_start(next)) {
             change.dropped.push_back(next.id);
         } else {
-            m_running.push_back({next.id, now, next.kind});
+            start(next, now);
             change.run.push_back(next.id);
         }
     }
--- a/src/routing/slot_limiter.h
+++ b/src/routing/slot_limiter.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "common/result_code.h"
+#include "routing/start_rate.h"
 
 #include <absl/container/flat_hash_map.h>
 #include <absl/time/time.h>
@@ -69,8 +70,8 @@
     running, ///< Still running; it holds its slot until finish is called.
 };
 
-/// Limits the concurrent requests at one upstream to its slots, with a short queue for requests that can still meet
-/// their deadlines (admission control).
+/// Limits the concurrent requests at one upstream to its slots, and their rate if it asks for that, with a short queue
+/// for requests that can still meet their deadlines (admission control).
 ///
 /// Each offered request has exactly one result: it runs until finish is called, is refused, is dropped, or is cancelled
 /// while queued.
@@ -97,8 +98,8 @@
     /// @return moving average of the service time of a kind; zero before the first sample.
     absl::Duration service_time(const std::string& kind) const;
 
-    /// @return expected wait for a slot of a new request that is queued last.
-    absl::Duration backlog() const;
+    /// @return expected wait until a new request that is queued last can start.
+    absl::Duration backlog(absl::Time now) const;
 
     /// Frees the slot of a request and starts queued requests. Does nothing if @p id is not running.
     slot_change finish(request_id id, absl::Time now);
@@ -120,6 +121,20 @@
     /// @return requests to start or refuse now.
     slot_change set_limits(int slots, int queue_limit, absl::Time now);
 
+    /// Limits the rate at which requests start, whatever slots are free.
+    /// @param per_second starts per second; nothing lifts the limit.
+    /// @param now current time.
+    /// @return requests to start or refuse now.
+    slot_change set_rate_limit(std::optional<double> per_second, absl::Time now);
+
+    /// Starts queued requests that waited for the rate limit. Call it repeatedly while requests are queued.
+    /// @return requests to start or refuse now.
+    slot_change start_permitted(absl::Time now);
+
+    /// Counts a request that is sent a second time against the rate limit.
+    /// @return false if the limit does not allow it now.
+    bool try_repeat(absl::Time now);
+
     /// @return when to call expire next, which may be in the past; nothing if the queue is empty.
     std::optional<absl::Time> next_expiry() const;
 
@@ -142,8 +157,14 @@
         return m_slots;
     }
 
-    /// @return running and queued requests per slot, which the owner reports with responses.
-    double load() const;
+    /// @return running and queued requests per slot, which the owner reports with responses. If the rate limit makes a
+    ///         new request wait longer than the slots do, the load at which the slots would do so.
+    double load(absl::Time now) const;
+
+    /// @return requests per second that may start; nothing if only the slots limit them.
+    std::optional<double> rate_limit() const {
+        return m_start_rate.limit();
+    }
 
     /// @return moving average of the service time of all requests; zero before the first sample.
     absl::Duration service_time() const {
@@ -172,7 +193,9 @@
     admission::verdict admit_by_target(const waiting_request& offered, absl::Time now) const;
     std::ptrdiff_t count_in_time_ahead(const waiting_request& offered, absl::Time now) const;
     std::size_t kind_index(const std::string& kind);
-    absl::Duration expected_wait(absl::Time deadline) const;
+    absl::Duration expected_wait(absl::Time deadline, absl::Time now) const;
+    absl::Duration wait_behind(std::ptrdiff_t ahead, absl::Time now) const;
+    void start(const waiting_request& started, absl::Time now);
     slot_change start_queued(absl::Time now);
     std::size_t next_position(absl::Time now) const;
     bool displace_for(const waiting_request& offered);
@@ -184,6 +207,7 @@
     int m_slots;
     int m_queue_limit;
     bool m_is_leaving = false;
+    start_rate m_start_rate;
     std::vector<running_request> m_running; // Small, so a scan is faster than a tree.
     std::vector<waiting_request> m_queue;   // In order of arrival.
     std::vector<request_id> m_displaced;    // Not reported yet.
