Stop sending to an upstream that says in a response that it leaves

What can be seen: an upstream that names its leaving in responses, while its heartbeat or an older record of a peer still says that it serves, goes on getting requests.

Cause: as with the limit, nothing read what a response says of its upstream; and a belief that only the owner holds is gone when the owner restarts, while a heartbeat that is under way announces the upstream as serving again.

The owner now refuses new requests from the header of such a response on (not run), tells the other daemons, and keeps it against announcements of the same start. Entries remember it themselves, from before the response is passed on, over a restart of the owner, until a record of a new start arrives; records now carry the start of the upstream's process. The note from which a restarted owner recalls its upstream is not written for one that leaves.

--- a/src/daemon/announced_upstreams.cpp
+++ b/src/daemon/announced_upstreams.cpp
@@ -32,7 +32,11 @@
         known.state = m_chart.initial();
     }
     const std::string state_before = known.state;
-    apply_event(known, announcement.is_leaving || m_are_all_leaving ? "leaving" : "announced");
+    if (announcement.started_at != known.announcement.started_at) {
+        known.has_said_leaving = false;
+    }
+    const bool is_leaving = announcement.is_leaving || known.has_said_leaving || m_are_all_leaving;
+    apply_event(known, is_leaving ? "leaving" : "announced");
     upstream_announcement comparable = announcement;
     comparable.load = known.announcement.load;
     comparable.sequence = known.announcement.sequence;
@@ -53,6 +57,16 @@
     return false;
 }
 
+bool announced_upstreams::set_said_leaving(const std::string& id) {
+    const auto found = m_upstreams.find(id);
+    if (found == m_upstreams.end() || std::exchange(found->second.has_said_leaving, true)) {
+        return false;
+    }
+    const std::string state_before = found->second.state;
+    apply_event(found->second, "leaving");
+    return found->second.state != state_before;
+}
+
 std::vector<std::string> announced_upstreams::expire(absl::Time now) {
     std::vector<std::string> gone;
     for (const auto& [id, known] : m_upstreams) {
@@ -86,6 +100,7 @@
     result.slots = known.announcement.slots;
     result.routes = known.announcement.routes;
     result.is_leaving = known.state == "draining";
+    result.started_at = known.announcement.started_at;
     return result;
 }
 
--- a/src/daemon/announced_upstreams.h
+++ b/src/daemon/announced_upstreams.h
@@ -23,6 +23,7 @@
         upstream_announcement announcement;
         std::string state; ///< State in charts/upstream.ini.
         absl::Time last_heard;
+        bool has_said_leaving = false; ///< It said so in a response, whatever it announces.
     };
 
     /// @param data_center data centre of this daemon, written into the upstream records.
@@ -45,6 +46,11 @@
     /// @return true if the upstream was known.
     bool withdraw(const std::string& id, absl::Time now);
 
+    /// Records that an upstream has said in a response that it leaves. Its announcements do not revoke that, since they
+    /// may have been sent before; only a new start does.
+    /// @return true if its record has changed.
+    bool set_said_leaving(const std::string& id);
+
     /// Removes upstreams whose last announcement is older than the timeout.
     /// @return their ids.
     std::vector<std::string> expire(absl::Time now);
--- a/src/daemon/mesh_daemon.cpp
+++ b/src/daemon/mesh_daemon.cpp
@@ -105,7 +105,7 @@
           m_configuration([this](const std::shared_ptr<const snapshot>& applied) { on_applied(applied); }),
           m_proxy(make_proxy_options(settings, m_platform ? &*m_platform : nullptr),
                   make_router_settings(settings, m_platform.has_value()), make_retry_budget(settings), m_clock, m_log,
-                  [this](const upstream_call_result& call) { m_moves.observe(call); }),
+                  make_upstream_observer()),
           m_peers(make_peer_settings(settings, m_proxy.owner_address()), {merge_records, nullptr, is_urgent_record},
                   make_peer_callbacks()) {
         m_peers.start();
@@ -179,6 +179,11 @@
         }
     }
 
+    upstream_observer make_upstream_observer() {
+        return {[this](const upstream_call_result& call) { m_moves.observe(call); },
+                [this](const std::string& id) { handle_leaving(id); }};
+    }
+
     peer_callbacks make_peer_callbacks() {
         peer_callbacks callbacks;
         callbacks.snapshot_bytes = [this](const configuration_digest& held) {
@@ -289,8 +294,8 @@
         if (m_announced_upstreams.upstreams().size() != 1) {
             return "";
         }
-        const upstream_announcement& known = m_announced_upstreams.upstreams().begin()->second.announcement;
-        return known.is_leaving ? "" : to_json(known);
+        const announced_upstreams::upstream& known = m_announced_upstreams.upstreams().begin()->second;
+        return known.announcement.is_leaving || known.has_said_leaving ? "" : to_json(known.announcement);
     }
 
     /// Restores the upstream that the previous run of this daemon saved, if its address still answers with the same id.
@@ -470,6 +475,14 @@
         }
     }
 
+    /// Tells the other daemons that an upstream beside this one has said in a response that it leaves.
+    void handle_leaving(const std::string& id) {
+        const absl::MutexLock lock(&m_mutex);
+        if (m_announced_upstreams.set_said_leaving(id)) {
+            publish_upstream(id);
+        }
+    }
+
     /// Publishes an upstream beside this daemon to the data path and to the other daemons.
     void publish_upstream(const std::string& id) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex) {
         upstream_record record = m_announced_upstreams.record(id);
--- a/src/http/private/entry_call.cpp
+++ b/src/http/private/entry_call.cpp
@@ -180,6 +180,7 @@
         refused.report = call.report();
         co_return refused;
     }
+    observe_leaving(decision.upstream_id, call.report());
     const unsigned status = call.status();
     if (may_replace_response(matched_route, status)) {
         co_await call.discard_response();
@@ -237,6 +238,7 @@
     }
     const unsigned status = owner_exchange.response().get().result_int();
     const std::optional<owner_report> report = read_report(fields);
+    observe_leaving(decision.upstream_id, report);
     if (may_replace_response(matched_route, status)) {
         owner_exchange.abort();
         co_return make_replaced_result(latency, report);
@@ -257,6 +259,7 @@
     const http::fields& fields = owner_exchange.response().get();
     attempt_result ended;
     ended.report = read_report(fields);
+    observe_leaving(m_remote_upstream, ended.report);
     ended.request_execution =
         field_value(fields, header::outcome) == name(execution::not_run) ? execution::not_run : execution::may_have_run;
     const auto codes = result_codes();
@@ -271,6 +274,14 @@
     co_return ended;
 }
 
+void entry_call::observe_leaving(const std::string& upstream_id, const std::optional<owner_report>& report) {
+    // Before the response is relayed: its caller's next request may arrive while the body is still on its way.
+    if (report && report->is_leaving && m_proxy.request_router.on_leaving(upstream_id, m_proxy.clock.now())) {
+        m_proxy.log.info(
+            fmt::format("upstream-leaving-heard upstream={} request={}", upstream_id, m_request.info.request_id));
+    }
+}
+
 asio::awaitable<serve_result> entry_call::refuse_after_attempt(const attempt_result& last, std::string detail) {
     // An earlier attempt may have run even if the last one did not.
     if (m_may_have_run_code && last.request_execution == execution::not_run) {
--- a/src/http/private/entry_call.h
+++ b/src/http/private/entry_call.h
@@ -45,6 +45,7 @@
     asio::awaitable<attempt_result> attempt_at_owner(const route& matched_route, const routing_decision& decision);
     asio::awaitable<attempt_result> handle_owner_refusal(class exchange& owner_exchange);
     const std::string& choose_service(const route& matched_route);
+    void observe_leaving(const std::string& upstream_id, const std::optional<owner_report>& report);
     void set_retry_after(result_code code);
     void set_target_time(const route& matched_route);
     /// @return true if a failed response of an upstream may be replaced by another attempt.
--- a/src/http/private/forwarding_headers.cpp
+++ b/src/http/private/forwarding_headers.cpp
@@ -138,6 +138,9 @@
     if (report.rate_limit) {
         fields.set(beast_view(header::rate_limit), fmt::format("{:g}", *report.rate_limit));
     }
+    if (report.is_leaving) {
+        fields.set(beast_view(header::leaving), "1");
+    }
 }
 
 std::optional<owner_report> read_report(const http::fields& fields) {
@@ -153,6 +156,7 @@
     report.service_time = microseconds(header::service_us);
     report.route_service_time = microseconds(header::route_us);
     report.rate_limit = parse_rate_limit(field_value(fields, header::rate_limit));
+    report.is_leaving = field_value(fields, header::leaving) == "1";
     return report;
 }
 
--- a/src/http/private/forwarding_headers.h
+++ b/src/http/private/forwarding_headers.h
@@ -35,6 +35,7 @@
 inline constexpr std::string_view service_us = "x-amaranthladder-service-us";
 inline constexpr std::string_view route_us = "x-amaranthladder-route-us";
 inline constexpr std::string_view rate_limit = "x-amaranthladder-rate-limit";
+inline constexpr std::string_view leaving = "x-amaranthladder-leaving";
 inline constexpr std::string_view backlog_ms = "x-amaranthladder-backlog-ms";
 } // namespace header
 
--- a/src/http/private/owner_call.cpp
+++ b/src/http/private/owner_call.cpp
@@ -196,6 +196,8 @@
         }
     }
     if (signals.is_leaving && !std::exchange(known->has_said_leaving, true)) {
+        m_semaphore->limiter().set_leaving();
+        m_proxy.upstreams.on_leaving(m_upstream.id);
         m_proxy.log.info(fmt::format("upstream-leaving upstream={} request={} record_leaving={}", m_upstream.id,
                                      m_request.info.request_id, known->record.is_leaving));
     }
@@ -267,8 +269,12 @@
 
 owner_report owner_call::report() const {
     const slot_limiter& limiter = m_semaphore->limiter();
-    return {limiter.load(m_proxy.clock.now()), limiter.service_time(), limiter.service_time(m_route),
-            limiter.rate_limit()};
+    const local_upstream* const known = m_proxy.find_local_upstream(m_upstream.id);
+    return {.load = limiter.load(m_proxy.clock.now()),
+            .service_time = limiter.service_time(),
+            .route_service_time = limiter.service_time(m_route),
+            .rate_limit = limiter.rate_limit(),
+            .is_leaving = known != nullptr && known->has_said_leaving};
 }
 
 void owner_call::cancel() {
@@ -278,7 +284,8 @@
 }
 
 void owner_call::report_call(upstream_call_result::outcome outcome) {
-    m_proxy.report_call({m_upstream.service, m_upstream.version, m_route, outcome, m_latency, m_proxy.clock.now()});
+    m_proxy.upstreams.on_call(
+        {m_upstream.service, m_upstream.version, m_route, outcome, m_latency, m_proxy.clock.now()});
 }
 
 } // namespace amaranthladder
--- a/src/http/private/proxy_state.h
+++ b/src/http/private/proxy_state.h
@@ -30,9 +30,8 @@
 /// State shared by all requests of a daemon. Used on the event loop's thread only.
 struct proxy_state {
     proxy_state(const proxy_options& proxy_settings, router_settings routing, retry_budget_policy budget_policy,
-                const steady_clock& time_source, event_log& logger,
-                std::function<void(const upstream_call_result&)> report)
-        : options(proxy_settings), clock(time_source), log(logger), report_call(std::move(report)),
+                const steady_clock& time_source, event_log& logger, upstream_observer observer)
+        : options(proxy_settings), clock(time_source), log(logger), upstreams(std::move(observer)),
           request_router(std::move(routing)), budget(budget_policy), relay(options),
           pool(context, max_idle_connections_per_target, proxy_settings.max_header_bytes + stream_chunk_bytes,
                pool_limits(proxy_settings)) {}
@@ -61,7 +60,7 @@
     const proxy_options& options;
     const steady_clock& clock;
     event_log& log;
-    std::function<void(const upstream_call_result&)> report_call;
+    upstream_observer upstreams;
 
     router request_router;
     retry_policy retries;
--- a/src/http/proxy_statistics.h
+++ b/src/http/proxy_statistics.h
@@ -5,6 +5,7 @@
 #include <absl/time/time.h>
 
 #include <cstdint>
+#include <functional>
 #include <string>
 
 namespace amaranthladder {
@@ -25,6 +26,14 @@
     absl::Time reported_at;
 };
 
+/// Receives what the data path learns about local upstreams. Called on the event loop's thread.
+struct upstream_observer {
+    /// Called for each call to a local upstream.
+    std::function<void(const upstream_call_result&)> on_call;
+    /// Called once when a local upstream says in a response that it leaves.
+    std::function<void(const std::string& id)> on_leaving;
+};
+
 /// Counters of the data path since the start of the daemon, and its current connections and requests.
 struct proxy_counters {
     std::uint64_t connections_accepted = 0;
--- a/src/http/request_proxy.cpp
+++ b/src/http/request_proxy.cpp
@@ -43,11 +43,10 @@
 class request_proxy::implementation {
 public:
     implementation(proxy_options options, router_settings routing, retry_budget_policy budget,
-                   const steady_clock& clock, event_log& log,
-                   std::function<void(const upstream_call_result&)> report_call)
+                   const steady_clock& clock, event_log& log, upstream_observer observer)
         : m_options(std::move(options)),
-          m_state(m_options, std::move(routing), budget, clock, log, std::move(report_call)),
-          m_acceptor(m_state.context), m_owner_acceptor(m_state.context) {
+          m_state(m_options, std::move(routing), budget, clock, log, std::move(observer)), m_acceptor(m_state.context),
+          m_owner_acceptor(m_state.context) {
         const bool has_owner_address = !m_options.owner_address.address.empty();
         m_address = listen(m_acceptor, m_options.listen_address);
         asio::co_spawn(m_state.context, accept(m_acceptor, has_owner_address ? peer_type::caller : peer_type::any),
@@ -113,10 +112,17 @@
         } else if (known->record.slots != record.slots) {
             known->semaphore->set_limits(record.slots, queue_limit);
         }
+        if (!is_same_start(known->record, record)) {
+            known->has_said_leaving = false;
+            known->rate_limit = {};
+            known->semaphore->set_rate_limit(std::nullopt);
+        }
         slot_limiter& limiter = known->semaphore->limiter();
-        if (record.is_leaving && !limiter.is_leaving()) {
+        // Announcements may be older than the response that said leaving.
+        const bool is_leaving = record.is_leaving || known->has_said_leaving;
+        if (is_leaving && !limiter.is_leaving()) {
             limiter.set_leaving();
-        } else if (!record.is_leaving && limiter.is_leaving()) {
+        } else if (!is_leaving && limiter.is_leaving()) {
             limiter.clear_leaving();
         }
         known->record = std::move(record);
@@ -265,10 +271,9 @@
 };
 
 request_proxy::request_proxy(proxy_options options, router_settings routing, retry_budget_policy budget,
-                             const steady_clock& clock, event_log& log,
-                             std::function<void(const upstream_call_result&)> report_call)
+                             const steady_clock& clock, event_log& log, upstream_observer observer)
     : m_implementation(std::make_unique<implementation>(std::move(options), std::move(routing), budget, clock, log,
-                                                        std::move(report_call))) {}
+                                                        std::move(observer))) {}
 
 request_proxy::~request_proxy() = default;
 
--- a/src/http/request_proxy.h
+++ b/src/http/request_proxy.h
@@ -27,10 +27,10 @@
     /// @param budget settings of the retry budget.
     /// @param clock outlives the proxy.
     /// @param log outlives the proxy.
-    /// @param report_call called on the event loop's thread for each call to a local upstream.
+    /// @param observer receives what the proxy learns about local upstreams.
     /// @throws error with result_code::listen_failed.
     request_proxy(proxy_options options, router_settings routing, retry_budget_policy budget, const steady_clock& clock,
-                  event_log& log, std::function<void(const upstream_call_result&)> report_call);
+                  event_log& log, upstream_observer observer);
     ~request_proxy();
     request_proxy(const request_proxy&) = delete;
     request_proxy& operator=(const request_proxy&) = delete;
--- a/src/peers/private/wire_conversion.cpp
+++ b/src/peers/private/wire_conversion.cpp
@@ -162,6 +162,7 @@
     out.is_withdrawn = value.is_withdrawn;
     out.incarnation = static_cast<std::int64_t>(value.incarnation);
     out.sequence = static_cast<std::int64_t>(value.sequence);
+    out.started_at_ms = absl::ToUnixMillis(value.started_at);
     return out;
 }
 
@@ -182,6 +183,7 @@
     out.is_withdrawn = value.is_withdrawn;
     out.incarnation = unsigned_from_wire(value.incarnation);
     out.sequence = unsigned_from_wire(value.sequence);
+    out.started_at = absl::FromUnixMillis(value.started_at_ms);
     return out;
 }
 
--- a/src/peers/upstream_record.h
+++ b/src/peers/upstream_record.h
@@ -2,6 +2,8 @@
 
 #include "common/endpoint.h"
 
+#include <absl/time/time.h>
+
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -25,8 +27,16 @@
     bool is_withdrawn = false; ///< Tombstone of a removed upstream.
     std::uint64_t incarnation = 0;
     std::uint64_t sequence = 0;
+    absl::Time started_at = absl::UnixEpoch(); ///< Start of the upstream's process; the epoch if it is unknown.
 
     friend bool operator==(const upstream_record&, const upstream_record&) = default;
 };
 
+/// @return true if two records with the same id are of one start of the upstream. Where the start is unknown, a new
+///         incarnation counts as one.
+inline bool is_same_start(const upstream_record& left, const upstream_record& right) {
+    return left.started_at == right.started_at &&
+           (left.started_at != absl::UnixEpoch() || left.incarnation == right.incarnation);
+}
+
 } // namespace amaranthladder
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -13,16 +13,15 @@
 
 /// Latency added per unit of load, in service times: a tie-break, as busier upstreams are slower even with free slots.
 constexpr double load_tie_break = 0.1;
+/// Time for which upstreams that have said that they leave are remembered: longer than they serve after that, and than
+/// their delayed announcements are under way.
+constexpr absl::Duration leaving_retention = absl::Minutes(2);
 /// Lower bound of the slots that a rate limit leaves, so that an upstream keeps getting a few requests and its entries
 /// hear when the limit ends.
 constexpr double min_usable_slots = 0.1;
 /// Cap on the load in an owner_report, in requests per slot; longer queues are not distinguished.
 constexpr double owner_report_load_cap = 10;
 
-bool is_usable(const upstream_record& record) {
-    return !record.is_leaving && !record.is_withdrawn;
-}
-
 bool can_serve(const upstream_record& record, const route& matched_route, const routing_request& request) {
     const bool serves_route =
         record.routes.empty() || std::ranges::find(record.routes, matched_route.name) != record.routes.end();
@@ -166,6 +165,27 @@
     return found == m_upstreams.end() ? 0 : found->second->in_flight;
 }
 
+bool router::on_leaving(const std::string& upstream_id, absl::Time now) {
+    const auto found = m_upstreams.find(upstream_id);
+    if (found == m_upstreams.end()) {
+        return false;
+    }
+    absl::erase_if(m_leaving, [now](const auto& entry) { return now - entry.second.said_at > leaving_retention; });
+    const upstream_record& record = found->second->record;
+    const bool was_usable = is_usable(record);
+    m_leaving[upstream_id] = {record, now};
+    if (was_usable) {
+        rebuild_groups({record.service});
+    }
+    return was_usable;
+}
+
+bool router::is_usable(const upstream_record& record) const {
+    const auto leaving = m_leaving.find(record.id);
+    const bool has_said_leaving = leaving != m_leaving.end() && is_same_start(leaving->second.record, record);
+    return !record.is_leaving && !record.is_withdrawn && !has_said_leaving;
+}
+
 void router::apply_record(const upstream_record& record, service_names& changed, absl::Time now) {
     auto& upstream = m_upstreams[record.id];
     const bool is_new = upstream == nullptr;
--- a/src/routing/router.h
+++ b/src/routing/router.h
@@ -76,6 +76,7 @@
     absl::Duration service_time;           ///< Mean over all requests; zero if unknown.
     absl::Duration route_service_time;     ///< Mean over the requests of one route; zero if unknown.
     std::optional<double> rate_limit = {}; ///< Requests per second that the upstream has asked for.
+    bool is_leaving = false;               ///< The upstream has said in a response that it leaves.
 };
 
 /// Chooses the version and the upstream for each request of an entry.
@@ -136,6 +137,13 @@
     void on_report(const std::string& upstream_id, const std::string& route, const owner_report& report,
                    absl::Time now);
 
+    /// Records that an upstream has said in a response that it leaves. It is not chosen again, whatever its record says
+    /// and also after its owner has restarted, until a record of a new start of the upstream arrives.
+    /// @param upstream_id id from the decision.
+    /// @param now current time.
+    /// @return true if this was not known.
+    bool on_leaving(const std::string& upstream_id, absl::Time now);
+
     /// @return number of requests of this entry at an upstream.
     int in_flight(const std::string& upstream_id) const;
 
@@ -184,6 +192,13 @@
         double remote_load = 0;
     };
 
+    /// An upstream that has said that it leaves.
+    struct leaving_upstream {
+        upstream_record record;
+        absl::Time said_at;
+    };
+
+    bool is_usable(const upstream_record& record) const;
     void apply_record(const upstream_record& record, service_names& changed, absl::Time now);
     void rebuild_groups(const service_names& changed);
     void finalize_group(version_group& members) const;
@@ -221,6 +236,7 @@
     std::vector<endpoint> m_suspected_owners; ///< Small, so a linear search is enough.
     absl::flat_hash_map<std::string, std::unique_ptr<upstream_state>> m_upstreams;
     absl::flat_hash_map<std::string, version_groups> m_services;
+    absl::flat_hash_map<std::string, leaving_upstream> m_leaving; ///< By id.
 };
 
 } // namespace amaranthladder
--- a/src/tests/announced_upstreams_test.cpp
+++ b/src/tests/announced_upstreams_test.cpp
@@ -199,4 +199,24 @@
     BOOST_TEST((watcher_lease_record::decode(given_up) == watcher_lease_record{6, std::nullopt}));
 }
 
+// Guards against a heartbeat that was sent before the upstream said in a response that it leaves, and puts it in use
+// again.
+BOOST_AUTO_TEST_CASE(announcements_do_not_revoke_what_a_response_said) {
+    announced_upstreams upstreams("rosario-a", absl::Seconds(3));
+    upstream_announcement made = announcement("tienda-1", 9000);
+    made.started_at = start;
+    made.sequence = 4;
+    upstreams.announce(made, start);
+    BOOST_TEST(!upstreams.set_said_leaving("tienda-2"));
+    BOOST_TEST(upstreams.set_said_leaving("tienda-1"));
+    BOOST_TEST(!upstreams.set_said_leaving("tienda-1"));
+    made.sequence = 5;
+    upstreams.announce(made, start + absl::Seconds(1));
+    BOOST_TEST(upstreams.record("tienda-1").is_leaving);
+    made.started_at = start + absl::Seconds(2);
+    made.sequence = 1;
+    BOOST_TEST(upstreams.announce(made, start + absl::Seconds(2)).is_record_changed);
+    BOOST_TEST(!upstreams.record("tienda-1").is_leaving);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/tests/fakes/two_daemons.cpp
+++ b/src/tests/fakes/two_daemons.cpp
@@ -59,8 +59,9 @@
     options.header_timeout = absl::Milliseconds(300);
     options.first_byte_timeout = absl::Milliseconds(700);
     adjust(options);
-    return std::make_unique<request_proxy>(options, router_settings{.data_center = "rosario-a"}, retry_budget_policy{},
-                                           clock, log, [](const upstream_call_result& /*call*/) {});
+    return std::make_unique<request_proxy>(
+        options, router_settings{.data_center = "rosario-a"}, retry_budget_policy{}, clock, log,
+        upstream_observer{[](const upstream_call_result& /*call*/) {}, [](const std::string& /*id*/) {}});
 }
 
 void two_daemons::set_configuration(absl::Duration route_timeout) {
--- a/thrift/gen/peers_types.cpp
+++ b/thrift/gen/peers_types.cpp
@@ -349,6 +349,10 @@
 void upstream::__set_sequence(const int64_t val) {
   this->sequence = val;
 }
+
+void upstream::__set_started_at_ms(const int64_t val) {
+  this->started_at_ms = val;
+}
 std::ostream& operator<<(std::ostream& out, const upstream& obj)
 {
   obj.printTo(out);
@@ -485,6 +489,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 13:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->started_at_ms);
+          this->__isset.started_at_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -558,6 +570,10 @@
   xfer += oprot->writeI64(this->sequence);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("started_at_ms", ::apache::thrift::protocol::T_I64, 13);
+  xfer += oprot->writeI64(this->started_at_ms);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -577,6 +593,7 @@
   swap(a.is_withdrawn, b.is_withdrawn);
   swap(a.incarnation, b.incarnation);
   swap(a.sequence, b.sequence);
+  swap(a.started_at_ms, b.started_at_ms);
   swap(a.__isset, b.__isset);
 }
 
@@ -593,6 +610,7 @@
   is_withdrawn = other10.is_withdrawn;
   incarnation = other10.incarnation;
   sequence = other10.sequence;
+  started_at_ms = other10.started_at_ms;
   __isset = other10.__isset;
 }
 upstream& upstream::operator=(const upstream& other11) {
@@ -608,6 +626,7 @@
   is_withdrawn = other11.is_withdrawn;
   incarnation = other11.incarnation;
   sequence = other11.sequence;
+  started_at_ms = other11.started_at_ms;
   __isset = other11.__isset;
   return *this;
 }
@@ -626,6 +645,7 @@
   out << ", " << "is_withdrawn=" << to_string(is_withdrawn);
   out << ", " << "incarnation=" << to_string(incarnation);
   out << ", " << "sequence=" << to_string(sequence);
+  out << ", " << "started_at_ms=" << to_string(started_at_ms);
   out << ")";
 }
 
--- a/thrift/gen/peers_types.h
+++ b/thrift/gen/peers_types.h
@@ -173,7 +173,7 @@
 std::ostream& operator<<(std::ostream& out, const member& obj);
 
 typedef struct _upstream__isset {
-  _upstream__isset() : id(false), service_name(false), version(false), data_center(false), owner(false), address(false), slots(false), routes(false), is_leaving(false), is_withdrawn(false), incarnation(false), sequence(false) {}
+  _upstream__isset() : id(false), service_name(false), version(false), data_center(false), owner(false), address(false), slots(false), routes(false), is_leaving(false), is_withdrawn(false), incarnation(false), sequence(false), started_at_ms(false) {}
   bool id :1;
   bool service_name :1;
   bool version :1;
@@ -186,6 +186,7 @@
   bool is_withdrawn :1;
   bool incarnation :1;
   bool sequence :1;
+  bool started_at_ms :1;
 } _upstream__isset;
 
 class upstream : public virtual ::apache::thrift::TBase {
@@ -202,7 +203,8 @@
              is_leaving(0),
              is_withdrawn(0),
              incarnation(0),
-             sequence(0) {
+             sequence(0),
+             started_at_ms(0) {
   }
 
   virtual ~upstream() noexcept;
@@ -218,6 +220,7 @@
   bool is_withdrawn;
   int64_t incarnation;
   int64_t sequence;
+  int64_t started_at_ms;
 
   _upstream__isset __isset;
 
@@ -245,6 +248,8 @@
 
   void __set_sequence(const int64_t val);
 
+  void __set_started_at_ms(const int64_t val);
+
   bool operator == (const upstream & rhs) const
   {
     if (!(id == rhs.id))
@@ -271,6 +276,8 @@
       return false;
     if (!(sequence == rhs.sequence))
       return false;
+    if (!(started_at_ms == rhs.started_at_ms))
+      return false;
     return true;
   }
   bool operator != (const upstream &rhs) const {
--- a/thrift/peers.thrift
+++ b/thrift/peers.thrift
@@ -27,6 +27,7 @@
   10: bool is_withdrawn
   11: i64 incarnation
   12: i64 sequence
+  13: i64 started_at_ms
 }
 
 struct opaque {
