--- a/src/daemon/intent_store_client.h
+++ b/src/daemon/intent_store_client.h
@@ -200,6 +200,7 @@
         absl::Time next_registration = started_at;
         absl::Time next_contact_read = next_registration;
         while (!is_stopped()) {
+            check_era();
             const std::string upstream = m_callbacks.saved_upstream();
             const bool is_registration_due =
                 !upstream.empty() || m_clock.now() - started_at >= first_registration_limit;
@@ -224,6 +225,16 @@
         // The registration is left for the next run of this daemon; without one, it expires with its lease.
     }
 
+    /// Called on the maintenance thread only.
+    void check_era() {
+        const std::uint64_t era = m_store->era();
+        if (era == m_era) {
+            return;
+        }
+        m_log.info(fmt::format("store-era era={} previous={}", era, m_era));
+        m_era = era;
+    }
+
     /// The first line is the address through which other daemons join, the rest is the saved upstream.
     std::string registration_value(const std::string& upstream) const {
         return to_string(m_callbacks.self) + "\n" + upstream;
@@ -316,6 +327,7 @@
     bool m_follows_store = false;
     bool m_has_read_registration = false; ///< The registration of the previous run has been looked up.
     leased_key<Store> m_registration;
+    std::uint64_t m_era = 0; ///< The newest one that the maintenance thread has seen.
     std::thread m_follow_thread;
     std::thread m_maintenance_thread;
 };
--- a/src/daemon/mesh_daemon.cpp
+++ b/src/daemon/mesh_daemon.cpp
@@ -339,6 +339,7 @@
     void accept_order(const move_order& order) {
         const std::optional<move_order> changed = m_orders.merge(order);
         if (!changed) {
+            log_unchanged_order(order);
             return;
         }
         m_log.info(fmt::format("order service={} to={} introduced_in={} deadline_in_ms={} reported={}",
@@ -348,6 +349,17 @@
         update_moves();
     }
 
+    /// Logs an order that was ignored because another one is held. Peers repeat the orders that they hold.
+    void log_unchanged_order(const move_order& order) {
+        const std::optional<move_order> held = m_orders.find(order.service);
+        if (held && held->to_version != order.to_version) {
+            m_log.info(fmt::format("order-ignored service={} to={} introduced_in={} held_to={} held_introduced_in={} "
+                                   "held_reported={}",
+                                   order.service, order.to_version, order.introduced_in, held->to_version,
+                                   held->introduced_in, name(held->reported)));
+        }
+    }
+
     void update_moves() {
         std::map<std::string, move> moves = m_orders.moves();
         if (const auto configuration = m_configuration.current()) {
--- a/src/daemon/order_service.cpp
+++ b/src/daemon/order_service.cpp
@@ -17,6 +17,12 @@
     return changed;
 }
 
+std::optional<move_order> order_service::find(const std::string& service) const {
+    const absl::MutexLock lock(&m_mutex);
+    const auto held = m_order_table.orders().find(service);
+    return held == m_order_table.orders().end() ? std::nullopt : std::optional(held->second);
+}
+
 bool order_service::is_empty() const {
     const absl::MutexLock lock(&m_mutex);
     return m_order_table.orders().empty();
--- a/src/daemon/order_service.h
+++ b/src/daemon/order_service.h
@@ -29,6 +29,9 @@
     /// @return the merged order if the merge changed it.
     std::optional<move_order> merge(const move_order& order);
 
+    /// @return the order held for a service, if there is one.
+    std::optional<move_order> find(const std::string& service) const;
+
     /// @return true if no order is known.
     bool is_empty() const;
 
--- a/src/store/prefix_store.h
+++ b/src/store/prefix_store.h
@@ -56,7 +56,9 @@
 };
 
 /// A store whose keys are listed and watched by prefix and can be bound to leases. Each call ends within its deadline
-/// and reports failures of the store as an outcome, not as an exception.
+/// and reports failures of the store as an outcome, not as an exception. `era` is the newest era that an answer has
+/// named: a number that rises when the store comes back from an older copy of its contents, after which revisions and
+/// leases are given out again.
 template <typename Store>
 concept prefix_store = requires(Store store, const std::string& key, revision known, std::uint64_t lease_id,
                                 const store_transaction& transaction, absl::Duration limit) {
@@ -67,6 +69,7 @@
     { store.commit(transaction, limit) } -> std::same_as<store_result<revision>>;
     { store.grant_lease(limit, limit) } -> std::same_as<store_result<std::uint64_t>>;
     { store.keep_lease(lease_id, limit) } -> std::same_as<store_result<revision>>;
+    { store.era() } -> std::same_as<std::uint64_t>;
 };
 
 } // namespace amaranthladder
--- a/src/tests/fakes/scripted_store.h
+++ b/src/tests/fakes/scripted_store.h
@@ -137,6 +137,10 @@
         return {m_leases.contains(lease_id) ? store_outcome::ok : store_outcome::absent, revision{0}};
     }
 
+    std::uint64_t era() const {
+        return 0;
+    }
+
 private:
     struct held_item {
         stored_item item;
