Recognise an order that is written again after a restore

What would be seen: the operator writes again what the store has lost. With eras in the revisions, the same order then looks like a newer one and begins anew, after it was taken back too, so a bad version gets requests again; and an order that was replaced, but that the copy still holds, looks newer than its successor.

Cause: an order was identified by the revision of its last write. It is now the same one if it moves to the same version and its revisions are of different eras: it keeps its first revision as identity, so a move under way goes on, and its earlier deadline and later report.

Ruled out: identity by content alone, since an operator may order a version again in the same era.

--- a/src/common/revision.h
+++ b/src/common/revision.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <string>
 
 namespace amaranthladder {
 
@@ -28,4 +29,10 @@
     return value & ((std::uint64_t{1} << revision_number_bits) - 1);
 }
 
+/// @return the revision for log lines: `ERA:NUMBER`, or only the number without an era.
+inline std::string revision_text(revision value) {
+    const std::string number = std::to_string(number_of(value));
+    return era_of(value) == 0 ? number : std::to_string(era_of(value)) + ":" + number;
+}
+
 } // namespace amaranthladder
--- a/src/daemon/intent_store_client.h
+++ b/src/daemon/intent_store_client.h
@@ -168,7 +168,7 @@
             }
         } catch (const error& problem) {
             m_log.warning(fmt::format("intent-refused key={} revision={} code={} reason=\"{}\"", item.key,
-                                      item.key_revision, name(problem.code()), problem.what()));
+                                      revision_text(item.key_revision), name(problem.code()), problem.what()));
         }
     }
 
@@ -183,7 +183,7 @@
         const auto record = m_store->get(order_record_key(request.service), call_timeout);
         if (record.is_ok()) {
             const move_order known = move_order::decode(record.value->value);
-            if (known.introduced_in == order.introduced_in) {
+            if (is_same_order(known, order)) {
                 order = merge(order, known);
             }
         }
--- a/src/daemon/mesh_daemon.cpp
+++ b/src/daemon/mesh_daemon.cpp
@@ -343,7 +343,7 @@
             return;
         }
         m_log.info(fmt::format("order service={} to={} introduced_in={} deadline_in_ms={} reported={}",
-                               changed->service, changed->to_version, changed->introduced_in,
+                               changed->service, changed->to_version, revision_text(changed->introduced_in),
                                absl::ToInt64Milliseconds(changed->deadline - m_clock.now()), name(changed->reported)));
         m_peers.put_opaque({std::string(order_key_prefix) + changed->service, changed->encode()});
         update_moves();
@@ -355,8 +355,8 @@
         if (held && held->to_version != order.to_version) {
             m_log.info(fmt::format("order-ignored service={} to={} introduced_in={} held_to={} held_introduced_in={} "
                                    "held_reported={}",
-                                   order.service, order.to_version, order.introduced_in, held->to_version,
-                                   held->introduced_in, name(held->reported)));
+                                   order.service, order.to_version, revision_text(order.introduced_in),
+                                   held->to_version, revision_text(held->introduced_in), name(held->reported)));
         }
     }
 
@@ -654,7 +654,7 @@
     /// Announces a superseded upstream as idle when its load is 0. Called on the event loop's thread.
     void handle_load(const std::string& id, const move_order& order, int load) {
         if (load == 0 && m_orders.mark_idle(order.service, order.introduced_in, id)) {
-            m_log.info(fmt::format("upstream-idle upstream={} order={}", id, order.introduced_in));
+            m_log.info(fmt::format("upstream-idle upstream={} order={}", id, revision_text(order.introduced_in)));
             m_peers.put_opaque({idle_record_key(order, id), order.encode()});
         }
     }
--- a/src/moves/move_order.h
+++ b/src/moves/move_order.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "common/revision.h"
+
 #include <absl/time/time.h>
 
 #include <cstdint>
@@ -24,15 +26,22 @@
 struct move_order {
     std::string service;
     std::string to_version;
-    std::uint64_t introduced_in = 0; ///< Store revision of the order; a higher one replaces a lower one.
+    revision introduced_in = 0; ///< Store revision of the order when it was first seen; identifies it.
     absl::Time deadline = absl::InfiniteFuture();
     order_report reported = order_report::none;
+    /// Store revision of the order in a later era, after the store came back from an older copy; 0: none.
+    revision rewritten_in = 0;
 
     /// @return true once the outcome has been reported to the operator.
     bool is_final() const {
         return reported == order_report::completed || reported == order_report::rolled_back;
     }
 
+    /// @return the latest store revision of the order; an order with a higher one replaces it.
+    revision latest_revision() const {
+        return rewritten_in == 0 ? introduced_in : rewritten_in;
+    }
+
     /// @return the order as JSON, as read by decode().
     std::string encode() const;
 
@@ -42,8 +51,14 @@
     friend bool operator==(const move_order&, const move_order&) = default;
 };
 
+/// Decides whether two orders for one service are the same one. A store that comes back from an older copy may have
+/// lost an order, which its operator then writes again: orders to one version whose revisions are of different eras are
+/// the same, while those with different revisions in one era are not.
+bool is_same_order(const move_order& left, const move_order& right);
+
 /// Merges two orders for one service: the newer order wins; for the same order, the earlier deadline and the later
-/// report win. Commutative, associative and idempotent.
+/// report win. Commutative and idempotent; also associative, except where an operator returns to an earlier version
+/// after a restore.
 move_order merge(const move_order& left, const move_order& right);
 
 /// Key prefix of orders in the records that daemons exchange.
--- a/src/moves/order_table.h
+++ b/src/moves/order_table.h
@@ -5,6 +5,7 @@
 
 #include <absl/time/time.h>
 
+#include <deque>
 #include <map>
 #include <optional>
 #include <string>
@@ -19,7 +20,7 @@
     ///        version's last requests to end and for reporting the outcome.
     explicit order_table(absl::Duration margin);
 
-    /// Merges an order.
+    /// Merges an order. One that was replaced before and is still held by an older copy of the store is ignored.
     /// @return the merged order if it differs from the one held before.
     std::optional<move_order> merge(const move_order& order);
 
@@ -34,8 +35,11 @@
     }
 
 private:
+    bool is_copy_of_replaced(const move_order& order) const;
+
     absl::Duration m_margin;
-    std::map<std::string, move_order> m_orders; ///< By service.
+    std::map<std::string, move_order> m_orders;               ///< By service.
+    std::map<std::string, std::deque<move_order>> m_replaced; ///< The last ones, by service.
 };
 
 } // namespace amaranthladder
--- a/src/tests/order_test.cpp
+++ b/src/tests/order_test.cpp
@@ -8,6 +8,8 @@
 #include <boost/test/unit_test.hpp>
 
 #include <ostream>
+#include <string>
+#include <utility>
 #include <vector>
 
 using namespace amaranthladder;
@@ -22,13 +24,7 @@
     return {"werkbank", "v2", introduced_in, start + absl::Seconds(deadline_s), reported};
 }
 
-} // namespace
-
-// Guards against daemons that disagree about an order after exchanging records.
-BOOST_AUTO_TEST_CASE(merge_is_a_join) {
-    const std::vector<move_order> orders{
-        order(1, 16), order(1, 14), order(1, 16, order_report::running), order(1, 20, order_report::rolled_back),
-        order(2, 30), order(2, 30)};
+void check_join(const std::vector<move_order>& orders) {
     for (const move_order& a : orders) {
         BOOST_TEST((merge(a, a) == a));
         BOOST_TEST((move_order::decode(a.encode()) == a));
@@ -39,8 +35,47 @@
             }
         }
     }
+}
+
+} // namespace
+
+// Guards against daemons that disagree about an order after exchanging records.
+BOOST_AUTO_TEST_CASE(merge_is_a_join) {
+    const std::vector<move_order> orders{
+        order(1, 16), order(1, 14), order(1, 16, order_report::running), order(1, 20, order_report::rolled_back),
+        order(2, 30), order(2, 30)};
+    check_join(orders);
     BOOST_CHECK_THROW(move_order::decode("[1]"), error);
     BOOST_CHECK_THROW(move_order::decode(R"(["s","v",1,2,"later"])"), error);
+    BOOST_CHECK_THROW(move_order::decode(R"(["s","v",1,2,"none",3,4])"), error);
+}
+
+// Guards against daemons that disagree about an order that was written again after the store came back from a copy,
+// whichever of its revisions each of them has seen.
+BOOST_AUTO_TEST_CASE(merge_joins_an_order_over_eras) {
+    const auto in_era = [](std::uint64_t era, std::uint64_t number, order_report reported, std::string version) {
+        move_order made = order(make_revision(era, number), 16, reported);
+        made.to_version = std::move(version);
+        return made;
+    };
+    const std::vector<move_order> replacing{in_era(2, 18, order_report::none, "v3"),
+                                            in_era(3, 41, order_report::running, "v3")};
+    std::vector<move_order> orders{in_era(1, 20, order_report::rolled_back, "v2"),
+                                   in_era(1, 20, order_report::running, "v2"), in_era(2, 17, order_report::none, "v2")};
+    orders.push_back(merge(orders[0], orders[2]));
+    BOOST_TEST(orders.back().introduced_in == make_revision(1, 20));
+    BOOST_TEST(orders.back().latest_revision() == make_revision(2, 17));
+    BOOST_TEST((orders.back().reported == order_report::rolled_back));
+    check_join(orders);
+    std::vector<move_order> with_replacing = orders;
+    with_replacing.insert(with_replacing.end(), replacing.begin(), replacing.end());
+    check_join(with_replacing);
+    orders.push_back(in_era(3, 40, order_report::none, "v2"));
+    check_join(orders);
+    orders.pop_back();
+    // The same version, ordered again in the same era.
+    const move_order again = in_era(2, 19, order_report::none, "v2");
+    BOOST_TEST((merge(orders.back(), again) == again));
 }
 
 // Guards against a restarted daemon that runs a move again although its outcome has been reported.
