Write a registration again when the store has come back from a copy

What would be seen: daemons that start after a restore don't find those whose registration the store has lost, until each of these renews its lease (9 s); where the lease's number was given out again to another process the renewal succeeds, and the key never returns.

Cause: a lease is believed to be held beyond the store's era. leased_key now keeps the era of its lease and begins anew in another one, also when the answer to its own renewal shows it.

--- a/src/store/leased_key.h
+++ b/src/store/leased_key.h
@@ -23,6 +23,9 @@
 };
 
 /// Keeps a key in the store, bound to a lease, as long as this process lives. Makes one store call per step.
+///
+/// When the store has come back from an older copy, it may have lost the lease and have given its number to another
+/// process, so the key is written again with a new lease.
 template <prefix_store Store> class leased_key {
 public:
     /// @param store must outlive this object.
@@ -34,14 +37,18 @@
     /// @return the time to wait before the next step.
     absl::Duration step(absl::BitGenRef random) {
         const store_outcome outcome = next_call();
+        if (is_lease_of_earlier_era()) {
+            forget_lease();
+            m_backoff.reset();
+            return absl::ZeroDuration();
+        }
         if (outcome == store_outcome::ok) {
             m_backoff.reset();
             return m_is_written ? m_policy.ttl * m_policy.renewal_fraction : absl::ZeroDuration();
         }
         if (outcome == store_outcome::absent) {
             // The lease has expired, and the store removed the key with it.
-            m_lease_id = 0;
-            m_is_written = false;
+            forget_lease();
         }
         return m_backoff.next_delay(random);
     }
@@ -56,14 +63,27 @@
 
     /// @return true if, as far as this process knows, the store holds the key with the current value.
     bool is_written() const {
-        return m_is_written;
+        return m_is_written && !is_lease_of_earlier_era();
     }
 
 private:
+    bool is_lease_of_earlier_era() const {
+        return m_lease_id != 0 && m_store.era() != m_lease_era;
+    }
+
+    void forget_lease() {
+        m_lease_id = 0;
+        m_is_written = false;
+    }
+
     store_outcome next_call() {
+        if (is_lease_of_earlier_era()) {
+            forget_lease();
+        }
         if (m_lease_id == 0) {
             const store_result<std::uint64_t> granted = m_store.grant_lease(m_policy.ttl, m_policy.call_timeout);
             m_lease_id = granted.value.value_or(0);
+            m_lease_era = m_store.era();
             return granted.outcome;
         }
         if (!m_is_written) {
@@ -81,6 +101,7 @@
     leased_key_policy m_policy;
     backoff m_backoff;
     std::uint64_t m_lease_id = 0;
+    std::uint64_t m_lease_era = 0;
     bool m_is_written = false;
 };
 
