Tell other daemons of a new era of the store

A daemon that follows the store through its peers calls it every 9 s at most often, and a watch that began in an earlier era can wait for 15 s; until then neither knows of a restore (registrations lost, changes missed). The newest era is now a record that daemons exchange; on a new one, a call that still waits from an earlier era is ended and the keys are listed again.

--- a/src/daemon/intent_store_client.h
+++ b/src/daemon/intent_store_client.h
@@ -18,6 +18,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <atomic>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -48,6 +49,10 @@
     std::function<bool()> must_follow_store;
     /// Called when this daemon starts or stops following the store.
     std::function<void(bool follows)> set_follows_store;
+    /// Tells the other daemons that the store is in this era.
+    std::function<void(std::uint64_t era)> announce_era;
+    /// @return the newest era of the store that other daemons have told; 0: none.
+    std::function<std::uint64_t()> heard_era;
     /// @return the announcement of the upstream beside this daemon, for the next run of the daemon; empty if there is
     ///         nothing to save.
     std::function<std::string()> saved_upstream;
@@ -143,6 +148,7 @@
                 continue;
             }
             const absl::Duration delay = m_follower.step(random);
+            m_followed_era = era_of(m_follower.as_of());
             const bool is_first_list = !has_listed && m_follower.is_reachable();
             has_listed = has_listed || is_first_list;
             set_follows(m_follower.is_reachable() && !is_first_list);
@@ -227,12 +233,18 @@
 
     /// Called on the maintenance thread only.
     void check_era() {
+        m_store->raise_era(m_callbacks.heard_era());
         const std::uint64_t era = m_store->era();
         if (era == m_era) {
             return;
         }
-        m_log.info(fmt::format("store-era era={} previous={}", era, m_era));
+        m_log.info(fmt::format("store-era era={} previous={} followed={}", era, m_era, m_followed_era.load()));
         m_era = era;
+        m_callbacks.announce_era(era);
+        if (m_followed_era != 0 && m_followed_era < era) {
+            // A watch that began in an earlier era may miss changes until it ends.
+            m_store->abort_calls();
+        }
     }
 
     /// The first line is the address through which other daemons join, the rest is the saved upstream.
@@ -327,7 +339,8 @@
     bool m_follows_store = false;
     bool m_has_read_registration = false; ///< The registration of the previous run has been looked up.
     leased_key<Store> m_registration;
-    std::uint64_t m_era = 0; ///< The newest one that the maintenance thread has seen.
+    std::atomic<std::uint64_t> m_followed_era = 0; ///< Era up to which the follow thread has read the store.
+    std::uint64_t m_era = 0;                       ///< The newest one that the maintenance thread has seen.
     std::thread m_follow_thread;
     std::thread m_maintenance_thread;
 };
--- a/src/daemon/mesh_daemon.cpp
+++ b/src/daemon/mesh_daemon.cpp
@@ -25,6 +25,8 @@
 
 #include <algorithm>
 #include <atomic>
+#include <charconv>
+#include <cstdint>
 #include <functional>
 #include <iterator>
 #include <optional>
@@ -49,6 +51,28 @@
 /// Key prefix of the records in which an owner states that its upstream of an old version is idle.
 constexpr std::string_view idle_record_prefix = "idle/";
 
+/// Key of the record with the newest era of the store, a decimal number.
+constexpr std::string_view store_era_key = "store-era";
+
+std::uint64_t parse_era(const std::string& bytes) {
+    std::uint64_t era = 0;
+    const auto [end, failure] = std::from_chars(bytes.data(), bytes.data() + bytes.size(), era);
+    if (failure != std::errc{} || end != bytes.data() + bytes.size()) {
+        throw error(result_code::message_malformed, "the era of the store is not a number");
+    }
+    return era;
+}
+
+/// @return the record with the newer era; @p held if @p heard cannot be read.
+std::string merge_eras(const std::string& held, const std::string& heard) {
+    try {
+        const std::uint64_t heard_era = parse_era(heard);
+        return held.empty() || heard_era > parse_era(held) ? heard : held;
+    } catch (const error&) {
+        return held;
+    }
+}
+
 std::string idle_record_key(const move_order& order, const std::string& upstream_id) {
     return fmt::format("{}{}/{}/{}", idle_record_prefix, order.service, order.introduced_in, upstream_id);
 }
@@ -77,6 +101,9 @@
     if (key.starts_with(idle_record_prefix)) {
         return held.empty() ? heard : held;
     }
+    if (key == store_era_key) {
+        return merge_eras(held, heard);
+    }
     if (key.starts_with(watcher_lease_record_prefix)) {
         return merge_watcher_lease_records(held, heard);
     }
@@ -243,6 +270,10 @@
         callbacks.may_delay_watch = [this] { return may_delay_watch(); };
         callbacks.must_follow_store = [this] { return must_follow_store(); };
         callbacks.set_follows_store = [this](bool follows) { m_peers.set_follows_store(follows); };
+        callbacks.announce_era = [this](std::uint64_t era) {
+            m_peers.put_opaque({std::string(store_era_key), std::to_string(era)});
+        };
+        callbacks.heard_era = [this] { return m_heard_era.load(); };
         callbacks.saved_upstream = [this] { return saved_upstream(); };
         callbacks.restore_upstream = [this](const std::string& saved) { restore_upstream(saved); };
         return callbacks;
@@ -460,6 +491,10 @@
             return;
         }
         try {
+            if (record.key == store_era_key) {
+                m_heard_era = parse_era(record.bytes);
+                return;
+            }
             if (record.key.starts_with(order_key_prefix)) {
                 accept_order(move_order::decode(record.bytes));
                 return;
@@ -771,6 +806,7 @@
     absl::Time m_started_at;
     std::atomic<bool> m_is_draining = false;
     std::atomic<bool> m_is_stopped = false;
+    std::atomic<std::uint64_t> m_heard_era = 0; ///< Newest era of the store that another daemon has told.
 
     mutable absl::Mutex m_mutex;
     announced_upstreams m_announced_upstreams ABSL_GUARDED_BY(m_mutex);
--- a/src/store/prefix_follower.h
+++ b/src/store/prefix_follower.h
@@ -76,6 +76,11 @@
         m_is_listed = false;
     }
 
+    /// @return the revision up to which changes have been reported; 0 before the first list.
+    revision as_of() const {
+        return m_as_of;
+    }
+
     /// @return true if the last call succeeded.
     bool is_reachable() const {
         return m_is_reachable;
--- a/src/store/prefix_store.h
+++ b/src/store/prefix_store.h
@@ -58,7 +58,8 @@
 /// A store whose keys are listed and watched by prefix and can be bound to leases. Each call ends within its deadline
 /// and reports failures of the store as an outcome, not as an exception. `era` is the newest era that an answer has
 /// named: a number that rises when the store comes back from an older copy of its contents, after which revisions and
-/// leases are given out again.
+/// leases are given out again. `raise_era` tells the store of a newer one that another process has heard of;
+/// `abort_calls` ends the calls in progress.
 template <typename Store>
 concept prefix_store = requires(Store store, const std::string& key, revision known, std::uint64_t lease_id,
                                 const store_transaction& transaction, absl::Duration limit) {
@@ -70,6 +71,8 @@
     { store.grant_lease(limit, limit) } -> std::same_as<store_result<std::uint64_t>>;
     { store.keep_lease(lease_id, limit) } -> std::same_as<store_result<revision>>;
     { store.era() } -> std::same_as<std::uint64_t>;
+    store.raise_era(lease_id);
+    store.abort_calls();
 };
 
 } // namespace amaranthladder
--- a/src/store/store_connection_pool.cpp
+++ b/src/store/store_connection_pool.cpp
@@ -72,15 +72,22 @@
         return result;
     }
 
-    void close() {
+    void abort_calls() {
         const absl::MutexLock lock(&m_mutex);
-        m_is_closed = true;
-        m_idle.clear();
         for (httplib::Client* client : m_busy) {
             client->stop();
         }
     }
 
+    void close() {
+        {
+            const absl::MutexLock lock(&m_mutex);
+            m_is_closed = true;
+            m_idle.clear();
+        }
+        abort_calls();
+    }
+
 private:
     struct idle_client {
         std::unique_ptr<httplib::Client> client;
@@ -143,6 +150,10 @@
     return m_implementation->call(request, deadline);
 }
 
+void store_connection_pool::abort_calls() {
+    m_implementation->abort_calls();
+}
+
 void store_connection_pool::close() {
     m_implementation->close();
 }
--- a/src/store/store_connection_pool.h
+++ b/src/store/store_connection_pool.h
@@ -47,6 +47,9 @@
     /// the headers of the response arrive byte by byte.
     store_http_response call(const store_http_request& request, absl::Duration deadline);
 
+    /// Aborts the calls in progress.
+    void abort_calls();
+
     /// Aborts the calls in progress; further ones fail immediately.
     void close();
 
--- a/src/tests/fakes/scripted_store.h
+++ b/src/tests/fakes/scripted_store.h
@@ -2,6 +2,7 @@
 
 #include "store/prefix_store.h"
 
+#include <algorithm>
 #include <cstddef>
 #include <deque>
 #include <map>
@@ -138,9 +139,15 @@
     }
 
     std::uint64_t era() const {
-        return 0;
+        return m_era;
     }
 
+    void raise_era(std::uint64_t era) {
+        m_era = std::max(m_era, era);
+    }
+
+    void abort_calls() {}
+
 private:
     struct held_item {
         stored_item item;
@@ -162,6 +169,7 @@
     std::map<std::uint64_t, bool> m_leases;
     revision m_revision = 10;
     std::uint64_t m_next_lease = 1;
+    std::uint64_t m_era = 0;
 };
 
 static_assert(prefix_store<scripted_store>);
--- a/src/tests/restored_store_test.cpp
+++ b/src/tests/restored_store_test.cpp
@@ -77,4 +77,20 @@
     BOOST_TEST(served.writes_of("status/rollout/werkbank") == writes);
 }
 
+// Guards against a watch that goes on from an earlier era although another daemon has told of the new one.
+BOOST_AUTO_TEST_CASE(follower_lists_again_when_another_daemon_tells_of_the_era) {
+    platform_store served;
+    client daemon(served);
+    served.make_copy();
+    served.put("op/config", "2");
+    daemon.follower.step(daemon.random);
+    served.restore_copy();
+    served.put("op/config", "3");
+    daemon.store.raise_era(2);
+    daemon.follower.step(daemon.random);
+    daemon.follower.step(daemon.random);
+    BOOST_TEST(daemon.values.at("op/config") == "3");
+    BOOST_TEST(era_of(daemon.follower.as_of()) == 2U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
