Write reports on orders again when the store may have lost them

What would be seen: an operator reads no outcome, or an earlier one, for an order that was reported before the store came back from an older copy; every daemon takes the report for written.

On a new era of the store, the first three daemons by rank check the reports on the orders that they know, in turn, and write what is missing. A report that the store holds is not written again.

restored_report_test failed with the functions empty.

--- a/src/daemon/intent_store_client.h
+++ b/src/daemon/intent_store_client.h
@@ -38,6 +38,10 @@
     std::function<void(const move_order&)> accept_order;
     /// @return orders whose report this daemon must write to the store now.
     std::function<std::vector<move_order>()> due_reports;
+    /// Called when the store holds the report on an order in the state that the order has.
+    std::function<void(const move_order&)> on_report_written;
+    /// Called when the store has come back from an older copy, without what was written since.
+    std::function<void()> on_store_restored;
     /// Adds addresses of daemons through which the mesh can be joined.
     std::function<void(const std::vector<endpoint>&)> add_contacts;
     /// @return true if this daemon knows an alive peer.
@@ -239,8 +243,12 @@
             return;
         }
         m_log.info(fmt::format("store-era era={} previous={} followed={}", era, m_era, m_followed_era.load()));
+        const bool is_restored = m_era != 0;
         m_era = era;
         m_callbacks.announce_era(era);
+        if (is_restored) {
+            m_callbacks.on_store_restored();
+        }
         if (m_followed_era != 0 && m_followed_era < era) {
             // A watch that began in an earlier era may miss changes until it ends.
             m_store->abort_calls();
@@ -300,6 +308,7 @@
             if (written >= order.reported) {
                 order.reported = written;
                 m_callbacks.accept_order(order);
+                m_callbacks.on_report_written(order);
                 return;
             }
         }
@@ -310,6 +319,7 @@
                                name(order.reported), name(written.outcome)));
         if (written.is_ok()) {
             m_callbacks.accept_order(order);
+            m_callbacks.on_report_written(order);
         }
     }
 
--- a/src/daemon/mesh_daemon.cpp
+++ b/src/daemon/mesh_daemon.cpp
@@ -265,6 +265,8 @@
         };
         callbacks.accept_order = [this](const move_order& order) { accept_order(order); };
         callbacks.due_reports = [this] { return m_orders.due_reports(m_clock.now()); };
+        callbacks.on_report_written = [this](const move_order& order) { m_orders.on_report_written(order); };
+        callbacks.on_store_restored = [this] { m_orders.on_reports_lost(address_rank(), m_clock.now()); };
         callbacks.add_contacts = [this](const std::vector<endpoint>& contacts) { m_peers.add_contacts(contacts); };
         callbacks.has_peers = [this] { return m_peers.members(member_state::alive).size() > 1; };
         callbacks.may_delay_watch = [this] { return may_delay_watch(); };
--- a/src/daemon/order_service.cpp
+++ b/src/daemon/order_service.cpp
@@ -6,6 +6,14 @@
 
 namespace amaranthladder {
 
+namespace {
+
+/// Daemons that check whether the store has lost a report, in turn: more than one, since the first may be cut off from
+/// it.
+constexpr int max_lost_report_writers = 3;
+
+} // namespace
+
 order_service::order_service(absl::Duration margin) : m_order_table(margin) {}
 
 std::optional<move_order> order_service::merge(const move_order& order) {
@@ -101,6 +109,23 @@
     return has_full_share ? std::optional(order->second) : std::nullopt;
 }
 
+void order_service::on_reports_lost(int rank, absl::Time now) {
+    if (rank >= max_lost_report_writers) {
+        return;
+    }
+    const absl::MutexLock lock(&m_mutex);
+    for (const auto& [service, order] : m_order_table.orders()) {
+        if (order.reported != order_report::none) {
+            m_lost_reports[service] = now + rank * order_policy().report_stagger;
+        }
+    }
+}
+
+void order_service::on_report_written(const move_order& order) {
+    const absl::MutexLock lock(&m_mutex);
+    m_lost_reports.erase(order.service);
+}
+
 std::vector<move_order> order_service::due_reports(absl::Time now) const {
     const absl::MutexLock lock(&m_mutex);
     std::vector<move_order> due;
@@ -111,6 +136,13 @@
             due.push_back(std::move(order));
         }
     }
+    for (const auto& [service, check_at] : m_lost_reports) {
+        const move_order& order = m_order_table.orders().at(service);
+        const bool is_due_anyway = std::ranges::find(due, service, &move_order::service) != due.end();
+        if (now >= check_at && order.reported != order_report::none && !is_due_anyway) {
+            due.push_back(order);
+        }
+    }
     return due;
 }
 
--- a/src/daemon/order_service.h
+++ b/src/daemon/order_service.h
@@ -60,6 +60,14 @@
     /// empty if there is none.
     std::optional<move_order> superseding_order(const std::string& service, const std::string& version) const;
 
+    /// Called when the store has come back from an older copy: makes the reports on all orders due again, at this
+    /// daemon only if few others rank before it.
+    /// @param rank number of alive daemons that report before this one.
+    void on_reports_lost(int rank, absl::Time now);
+
+    /// Called when the store holds the report on an order in the state that the order has.
+    void on_report_written(const move_order& order);
+
     /// @return orders that this daemon must report now, with the state to be reported.
     std::vector<move_order> due_reports(absl::Time now) const;
 
@@ -76,6 +84,8 @@
     mutable absl::Mutex m_mutex;
     order_table m_order_table ABSL_GUARDED_BY(m_mutex);
     std::map<std::string, progress> m_progress ABSL_GUARDED_BY(m_mutex); ///< Of pending orders, by service.
+    /// When this daemon checks reports that the store may have lost, by service.
+    std::map<std::string, absl::Time> m_lost_reports ABSL_GUARDED_BY(m_mutex);
     std::map<order_key, std::set<std::string>> m_idle_upstreams ABSL_GUARDED_BY(m_mutex); ///< Upstream ids by order.
 };
 
