--- a/src/common/revision.h
+++ b/src/common/revision.h
@@ -15,6 +15,9 @@
 /// Bits of a revision that hold the store's own number: enough for a thousand changes a second over 500 years.
 inline constexpr int revision_number_bits = 44;
 
+/// Highest era that a revision can hold.
+inline constexpr std::uint64_t max_era = (std::uint64_t{1} << (64 - revision_number_bits)) - 1;
+
 /// @return the revision for a store's number; 0 for number 0.
 constexpr revision make_revision(std::uint64_t era, std::uint64_t number) {
     return number == 0 ? 0 : (era << revision_number_bits) | number;
--- a/src/http/private/owner_call.cpp
+++ b/src/http/private/owner_call.cpp
@@ -177,7 +177,7 @@
 
 void owner_call::observe_signals(bool is_complete) {
     local_upstream* const known = m_proxy.find_local_upstream(m_upstream.id);
-    if (known == nullptr || status() == misdirected_status) {
+    if (known == nullptr || status() == misdirected_status || !is_same_start(known->record, m_upstream)) {
         return;
     }
     const upstream_signals signals = read_upstream_signals(m_exchange.response().get(), m_proxy.options.headers);
