Tell the eras of the product's own store apart as well

The stand-in can come back from a copy now, and names its era in Store-Era.

store_era holds the newest era for both stores. http_store's revisions and lease ids contain it.

--- a/bench/store_stand_in.cpp
+++ b/bench/store_stand_in.cpp
@@ -136,6 +136,9 @@
     void add_handlers() {
         using httplib::Request;
         using httplib::Response;
+        m_http.set_post_routing_handler([this](const Request&, Response& response) {
+            response.set_header("Store-Era", std::to_string(m_state.era()));
+        });
         const std::string key_pattern = R"(/v1/kv/([A-Za-z0-9._/-]{1,256}))";
         const std::string lease_pattern = R"(/v1/lease/([A-Za-z0-9._/-]{1,256}))";
         m_http.Get(key_pattern, [this](const Request& request, Response& response) { read(request, response); });
@@ -148,6 +151,14 @@
             response.set_content(boost::json::serialize(to_json(m_state.faults())), "application/json");
         });
         m_http.Put("/v1/faults", [this](const Request& request, Response& response) { set_faults(request, response); });
+        m_http.Post("/v1/copy", [this](const Request&, Response& response) {
+            m_state.make_copy();
+            response.status = 204;
+        });
+        m_http.Post("/v1/restore", [this](const Request&, Response& response) {
+            m_state.restore_copy();
+            response.status = 204;
+        });
         m_http.Get("/v1/counts", [this](const Request&, Response& response) {
             response.set_content(boost::json::serialize(to_json(m_state.counts())), "application/json");
         });
--- a/bench/store_stand_in_state.cpp
+++ b/bench/store_stand_in_state.cpp
@@ -15,8 +15,8 @@
         return {store_outcome::unavailable, {}};
     }
     const absl::MutexLock lock(&m_mutex);
-    const auto found = m_values.find(key);
-    if (found == m_values.end()) {
+    const auto found = m_contents.values.find(key);
+    if (found == m_contents.values.end()) {
         return {store_outcome::absent, {}};
     }
     return {store_outcome::ok, found->second};
@@ -29,13 +29,13 @@
         return finish_call<revision>(action, {});
     }
     const absl::MutexLock lock(&m_mutex);
-    const auto found = m_values.find(key);
-    const revision present = found == m_values.end() ? 0 : found->second.key_revision;
+    const auto found = m_contents.values.find(key);
+    const revision present = found == m_contents.values.end() ? 0 : found->second.key_revision;
     if (present != expected) {
         return finish_call<revision>(action, {store_outcome::conflict, {}});
     }
-    m_values[key] = {value, ++m_last_revision};
-    return finish_call<revision>(action, {store_outcome::ok, m_last_revision});
+    m_contents.values[key] = {value, ++m_contents.last_revision};
+    return finish_call<revision>(action, {store_outcome::ok, m_contents.last_revision});
 }
 
 store_result<lease> store_stand_in_state::acquire_lease(const std::string& key, const std::string& holder,
@@ -45,11 +45,11 @@
         return finish_call<lease>(action, {});
     }
     const absl::MutexLock lock(&m_mutex);
-    lease_entry& entry = m_leases[key];
+    lease_entry& entry = m_contents.leases[key];
     if (entry.id != 0 && entry.holder != holder && m_now() < entry.expiry) {
         return finish_call<lease>(action, {store_outcome::conflict, {}});
     }
-    entry = {holder, ++m_last_revision, lease_expiry(ttl)};
+    entry = {holder, ++m_contents.last_revision, lease_expiry(ttl)};
     return finish_call<lease>(action, {store_outcome::ok, lease{key, holder, entry.id, ttl}});
 }
 
@@ -76,8 +76,8 @@
     if (find_lease(held) == nullptr) {
         return finish_call<revision>(action, {store_outcome::absent, {}});
     }
-    m_leases.erase(held.key);
-    return finish_call<revision>(action, {store_outcome::ok, ++m_last_revision});
+    m_contents.leases.erase(held.key);
+    return finish_call<revision>(action, {store_outcome::ok, ++m_contents.last_revision});
 }
 
 store_result<versioned_value> store_stand_in_state::watch(const std::string& key, revision after,
@@ -91,8 +91,9 @@
     absl::ReleasableMutexLock lock(&m_mutex);
     // An outage also ends watches that are already waiting.
     const auto is_over = [this, &key, after]() ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex) {
-        const auto found = m_values.find(key);
-        return m_is_closed || m_faults.is_down || (found != m_values.end() && found->second.key_revision > after);
+        const auto found = m_contents.values.find(key);
+        return m_is_closed || m_faults.is_down ||
+               (found != m_contents.values.end() && found->second.key_revision > after);
     };
     if (!m_mutex.AwaitWithDeadline(absl::Condition(&is_over), end)) {
         lock.Release();
@@ -102,7 +103,7 @@
     if (m_is_closed || m_faults.is_down) {
         return {store_outcome::unavailable, {}};
     }
-    return {store_outcome::ok, m_values.at(key)};
+    return {store_outcome::ok, m_contents.values.at(key)};
 }
 
 void store_stand_in_state::set_faults(const store_faults& faults) {
@@ -125,6 +126,22 @@
     m_counts = {};
 }
 
+void store_stand_in_state::make_copy() {
+    const absl::MutexLock lock(&m_mutex);
+    m_copy = m_contents;
+}
+
+void store_stand_in_state::restore_copy() {
+    const absl::MutexLock lock(&m_mutex);
+    m_contents = m_copy;
+    ++m_era;
+}
+
+std::uint64_t store_stand_in_state::era() const {
+    const absl::MutexLock lock(&m_mutex);
+    return m_era;
+}
+
 void store_stand_in_state::close() {
     const absl::MutexLock lock(&m_mutex);
     m_is_closed = true;
@@ -170,8 +187,8 @@
 }
 
 store_stand_in_state::lease_entry* store_stand_in_state::find_lease(const lease& held) {
-    const auto found = m_leases.find(held.key);
-    if (found == m_leases.end() || found->second.id != held.id || m_now() >= found->second.expiry) {
+    const auto found = m_contents.leases.find(held.key);
+    if (found == m_contents.leases.end() || found->second.id != held.id || m_now() >= found->second.expiry) {
         return nullptr;
     }
     return &found->second;
--- a/bench/store_stand_in_state.h
+++ b/bench/store_stand_in_state.h
@@ -64,6 +64,15 @@
     /// Sets all counts to 0.
     void reset_counts();
 
+    /// Keeps a copy of the values, leases and revisions.
+    void make_copy();
+
+    /// Comes back from the copy, in the next era: revisions and leases are given out again from there.
+    void restore_copy();
+
+    /// @return the number of the present era, which answers name.
+    std::uint64_t era() const;
+
     /// Ends all waiting and future watches immediately, so that a server can stop.
     void close();
 
@@ -83,11 +92,17 @@
     absl::Time lease_expiry(absl::Duration ttl) const ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
     lease_entry* find_lease(const lease& held) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
 
+    struct contents {
+        std::map<std::string, versioned_value> values;
+        std::map<std::string, lease_entry> leases;
+        std::uint64_t last_revision = 0;
+    };
+
     const clock m_now;
     mutable absl::Mutex m_mutex;
-    std::map<std::string, versioned_value> m_values ABSL_GUARDED_BY(m_mutex);
-    std::map<std::string, lease_entry> m_leases ABSL_GUARDED_BY(m_mutex);
-    std::uint64_t m_last_revision ABSL_GUARDED_BY(m_mutex) = 0;
+    contents m_contents ABSL_GUARDED_BY(m_mutex);
+    contents m_copy ABSL_GUARDED_BY(m_mutex);
+    std::uint64_t m_era ABSL_GUARDED_BY(m_mutex) = 1;
     store_faults m_faults ABSL_GUARDED_BY(m_mutex);
     store_call_counts m_counts ABSL_GUARDED_BY(m_mutex);
     bool m_is_closed ABSL_GUARDED_BY(m_mutex) = false;
--- a/src/store/http_store.cpp
+++ b/src/store/http_store.cpp
@@ -16,6 +16,8 @@
 // pause of this process of the same length made an unchanged key a timeout.
 constexpr absl::Duration watch_response_margin = absl::Milliseconds(500);
 
+constexpr const char* era_header = "Store-Era";
+
 bool read_number(const store_http_response& reply, const char* header, std::uint64_t& number) {
     const std::string text = reply.header(header);
     const char* const end = text.data() + text.size();
@@ -71,25 +73,36 @@
 }
 
 // A response without the expected headers leaves the outcome of a write unknown.
-store_result<versioned_value> to_value(call_result received) {
+store_result<versioned_value> to_value(call_result received, store_era& era) {
     versioned_value value;
+    const std::uint64_t answered_in = era.observe(received.response.header(era_header));
     if (received.outcome != store_outcome::ok) {
         return {received.outcome, {}};
     }
-    if (!read_number(received.response, "Revision", value.key_revision)) {
+    std::uint64_t number = 0;
+    if (!read_number(received.response, "Revision", number)) {
         return {store_outcome::unavailable, {}};
     }
+    value.key_revision = make_revision(answered_in, number);
     value.value = std::move(received.response.body);
     return {store_outcome::ok, std::move(value)};
 }
 
-store_result<lease> to_lease(const call_result& received, lease held) {
+// Like a revision, the id of a lease contains the era: its number may be given out again.
+store_result<lease> to_lease(const call_result& received, lease held, store_era& era) {
+    const std::uint64_t answered_in = era.observe(received.response.header(era_header));
     if (received.outcome != store_outcome::ok) {
         return {received.outcome, {}};
     }
-    if (!read_number(received.response, "Lease-Id", held.id)) {
+    std::uint64_t number = 0;
+    if (!read_number(received.response, "Lease-Id", number)) {
         return {store_outcome::unknown, {}};
     }
+    const bool is_renewal = held.id != 0;
+    if (is_renewal && era_of(held.id) != answered_in) {
+        return {store_outcome::absent, {}};
+    }
+    held.id = make_revision(answered_in, number);
     return {store_outcome::ok, std::move(held)};
 }
 
@@ -102,50 +115,67 @@
 
 store_result<versioned_value> http_store::get(const std::string& key, absl::Duration deadline) {
     return to_value(
-        call(*m_connections, m_counter, make_request(store_call_kind::get, "GET", "/v1/kv/" + key), deadline));
+        call(*m_connections, m_counter, make_request(store_call_kind::get, "GET", "/v1/kv/" + key), deadline), m_era);
 }
 
 store_result<revision> http_store::compare_and_swap(const std::string& key, revision expected, const std::string& value,
                                                     absl::Duration deadline) {
+    if (expected != 0 && era_of(expected) < m_era.value()) {
+        return {store_outcome::conflict, {}};
+    }
     store_http_request request = make_request(store_call_kind::compare_and_swap, "PUT", "/v1/kv/" + key);
-    request.headers = {{"Expected-Revision", std::to_string(expected)}, {"Content-Type", "application/octet-stream"}};
+    request.headers = {{"Expected-Revision", std::to_string(number_of(expected))},
+                       {"Content-Type", "application/octet-stream"}};
     request.body = value;
     const call_result received = call(*m_connections, m_counter, request, deadline);
-    revision written = 0;
+    const std::uint64_t answered_in = m_era.observe(received.response.header(era_header));
     if (received.outcome != store_outcome::ok) {
         return {received.outcome, {}};
     }
-    if (!read_number(received.response, "Revision", written)) {
+    std::uint64_t written = 0;
+    // A write that met a revision of another era has replaced a value that its caller has not read.
+    const bool is_other_era = expected != 0 && answered_in != era_of(expected);
+    if (!read_number(received.response, "Revision", written) || is_other_era) {
         return {store_outcome::unknown, {}};
     }
-    return {store_outcome::ok, written};
+    return {store_outcome::ok, make_revision(answered_in, written)};
 }
 
 store_result<lease> http_store::acquire_lease(const std::string& key, const std::string& holder, absl::Duration ttl,
                                               absl::Duration deadline) {
     store_http_request request = make_lease_request(store_call_kind::acquire_lease, "POST", key, ttl);
     request.headers.emplace_back("Lease-Holder", holder);
-    return to_lease(call(*m_connections, m_counter, request, deadline), {key, holder, 0, ttl});
+    return to_lease(call(*m_connections, m_counter, request, deadline), {key, holder, 0, ttl}, m_era);
 }
 
 store_result<lease> http_store::renew_lease(const lease& held, absl::Duration deadline) {
+    if (era_of(held.id) < m_era.value()) {
+        return {store_outcome::absent, {}};
+    }
     store_http_request request = make_lease_request(store_call_kind::renew_lease, "PUT", held.key, held.ttl);
-    request.headers.emplace_back("Lease-Id", std::to_string(held.id));
-    return to_lease(call(*m_connections, m_counter, request, deadline), held);
+    request.headers.emplace_back("Lease-Id", std::to_string(number_of(held.id)));
+    return to_lease(call(*m_connections, m_counter, request, deadline), held, m_era);
 }
 
 store_result<revision> http_store::release_lease(const lease& held, absl::Duration deadline) {
+    if (era_of(held.id) < m_era.value()) {
+        return {store_outcome::absent, {}};
+    }
     store_http_request request = make_lease_request(store_call_kind::release_lease, "DELETE", held.key, held.ttl);
-    request.headers.emplace_back("Lease-Id", std::to_string(held.id));
+    request.headers.emplace_back("Lease-Id", std::to_string(number_of(held.id)));
     const call_result received = call(*m_connections, m_counter, request, deadline);
     return {received.outcome, received.outcome == store_outcome::ok ? std::optional<revision>(0) : std::nullopt};
 }
 
 store_result<versioned_value> http_store::watch(const std::string& key, revision after, absl::Duration deadline) {
+    if (after != 0 && era_of(after) < m_era.value()) {
+        return get(key, deadline);
+    }
     const std::string path =
-        fmt::format("/v1/kv/{}?after={}&wait_ms={}", key, after, absl::ToInt64Milliseconds(deadline));
+        fmt::format("/v1/kv/{}?after={}&wait_ms={}", key, number_of(after), absl::ToInt64Milliseconds(deadline));
     return to_value(call(*m_connections, m_counter, make_request(store_call_kind::watch, "GET", path),
-                         deadline + watch_response_margin));
+                         deadline + watch_response_margin),
+                    m_era);
 }
 
 void http_store::close() {
--- a/src/store/http_store.h
+++ b/src/store/http_store.h
@@ -2,6 +2,7 @@
 
 #include "common/endpoint.h"
 #include "store/key_value_store.h"
+#include "store/store_era.h"
 
 #include <absl/time/time.h>
 
@@ -15,6 +16,9 @@
 
 /// Client of the platform's key-value store over HTTP, see docs/store.md. Satisfies `key_value_store`.
 ///
+/// Its revisions contain the store's era, see revision; a watch from an earlier era returns the value at once, and a
+/// write that expects a revision of an earlier era is a conflict.
+///
 /// Thread-safe: concurrent calls use separate connections, and idle connections are kept for later calls.
 class http_store {
 public:
@@ -40,6 +44,7 @@
 private:
     std::unique_ptr<store_connection_pool> m_connections;
     call_counter& m_counter;
+    store_era m_era;
 };
 
 } // namespace amaranthladder
--- a/src/tests/key_value_store_test.cpp
+++ b/src/tests/key_value_store_test.cpp
@@ -180,4 +180,48 @@
     BOOST_TEST((fixture.store.get("k", limit).outcome == store_outcome::unavailable));
 }
 
+// Guards against a publisher that replaces what another one wrote after the store came back from an older copy.
+BOOST_AUTO_TEST_CASE(write_conflicts_with_a_revision_that_was_given_out_again) {
+    http_fixture fixture;
+    fixture.state.make_copy();
+    const auto ours = fixture.store.compare_and_swap("config/head", 0, "ours", limit);
+    fixture.state.restore_copy();
+    const auto theirs = fixture.state.compare_and_swap("config/head", 0, "theirs", limit);
+    BOOST_REQUIRE(theirs.is_ok());
+    BOOST_TEST(number_of(*ours.value) == *theirs.value);
+    BOOST_TEST((fixture.store.get("config/head", limit).value->value == "theirs"));
+    BOOST_TEST(
+        (fixture.store.compare_and_swap("config/head", *ours.value, "x", limit).outcome == store_outcome::conflict));
+    BOOST_TEST((fixture.store.get("config/head", limit).value->value == "theirs"));
+}
+
+// Guards against a daemon that keeps a lost configuration, since its watch starts from a revision that was given out
+// again.
+BOOST_AUTO_TEST_CASE(watch_from_an_earlier_era_returns_the_value) {
+    http_fixture fixture;
+    fixture.state.make_copy();
+    const auto lost = fixture.store.compare_and_swap("config/head", 0, "lost", limit);
+    fixture.state.restore_copy();
+    fixture.state.compare_and_swap("config/head", 0, "present", limit);
+    // The first watch ends without a change, and shows the era.
+    fixture.store.watch("config/head", *lost.value, absl::Milliseconds(50));
+    const auto seen = fixture.store.watch("config/head", *lost.value, absl::Milliseconds(50));
+    BOOST_REQUIRE(seen.is_ok());
+    BOOST_TEST(seen.value->value == "present");
+    BOOST_TEST(seen.value->key_revision > *lost.value);
+}
+
+// Guards against two holders of one lease, whose number was given out again.
+BOOST_AUTO_TEST_CASE(lease_of_an_earlier_era_has_ended) {
+    http_fixture fixture;
+    fixture.state.make_copy();
+    const auto ours = fixture.store.acquire_lease("seat/1", "a", absl::Seconds(60), limit);
+    fixture.state.restore_copy();
+    const auto theirs = fixture.state.acquire_lease("seat/1", "b", absl::Seconds(60), limit);
+    BOOST_TEST(number_of(ours.value->id) == theirs.value->id);
+    BOOST_TEST((fixture.store.renew_lease(*ours.value, limit).outcome == store_outcome::absent));
+    BOOST_TEST((fixture.store.release_lease(*ours.value, limit).outcome == store_outcome::absent));
+    BOOST_TEST(fixture.state.renew_lease(*theirs.value, limit).is_ok());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
