Name the era's header of the product's own store in its own words

http_store and the stand-in had taken the platform's header name, which belongs in platform/. The header is now Era, beside Revision and Lease-Id; nothing else changes.

--- a/bench/store_stand_in.cpp
+++ b/bench/store_stand_in.cpp
@@ -136,9 +136,8 @@
     void add_handlers() {
         using httplib::Request;
         using httplib::Response;
-        m_http.set_post_routing_handler([this](const Request&, Response& response) {
-            response.set_header("Store-Era", std::to_string(m_state.era()));
-        });
+        m_http.set_post_routing_handler(
+            [this](const Request&, Response& response) { response.set_header("Era", std::to_string(m_state.era())); });
         const std::string key_pattern = R"(/v1/kv/([A-Za-z0-9._/-]{1,256}))";
         const std::string lease_pattern = R"(/v1/lease/([A-Za-z0-9._/-]{1,256}))";
         m_http.Get(key_pattern, [this](const Request& request, Response& response) { read(request, response); });
--- a/src/store/http_store.cpp
+++ b/src/store/http_store.cpp
@@ -16,7 +16,7 @@
 // pause of this process of the same length made an unchanged key a timeout.
 constexpr absl::Duration watch_response_margin = absl::Milliseconds(500);
 
-constexpr const char* era_header = "Store-Era";
+constexpr const char* era_header = "Era";
 
 bool read_number(const store_http_response& reply, const char* header, std::uint64_t& number) {
     const std::string text = reply.header(header);
