--- a/review/standins.py
+++ b/review/standins.py
@@ -233,6 +233,7 @@
         self.sequence = 0
         self.state = "ready"
         self.is_beating = True
+        self.limit = None  # Requests a second that it names in its answers.
         self.free = asyncio.Semaphore(slots)
         self.running = self.waiting = 0
         self.arrivals = []  # (time, request id, path): reached this worker
@@ -338,6 +339,8 @@
         request = headers.get("x-request-id", "")
         arrived = self.record.now()
         answer = {"X-Request-Id": request, "X-Server-Load": f"{self.running},{self.waiting},{self.slots}"}
+        if self.limit is not None:
+            answer["Server-Limit"] = self.limit
         if headers.get("x-expected-instance", self.name) != self.name:
             return 421, dict(answer, **{"X-Instance-Id": self.name}), b""
         self.arrivals.append((arrived, request, target))
