--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,117 +1,100 @@
-"""Bytes without end in the answer to a health check: two workers in trouble send them on every connection, and the daemons
-beside them are stopped and started again."""
+"""DRAIN with a queue: a worker that has turned slow reports that it leaves while requests wait for its slots in the daemon
+beside it. Played in rounds, each with a new worker beside that daemon."""
 import asyncio
 import os
 import pathlib
+import random
 import sys
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent))
 import standins
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
-# Bounds of sites/limonada-litoral.toml, and its memory_mb.
-BOUNDS = {"contact_ms": 3000, "ack_ms": 4000, "drain_ms": 2000, "grace_s": 6, "config_ms": 2000}
-MEMORY_MB = 260
+# Bounds and requests of grown/limonada-litoral-grown.toml: pedido on tienda.
+BOUNDS = {"contact_ms": 3000, "ack_ms": 5000, "drain_ms": 2500, "grace_s": 6, "config_ms": 2500}
 HOST = "ficu95.example"
 SERVICE = "tienda"
-MACHINES = 10
-IN_TROUBLE = 2
-RESTART_DELAY_S = 0.5
-WATCHED_S = 45
-MAX_ENDS = 3  # "processes end by themselves three times in the day"
+SLOTS = 12
+DEADLINE_MS = 10000
+TIMEOUT_MS = 5000
+TARGET_MS = 1500
+MEAN_WORK_S, SPREAD, MAX_WORK_S = 0.5, 0.5, 3.0
+SPEEDS = [0.5, 1.0, 1.0]  # Of speeds = [0.5, 1.0, 1.0, 1.5]; the first worker is the one that leaves.
+SLOW_FACTOR = 5.0 if TROUBLE else 1.0
+LEAVES_AFTER_S = 1.5  # From the start of the slowness.
+SERVES_ON_S = 1.5  # "and a little longer"
+REQUESTS_PER_S = 50  # The three workers serve 12 + 24 + 24 a second.
+BURST_FACTOR, BURST_S = 1.7, 3.0
+ROUNDS = 7
 
 
-class WorkerInTrouble(standins.Worker):
-    """Sends bytes without end, in a head, on every connection until the caller closes it."""
-
-    is_in_trouble = False
-
-    async def serve(self, reader, writer):
-        if not self.is_in_trouble:
-            await super().serve(reader, writer)
-            return
-        self.writers.add(writer)
-        sent = 0
-        piece = b"x" * 65536
-        head = await standins.read_head(reader)
-        self.record.write("endless-answer", worker=self.name, to=(head or ["-"])[0].replace(" ", "_"))
-        try:
-            while True:
-                writer.write(piece)
-                await writer.drain()
-                sent += len(piece)
-                await asyncio.sleep(0)
-        except (ConnectionError, OSError):
-            pass
-        self.record.write("endless-answer-closed", worker=self.name, sent_mb=sent >> 20)
-        self.writers.discard(writer)
-        writer.close()
-
-
-def resident_mb(process):
-    try:
-        status = pathlib.Path(f"/proc/{process.pid}/status").read_text()
-    except OSError:
-        return 0
-    lines = [line for line in status.splitlines() if line.startswith("VmRSS")]
-    return int(lines[0].split()[1]) // 1024 if lines else 0
+def work_s():
+    return min(MEAN_WORK_S * random.lognormvariate(0, SPREAD), MAX_WORK_S)
 
 
 async def case(platform):
     record = platform.record
     clients = standins.Clients(record, HOST)
-    workers = []
-    for index in range(MACHINES):
-        machine = platform.add_machine(SERVICE)
-        worker = WorkerInTrouble(record, f"i-{index + 1:08x}", machine, SERVICE, 12, lambda path: 0.05)
+    factor = {}
+    machines = [platform.add_machine(SERVICE) for _ in SPEEDS]
+
+    async def start_worker(index, name):
+        factor[name] = 1.0
+        worker = standins.Worker(record, name, machines[index], SERVICE, SLOTS,
+                                 lambda path: work_s() / SPEEDS[index] * factor[name])
         await worker.start()
-        workers.append(worker)
+        return worker
+
+    leaving = await start_worker(0, "i-00000001")
+    for index in range(1, len(machines)):
+        await start_worker(index, f"i-1000000{index}")
     await platform.start(standins.configuration(
-        7, [standins.route("catalogo", HOST, "/lohu930/", "safe", SERVICE, 400, 1200)], [SERVICE]))
+        7, [standins.route("pedido", HOST, "/pufi791/", "unsafe", SERVICE, TARGET_MS, TIMEOUT_MS)], [SERVICE]))
 
     async def probe(machine):
-        return (await clients.send(machine, "GET", "/lohu930/probe", 2500)).status == 200
+        return (await clients.send(machine, "POST", "/pufi791/probe", 2500, b"order")).status == 200
 
     await platform.wait_until_served(probe)
-    await asyncio.sleep(3)
-
-    ends = {}
+    pending = set()
+    load = {"factor": 1.0}
 
-    async def run_machine(machine):
-        """The platform: kills a process over the limit of its memory and starts it again after a short delay."""
-        ends[machine.name] = 0
+    async def send_forever():
+        number = 0
         while True:
-            await asyncio.sleep(0.1)
-            memory = resident_mb(machine.process)
-            if machine.process.returncode is None and memory > MEMORY_MB:
-                record.write("over-memory-limit", machine=machine.name, resident_mb=memory)
-                machine.process.kill()
-            if machine.process.returncode is not None or memory > MEMORY_MB:
-                await machine.process.wait()
-                ends[machine.name] += 1
-                record.write("process-ended", machine=machine.name, code=machine.process.returncode,
-                             ends=ends[machine.name])
-                await asyncio.sleep(RESTART_DELAY_S)
-                await machine.start()
-
-    affected = workers[:IN_TROUBLE]
-    for worker in affected:
-        worker.is_in_trouble = TROUBLE
-        # The daemons are stopped and started again on their own, while the workers next to them run on.
-        asyncio.ensure_future(restart(worker.machine, run_machine))
-    await asyncio.sleep(WATCHED_S)
-    record.write("judged", ends=str(ends).replace(" ", ""))
-    crashing = [name for name, count in ends.items() if count >= MAX_ENDS]
-    if len(crashing) < max(2, MACHINES // 10):
-        return []
-    return [f"Fault: the daemon of {name} ended by itself {ends[name]} times (memory over {MEMORY_MB} MB)"
-            for name in crashing]
-
-
-async def restart(machine, run_machine):
-    await machine.terminate()
-    await machine.start()
-    await run_machine(machine)
+            number += 1
+            task = asyncio.ensure_future(clients.send(machines[number % len(machines)], "POST", f"/pufi791/{number}",
+                                                      DEADLINE_MS, b"order"))
+            pending.add(task)
+            task.add_done_callback(pending.discard)
+            await asyncio.sleep(1 / REQUESTS_PER_S / load["factor"])
+
+    traffic = asyncio.ensure_future(send_forever())
+    late = []
+    for number in range(ROUNDS):
+        await asyncio.sleep(3)
+        load["factor"] = BURST_FACTOR if TROUBLE else 1.0
+        record.write("burst", factor=load["factor"])
+        await asyncio.sleep(BURST_S - LEAVES_AFTER_S)
+        factor[leaving.name] = SLOW_FACTOR
+        record.write("worker-slow", worker=leaving.name, factor=SLOW_FACTOR)
+        await asyncio.sleep(LEAVES_AFTER_S)
+        acknowledged = await leaving.say_draining()
+        load["factor"] = 1.0
+        if acknowledged is None:
+            raise standins.CannotRun("the leaving was not acknowledged")
+        await asyncio.sleep(BOUNDS["drain_ms"] / 1000 + SERVES_ON_S)
+        await leaving.withdraw()
+        await leaving.exit()
+        bound = acknowledged + BOUNDS["drain_ms"] / 1000
+        late += [(at - acknowledged, request, leaving.name) for at, request, _ in leaving.arrivals if at > bound]
+        record.write("round", worker=leaving.name, acknowledged=f"{acknowledged:.3f}", late=len(late))
+        leaving = await start_worker(0, f"i-{number + 2:08x}")
+    traffic.cancel()
+    if pending:
+        await asyncio.wait(pending, timeout=12)
+    status = {result.request: result.status for result in clients.results}
+    return [f"DRAIN: order {request} reached {name} {after:.2f} s after its leaving was acknowledged; its client got "
+            f"{status[request]}" for after, request, name in late]
 
 
 standins.main(pathlib.Path(__file__).parent, BOUNDS, case)
