--- a/review/5/case.py
+++ b/review/5/case.py
@@ -25,7 +25,7 @@
 SERVES_ON_S = 1.5  # "and a little longer"
 REQUESTS_PER_S = 50  # The three workers serve 12 + 24 + 24 a second.
 BURST_FACTOR, BURST_S = 1.7, 3.0
-ROUNDS = 7
+ROUNDS = 9
 
 
 def work_s():
@@ -71,7 +71,7 @@
     traffic = asyncio.ensure_future(send_forever())
     late = []
     for number in range(ROUNDS):
-        await asyncio.sleep(3)
+        await asyncio.sleep(2)
         load["factor"] = BURST_FACTOR if TROUBLE else 1.0
         record.write("burst", factor=load["factor"])
         await asyncio.sleep(BURST_S - LEAVES_AFTER_S)
