Let a planned stop last as long as the platform waits

Cause: the drain gave up after its notice of 2.2 s and the drain_timeout of 3 s in the settings template, which fit a grace period of 6 s. The old log shows it: "drained connections_cut=5 after_ms=5206", exit code 0. Ruled out by that: an error, the deadline of the requests, connections taken for idle.

The adapter now reads the platform's grace period, and the drain lasts until half a second before its end, so that the process still ends by itself and the other daemons are told. drain_timeout counts from the start of the drain and is an upper limit only.

--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -17,7 +17,7 @@
   local file=$1 key
   [ -f "$file" ] || return 0
   key=$({ cat .clang-tidy; clang-tidy --version; clang++ -std=c++20 -E -P -Isrc -I. -Ibench -isystem thrift/gen -DBOOST_TEST_DYN_LINK \
-      -DTEST_TRACES_FOLDER='""' -DTEST_PROGRAMS_FOLDER='""' -DAMARANTHLADDER_VERSION='""' "$file"; } | sha256sum | cut -d' ' -f1)
+      -DTEST_TRACES_FOLDER='""' -DTEST_DEPLOY_FOLDER='""' -DTEST_PROGRAMS_FOLDER='""' -DAMARANTHLADDER_VERSION='""' "$file"; } | sha256sum | cut -d' ' -f1)
   [ -e "$cache/$key" ] && return 0
   if clang-tidy -p "$build" --quiet "$file" 2>/dev/null; then
     touch "$cache/$key"
--- a/src/daemon/component_settings.cpp
+++ b/src/daemon/component_settings.cpp
@@ -4,6 +4,25 @@
 
 namespace amaranthladder {
 
+namespace {
+
+/// Time that a daemon needs from the end of its drain until its process has ended: it closes its store connections,
+/// joins its threads and tells the other daemons that it leaves.
+constexpr absl::Duration max_shutdown_time = absl::Milliseconds(500);
+/// The same as a fraction of the grace period, for platforms with a short one.
+constexpr double max_shutdown_fraction = 1.0 / 12;
+
+/// @return the time from the start of a drain after which the requests that are still in flight are given up.
+absl::Duration drain_timeout(const daemon_settings& settings, const mesh_limits& limits) {
+    if (limits.stop_grace <= absl::ZeroDuration()) {
+        return settings.requests.drain_timeout;
+    }
+    const absl::Duration shutdown_time = std::min(max_shutdown_time, limits.stop_grace * max_shutdown_fraction);
+    return std::min(settings.requests.drain_timeout, limits.stop_grace - shutdown_time);
+}
+
+} // namespace
+
 event_log_options make_log_options(const daemon_settings& settings) {
     return {settings.log.level, settings.log.file, settings.log.queue_lines};
 }
@@ -35,6 +54,7 @@
     proxy_options options = make_proxy_options(settings);
     if (platform != nullptr) {
         options.headers = platform->headers;
+        options.drain_timeout = drain_timeout(settings, platform->limits);
         options.waiting_order = queue_order::target_first;
     }
     return options;
--- a/src/daemon/platform_interface.h
+++ b/src/daemon/platform_interface.h
@@ -28,6 +28,8 @@
     /// Time from the acknowledgement of a configuration until it must be active on all daemons.
     absl::Duration max_convergence_time;
     double store_reads_per_second = 0; ///< Capacity of the store for the whole mesh.
+    /// Time from the request to stop until the platform kills a daemon that still runs.
+    absl::Duration stop_grace;
 };
 
 /// Everything that depends on the platform's interfaces. Created by the platform's adapter.
--- a/src/http/private/inbound_session.h
+++ b/src/http/private/inbound_session.h
@@ -39,6 +39,11 @@
         return m_is_idle;
     }
 
+    /// @return true if a request has been read and not yet answered.
+    bool is_serving() const {
+        return !m_pipeline.is_empty();
+    }
+
     /// Closes the connection if the session is idle and no unread data has arrived.
     void close_if_idle();
 
--- a/src/http/proxy_options.h
+++ b/src/http/proxy_options.h
@@ -46,6 +46,7 @@
     /// Longest idle time after which a pooled connection is reused for a non-idempotent request.
     absl::Duration max_idle_non_idempotent = absl::Seconds(1);
     absl::Duration default_timeout = absl::Seconds(15);
+    /// Time from the start of a drain, its notice period included, after which requests in flight are given up.
     absl::Duration drain_timeout = absl::Seconds(60);
 };
 
--- a/src/http/request_proxy.cpp
+++ b/src/http/request_proxy.cpp
@@ -242,15 +242,18 @@
             timer.expires_after(drain_grace);
             co_await timer.async_wait(as_result);
         }
-        while (!m_sessions.empty() && m_state.clock.now() - started_at < notice + m_options.drain_timeout) {
+        while (!m_sessions.empty() && m_state.clock.now() - started_at < m_options.drain_timeout) {
             for (inbound_session* session : m_sessions) {
                 session->close_if_idle();
             }
             timer.expires_after(poll_interval);
             co_await timer.async_wait(as_result);
         }
-        m_state.log.info(fmt::format("drained connections_cut={} after_ms={}", m_sessions.size(),
-                                     absl::ToInt64Milliseconds(m_state.clock.now() - started_at)));
+        const auto requests_cut = std::ranges::count_if(m_sessions, &inbound_session::is_serving);
+        m_state.log.info(fmt::format("drained connections_cut={} requests_cut={} after_ms={} limit_ms={}",
+                                     m_sessions.size(), requests_cut,
+                                     absl::ToInt64Milliseconds(m_state.clock.now() - started_at),
+                                     absl::ToInt64Milliseconds(m_options.drain_timeout)));
         m_state.context.stop();
     }
 
--- a/src/settings/settings_table.cpp
+++ b/src/settings/settings_table.cpp
@@ -56,7 +56,7 @@
     {"requests", "queue_limit", setting_type::integer, false, "16", 0, 10'000, "Requests that may wait at the upstream while its service is not in the configuration."},
     {"requests", "warm_up", setting_type::duration, false, "10s", 0, 10 * minute, "Time over which a new upstream is ramped up to its full share."},
     {"requests", "announcement_timeout", setting_type::duration, false, "3s", 500, 1 * minute, "Time without announcements after which an upstream is withdrawn."},
-    {"requests", "drain_timeout", setting_type::duration, false, "60s", 0, 1 * hour, "Time limit for requests in flight at shutdown."},
+    {"requests", "drain_timeout", setting_type::duration, false, "60s", 0, 1 * hour, "Time limit for requests in flight at shutdown; a platform's grace period shortens it."},
     {"platform", "interface", setting_type::name, false, "own", 0, 0, "Interface to callers, upstreams and the store: own, or the name of a platform adapter."},
     {"platform", "limits", setting_type::text, false, "", 0, 0, "Limits of the platform, in the format of its adapter."},
     {"platform", "seeds", setting_type::text, false, "", 0, 0, "Addresses of other daemons, in the format of the adapter."},
--- a/src/tests/fakes/platform_store.cpp
+++ b/src/tests/fakes/platform_store.cpp
@@ -12,6 +12,9 @@
 
 namespace {
 
+/// Keeps daemons that watch without a pause from taking all processor time.
+constexpr absl::Duration max_watch_wait = absl::Milliseconds(50);
+
 json::object item_json(const std::string& key, const std::string& value, std::uint64_t revision, std::uint64_t lease) {
     return {{"key", key},
             {"value", absl::Base64Escape(value)},
@@ -113,6 +116,9 @@
         response.status = 410;
         return "{}";
     }
+    const auto has_changed = [this, after]()
+                                 ABSL_SHARED_LOCKS_REQUIRED(m_mutex) { return m_contents.revision > after; };
+    m_mutex.AwaitWithTimeout(absl::Condition(&has_changed), max_watch_wait);
     json::array events;
     for (const auto& [key, held] : m_contents.items) {
         if (key.starts_with(request.get_param_value("prefix")) && held.revision > after) {
--- a/src/tests/fakes/platform_store.h
+++ b/src/tests/fakes/platform_store.h
@@ -14,8 +14,8 @@
 
 namespace amaranthladder {
 
-/// HTTP server with the interface of the platform's store, which can come back from an older copy. Watches return at
-/// once, also without a change.
+/// HTTP server with the interface of the platform's store, which can come back from an older copy. Watches return soon,
+/// also without a change.
 class platform_store {
 public:
     platform_store();
