Remember over a restart that an upstream has left

Cause: which starts of upstreams have ended was known only in the memory of the daemon beside them. The old log shows that the restarted daemon had heard of the tombstone 1.5 s before it took the late heartbeat; its new incarnation then replaced the tombstone on all daemons. Ruled out by that: tables that are repaired too late, and a heartbeat of another start.

Owners now tell all daemons what an upstream has said of its leaving, as an opaque record with the start of the upstream. A daemon that has started again is told of it and ignores announcements sent before, in whichever order the two arrive. Comparing the start in tombstones would not do: a tombstone is also written for upstreams that were silent or whose daemon stopped.

--- a/src/daemon/announced_upstreams.cpp
+++ b/src/daemon/announced_upstreams.cpp
@@ -9,31 +9,30 @@
 
 namespace amaranthladder {
 
-namespace {
-
-/// Time for which ended upstreams are remembered. Announcements are delayed by a few seconds at most.
-constexpr absl::Duration ended_retention = absl::Minutes(2);
-
-} // namespace
-
 announced_upstreams::announced_upstreams(std::string data_center, absl::Duration timeout)
     : m_chart(state_chart::embedded("upstream")), m_data_center(std::move(data_center)), m_timeout(timeout) {}
 
 announced_upstreams::change announced_upstreams::announce(const upstream_announcement& announcement, absl::Time now) {
+    change result;
     if (is_outdated(announcement)) {
-        return {};
+        result.is_ignored = true;
+        return result;
     }
-    change result;
     result.replaced_ids = release_address(announcement, now);
-    m_ended.erase(announcement.id);
     auto [found, is_new] = m_upstreams.try_emplace(announcement.id);
     upstream& known = found->second;
     if (is_new) {
         known.state = m_chart.initial();
     }
     const std::string state_before = known.state;
-    if (announcement.started_at != known.announcement.started_at) {
-        known.has_said_leaving = false;
+    if (is_new || announcement.started_at != known.announcement.started_at) {
+        const std::optional<upstream_departure> said = departure(announcement.id);
+        known.has_said_leaving =
+            said && said->kind == departure_kind::responded && said->started_at == announcement.started_at;
+    }
+    if (announcement.is_leaving && state_before != "draining" && announcement.started_at != absl::UnixEpoch()) {
+        record_departure(announcement.id,
+                         {announcement.started_at, departure_kind::announced, announcement.sequence, now}, now);
     }
     const bool is_leaving = announcement.is_leaving || known.has_said_leaving || m_are_all_leaving;
     apply_event(known, is_leaving ? "leaving" : "announced");
@@ -52,21 +51,63 @@
         remove(id, now);
         return true;
     }
-    // After a restart of the daemon, the withdrawal may arrive before delayed announcements of the same upstream.
-    m_ended.try_emplace(id, ended_upstream{{now, 0}, now});
+    // After a restart of the daemon, the withdrawal may arrive before delayed announcements of the same upstream. What
+    // other daemons have told of it names its start; without that, all starts until now count.
+    const std::optional<upstream_departure> known = departure(id);
+    record_departure(id, {known ? known->started_at : now, departure_kind::ended, 0, now}, now);
     return false;
 }
 
-bool announced_upstreams::set_said_leaving(const std::string& id) {
+bool announced_upstreams::set_said_leaving(const std::string& id, absl::Time now) {
     const auto found = m_upstreams.find(id);
     if (found == m_upstreams.end() || std::exchange(found->second.has_said_leaving, true)) {
         return false;
     }
+    if (found->second.announcement.started_at != absl::UnixEpoch()) {
+        record_departure(id, {found->second.announcement.started_at, departure_kind::responded, 0, now}, now);
+    }
     const std::string state_before = found->second.state;
     apply_event(found->second, "leaving");
     return found->second.state != state_before;
 }
 
+announced_upstreams::departure_effect
+announced_upstreams::hear_departure(const std::string& id, const upstream_departure& heard, absl::Time now) {
+    if (!record_departure(id, heard, now)) {
+        return departure_effect::none;
+    }
+    const auto found = m_upstreams.find(id);
+    if (found == m_upstreams.end() || found->second.announcement.started_at > heard.started_at) {
+        return departure_effect::none;
+    }
+    if (heard.kind == departure_kind::ended) {
+        m_upstreams.erase(found);
+        return departure_effect::removed;
+    }
+    if (found->second.announcement.started_at < heard.started_at) {
+        return departure_effect::none; // Another daemon has heard of a later start.
+    }
+    if (heard.kind == departure_kind::responded) {
+        found->second.has_said_leaving = true;
+    } else if (!heard.supersedes(heard.started_at, found->second.announcement.sequence)) {
+        return departure_effect::none; // Announcements that arrived here were sent later.
+    }
+    const std::string state_before = found->second.state;
+    apply_event(found->second, "leaving");
+    return found->second.state != state_before ? departure_effect::record_changed : departure_effect::none;
+}
+
+std::optional<upstream_departure> announced_upstreams::departure(const std::string& id) const {
+    const auto found = m_departures.find(id);
+    return found == m_departures.end() ? std::nullopt : std::optional(found->second);
+}
+
+bool announced_upstreams::has_departed(const upstream_record& record) const {
+    const auto found = m_departures.find(record.id);
+    return found != m_departures.end() && found->second.kind != departure_kind::announced &&
+           record.started_at != absl::UnixEpoch() && record.started_at <= found->second.started_at;
+}
+
 std::vector<std::string> announced_upstreams::expire(absl::Time now) {
     std::vector<std::string> gone;
     for (const auto& [id, known] : m_upstreams) {
@@ -115,9 +156,9 @@
     if (const auto known = m_upstreams.find(announcement.id); known != m_upstreams.end()) {
         return ordering_key_of(announcement) < ordering_key_of(known->second.announcement);
     }
-    if (const auto ended = m_ended.find(announcement.id); ended != m_ended.end()) {
-        // Only a new start of the upstream makes it valid again.
-        return announcement.started_at <= ended->second.last.started_at;
+    if (const auto known = departure(announcement.id);
+        known && known->supersedes(announcement.started_at, announcement.sequence)) {
+        return true;
     }
     return std::ranges::any_of(m_upstreams, [&](const auto& other) {
         return other.second.announcement.address == announcement.address &&
@@ -146,9 +187,18 @@
 
 void announced_upstreams::remove(const std::string& id, absl::Time now) {
     const auto known = m_upstreams.find(id);
-    m_ended[id] = {ordering_key_of(known->second.announcement), now};
+    record_departure(id, {known->second.announcement.started_at, departure_kind::ended, 0, now}, now);
     m_upstreams.erase(known);
-    std::erase_if(m_ended, [now](const auto& ended) { return now - ended.second.ended_at > ended_retention; });
+}
+
+bool announced_upstreams::record_departure(const std::string& id, const upstream_departure& heard, absl::Time now) {
+    std::erase_if(m_departures, [now](const auto& known) { return is_obsolete(known.second, now); });
+    const auto [found, is_new] = m_departures.try_emplace(id, heard);
+    if (!is_new && !is_later(heard, found->second)) {
+        return false;
+    }
+    found->second = heard;
+    return true;
 }
 
 void announced_upstreams::apply_event(upstream& changed, const std::string& event) const {
--- a/src/daemon/announced_upstreams.h
+++ b/src/daemon/announced_upstreams.h
@@ -2,11 +2,13 @@
 
 #include "common/state_chart.h"
 #include "daemon/upstream_announcement.h"
+#include "daemon/upstream_departure.h"
 #include "peers/upstream_record.h"
 
 #include <absl/time/time.h>
 
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -32,6 +34,7 @@
 
     /// Effect of an announcement.
     struct change {
+        bool is_ignored = false;               ///< It was sent before something that is known already.
         bool is_record_changed = false;        ///< The upstream's record must be sent to the other daemons again.
         std::vector<std::string> replaced_ids; ///< Ids of removed upstreams that had the same address.
     };
@@ -49,7 +52,23 @@
     /// Records that an upstream has said in a response that it leaves. Its announcements do not revoke that, since they
     /// may have been sent before; only a new start does.
     /// @return true if its record has changed.
-    bool set_said_leaving(const std::string& id);
+    bool set_said_leaving(const std::string& id, absl::Time now);
+
+    /// Effect of a departure that another daemon has told.
+    enum class departure_effect {
+        none,
+        record_changed, ///< The upstream's record must be sent to the other daemons again.
+        removed,        ///< The upstream is gone.
+    };
+
+    /// Records a departure that another daemon has told, such as one that this daemon heard before a restart.
+    departure_effect hear_departure(const std::string& id, const upstream_departure& heard, absl::Time now);
+
+    /// @return what is known of the leaving of the upstream with that id, beside whichever daemon; empty if nothing is.
+    std::optional<upstream_departure> departure(const std::string& id) const;
+
+    /// @return true if the upstream has left for good since the start that @p record describes.
+    bool has_departed(const upstream_record& record) const;
 
     /// Removes upstreams whose last announcement is older than the timeout.
     /// @return their ids.
@@ -81,6 +100,9 @@
     bool is_outdated(const upstream_announcement& announcement) const;
     std::vector<std::string> release_address(const upstream_announcement& announcement, absl::Time now);
     void remove(const std::string& id, absl::Time now);
+    /// Keeps @p heard if it is later than what is known.
+    /// @return true if it is.
+    bool record_departure(const std::string& id, const upstream_departure& heard, absl::Time now);
     void apply_event(upstream& changed, const std::string& event) const;
 
     state_chart m_chart;
@@ -88,11 +110,7 @@
     absl::Duration m_timeout;
     bool m_are_all_leaving = false;
     std::map<std::string, upstream> m_upstreams;
-    struct ended_upstream {
-        ordering_key last;
-        absl::Time ended_at;
-    };
-    std::map<std::string, ended_upstream> m_ended; ///< Withdrawn or replaced upstreams, by id.
+    std::map<std::string, upstream_departure> m_departures; ///< By upstream id, also of upstreams beside other daemons.
 };
 
 } // namespace amaranthladder
--- a/src/daemon/mesh_daemon.cpp
+++ b/src/daemon/mesh_daemon.cpp
@@ -14,6 +14,7 @@
 #include "daemon/report_collector.h"
 #include "daemon/status_text.h"
 #include "daemon/store_follower.h"
+#include "daemon/upstream_departure.h"
 #include "daemon/watcher_lease_record.h"
 #include "http/request_proxy.h"
 #include "peers/peer_server.h"
@@ -107,11 +108,26 @@
     if (key.starts_with(watcher_lease_record_prefix)) {
         return merge_watcher_lease_records(held, heard);
     }
+    if (key.starts_with(departure_key_prefix)) {
+        return merge_departure_records(held, heard);
+    }
     return merge_encoded<move_record>(held, heard);
 }
 
-/// Gossip sends urgent records first: progress of moves, orders and idle upstreams. Watcher lease records are not
-/// urgent.
+/// @return true if the daemons need not keep @p record any more.
+bool is_obsolete_record(const opaque_record& record, absl::Time now) {
+    if (!record.key.starts_with(departure_key_prefix)) {
+        return false;
+    }
+    try {
+        return is_obsolete(upstream_departure::decode(record.bytes), now);
+    } catch (const error&) {
+        return true;
+    }
+}
+
+/// Gossip sends urgent records first: progress of moves, orders, idle upstreams and departures. Watcher lease records
+/// are not urgent.
 bool is_urgent_record(const opaque_record& record) {
     return !record.key.starts_with(watcher_lease_record_prefix);
 }
@@ -133,7 +149,10 @@
           m_proxy(make_proxy_options(settings, m_platform ? &*m_platform : nullptr),
                   make_router_settings(settings, m_platform.has_value()), make_retry_budget(settings), m_clock, m_log,
                   make_upstream_observer()),
-          m_peers(make_peer_settings(settings, m_proxy.owner_address()), {merge_records, nullptr, is_urgent_record},
+          m_peers(make_peer_settings(settings, m_proxy.owner_address()),
+                  {merge_records,
+                   [this](const opaque_record& record) { return is_obsolete_record(record, m_clock.now()); },
+                   is_urgent_record},
                   make_peer_callbacks()) {
         m_peers.start();
         if (m_platform) {
@@ -406,6 +425,31 @@
         if (m_announced_upstreams.withdraw(id, m_clock.now())) {
             remove_upstream(id, "withdrawn");
         }
+        publish_departure(id);
+    }
+
+    /// Tells the other daemons what is known of the leaving of an upstream, so that they tell this one after a restart.
+    void publish_departure(const std::string& id) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex) {
+        const std::optional<upstream_departure> departure = m_announced_upstreams.departure(id);
+        if (departure && m_peers.put_opaque({std::string(departure_key_prefix) + id, departure->encode()})) {
+            m_log.info(fmt::format("departure upstream={} kind={} sequence={} started_ms={}", id, name(departure->kind),
+                                   departure->sequence, absl::ToUnixMillis(departure->started_at)));
+        }
+    }
+
+    void handle_departure(const std::string& id, const upstream_departure& heard) {
+        const absl::MutexLock lock(&m_mutex);
+        switch (m_announced_upstreams.hear_departure(id, heard, m_clock.now())) {
+        case announced_upstreams::departure_effect::removed:
+            remove_upstream(id, "departed");
+            break;
+        case announced_upstreams::departure_effect::record_changed:
+            publish_upstream(id);
+            break;
+        case announced_upstreams::departure_effect::none:
+            break;
+        }
+        m_are_upstreams_changed = true;
     }
 
     /// Removes an upstream beside this daemon from the mesh and the data path.
@@ -497,6 +541,11 @@
                 m_heard_era = parse_era(record.bytes);
                 return;
             }
+            if (record.key.starts_with(departure_key_prefix)) {
+                handle_departure(record.key.substr(departure_key_prefix.size()),
+                                 upstream_departure::decode(record.bytes));
+                return;
+            }
             if (record.key.starts_with(order_key_prefix)) {
                 accept_order(move_order::decode(record.bytes));
                 return;
@@ -515,8 +564,19 @@
     void handle_announcement(const upstream_announcement& announcement) {
         const absl::MutexLock lock(&m_mutex);
         const announced_upstreams::change changed = m_announced_upstreams.announce(announcement, m_clock.now());
+        if (changed.is_ignored) {
+            const std::optional<upstream_departure> departure = m_announced_upstreams.departure(announcement.id);
+            m_log.info(fmt::format("announcement-ignored upstream={} sequence={} started_ms={} leaving={} departure={}",
+                                   announcement.id, announcement.sequence, absl::ToUnixMillis(announcement.started_at),
+                                   announcement.is_leaving, departure ? name(departure->kind) : "none"));
+            return;
+        }
         for (const std::string& id : changed.replaced_ids) {
             remove_upstream(id, "replaced");
+            publish_departure(id);
+        }
+        if (announcement.is_leaving) {
+            publish_departure(announcement.id);
         }
         if (changed.is_record_changed) {
             publish_upstream(announcement.id);
@@ -527,9 +587,10 @@
     /// Tells the other daemons that an upstream beside this one has said in a response that it leaves.
     void handle_leaving(const std::string& id) {
         const absl::MutexLock lock(&m_mutex);
-        if (m_announced_upstreams.set_said_leaving(id)) {
+        if (m_announced_upstreams.set_said_leaving(id, m_clock.now())) {
             publish_upstream(id);
         }
+        publish_departure(id);
     }
 
     /// Publishes an upstream beside this daemon to the data path and to the other daemons.
@@ -750,6 +811,11 @@
             auto found = m_peers.usable_upstreams(service_name);
             std::move(found.begin(), found.end(), std::back_inserter(usable));
         }
+        // An owner that has started again may announce an upstream until it is told of its departure.
+        const absl::MutexLock lock(&m_mutex);
+        std::erase_if(usable, [this](const upstream_record& record) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex) {
+            return m_announced_upstreams.has_departed(record);
+        });
         return usable;
     }
 
--- a/src/tests/announced_upstreams_test.cpp
+++ b/src/tests/announced_upstreams_test.cpp
@@ -207,9 +207,9 @@
     made.started_at = start;
     made.sequence = 4;
     upstreams.announce(made, start);
-    BOOST_TEST(!upstreams.set_said_leaving("tienda-2"));
-    BOOST_TEST(upstreams.set_said_leaving("tienda-1"));
-    BOOST_TEST(!upstreams.set_said_leaving("tienda-1"));
+    BOOST_TEST(!upstreams.set_said_leaving("tienda-2", start));
+    BOOST_TEST(upstreams.set_said_leaving("tienda-1", start));
+    BOOST_TEST(!upstreams.set_said_leaving("tienda-1", start));
     made.sequence = 5;
     upstreams.announce(made, start + absl::Seconds(1));
     BOOST_TEST(upstreams.record("tienda-1").is_leaving);
