Bound the wait in the queue of an upstream that leaves

Cause: a limiter that is told of the leaving refuses new requests and serves its queue to the end; only the caller's deadline bounds the wait. The old log shows an order that was routed 0.3 s before the leaving and admitted 2.9 s after it, with waited_ms=3159. Ruled out by that: entries that had not heard of the leaving, and requests that reach the upstream past its owner.

The limiter now knows until when the upstream serves, from the platform's limit. Queued requests that can end by then keep their place; the others are refused at once, not run, so that their entries use another upstream. The same holds for the queue of an upstream that is removed, for one that has said in a response that it leaves, and before a request is sent or sent again.

The project's own interface names no such time; queues are served there as before, and the existing tests of that are unchanged but for the signature of remove_local_upstream.

--- a/src/daemon/component_settings.cpp
+++ b/src/daemon/component_settings.cpp
@@ -21,6 +21,15 @@
     return std::min(settings.requests.drain_timeout, limits.stop_grace - shutdown_time);
 }
 
+/// @return the time for which requests are sent to an upstream that has said that it leaves.
+absl::Duration upstream_drain_time(const daemon_settings& settings, const mesh_limits& limits) {
+    if (limits.upstream_drain <= absl::ZeroDuration()) {
+        return absl::InfiniteDuration();
+    }
+    // A request must have arrived by then, and its connection may have to be opened first.
+    return std::max(absl::ZeroDuration(), limits.upstream_drain - settings.requests.connect_timeout);
+}
+
 } // namespace
 
 event_log_options make_log_options(const daemon_settings& settings) {
@@ -55,6 +64,7 @@
     if (platform != nullptr) {
         options.headers = platform->headers;
         options.drain_timeout = drain_timeout(settings, platform->limits);
+        options.upstream_drain_time = upstream_drain_time(settings, platform->limits);
         options.waiting_order = queue_order::target_first;
     }
     return options;
--- a/src/daemon/mesh_daemon.cpp
+++ b/src/daemon/mesh_daemon.cpp
@@ -423,7 +423,7 @@
     void handle_withdrawal(const std::string& id) {
         const absl::MutexLock lock(&m_mutex);
         if (m_announced_upstreams.withdraw(id, m_clock.now())) {
-            remove_upstream(id, "withdrawn");
+            remove_upstream(id, upstream_removal::withdrawn);
         }
         publish_departure(id);
     }
@@ -441,7 +441,7 @@
         const absl::MutexLock lock(&m_mutex);
         switch (m_announced_upstreams.hear_departure(id, heard, m_clock.now())) {
         case announced_upstreams::departure_effect::removed:
-            remove_upstream(id, "departed");
+            remove_upstream(id, upstream_removal::departed);
             break;
         case announced_upstreams::departure_effect::record_changed:
             publish_upstream(id);
@@ -453,12 +453,12 @@
     }
 
     /// Removes an upstream beside this daemon from the mesh and the data path.
-    void remove_upstream(const std::string& id, std::string_view reason) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex) {
+    void remove_upstream(const std::string& id, upstream_removal reason) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex) {
         m_peers.withdraw_upstream(id);
-        m_proxy.remove_local_upstream(id);
+        m_proxy.remove_local_upstream(id, reason);
         m_refused_upstreams.erase(id);
         m_superseded_upstreams.erase(id);
-        m_log.warning(fmt::format("upstream-gone upstream={} reason={}", id, reason));
+        m_log.warning(fmt::format("upstream-gone upstream={} reason={}", id, name(reason)));
         m_are_upstreams_changed = true;
     }
 
@@ -572,7 +572,7 @@
             return;
         }
         for (const std::string& id : changed.replaced_ids) {
-            remove_upstream(id, "replaced");
+            remove_upstream(id, upstream_removal::replaced);
             publish_departure(id);
         }
         if (announcement.is_leaving) {
@@ -797,7 +797,7 @@
     void expire_announcements() {
         const absl::MutexLock lock(&m_mutex);
         for (const auto& id : m_announced_upstreams.expire(m_clock.now())) {
-            remove_upstream(id, "silent");
+            remove_upstream(id, upstream_removal::silent);
         }
     }
 
--- a/src/daemon/platform_interface.h
+++ b/src/daemon/platform_interface.h
@@ -30,6 +30,8 @@
     double store_reads_per_second = 0; ///< Capacity of the store for the whole mesh.
     /// Time from the request to stop until the platform kills a daemon that still runs.
     absl::Duration stop_grace;
+    /// Time for which an upstream serves after its leaving has been acknowledged; no request may reach it later.
+    absl::Duration upstream_drain;
 };
 
 /// Everything that depends on the platform's interfaces. Created by the platform's adapter.
--- a/src/http/private/owner_call.cpp
+++ b/src/http/private/owner_call.cpp
@@ -121,6 +121,10 @@
         m_request.keeps_connection = false;
         co_return exchange_status{result_code::caller_disconnected, execution::not_run};
     }
+    // Both the connection and the body of a slow caller may take time.
+    if (!m_semaphore->limiter().may_send(m_proxy.clock.now())) {
+        co_return exchange_status{result_code::upstream_leaving, execution::not_run};
+    }
     const http::request_header<> head = make_request_header();
     const exchange::request outgoing{m_upstream.address,
                                      head,
@@ -196,7 +200,7 @@
         }
     }
     if (signals.is_leaving && !std::exchange(known->has_said_leaving, true)) {
-        m_semaphore->limiter().set_leaving();
+        m_proxy.set_leaving(*known, "response");
         m_proxy.upstreams.on_leaving(m_upstream.id);
         m_proxy.log.info(fmt::format("upstream-leaving upstream={} request={} record_leaving={}", m_upstream.id,
                                      m_request.info.request_id, known->record.is_leaving));
@@ -234,7 +238,7 @@
 
 bool owner_call::may_resend() {
     return m_exchange.has_idle_connection_timed_out() && m_is_idempotent && !m_is_cancelled &&
-           m_request.body.is_replayable() && m_semaphore->limiter().try_repeat(m_proxy.clock.now()) &&
+           m_request.body.is_replayable() && m_semaphore->try_repeat() &&
            m_proxy.budget.try_spend(m_upstream.service, m_proxy.clock.now());
 }
 
--- a/src/http/private/proxy_state.h
+++ b/src/http/private/proxy_state.h
@@ -17,11 +17,14 @@
 #include <absl/container/flat_hash_map.h>
 #include <absl/random/random.h>
 
+#include <fmt/format.h>
+
 #include <functional>
 #include <map>
 #include <memory>
 #include <set>
 #include <string>
+#include <string_view>
 
 namespace amaranthladder {
 
@@ -57,6 +60,24 @@
         return found == configuration->limits.end() ? nullptr : &found->second;
     }
 
+    /// Refuses further requests for a local upstream, and waiting ones that it cannot serve in the time it has left.
+    /// @param reason what showed that it leaves, for the log.
+    /// @param serves_for time for which it still serves.
+    void set_leaving(local_upstream& leaving, std::string_view reason, absl::Duration serves_for) {
+        const slot_limiter& limiter = leaving.semaphore->limiter();
+        const int queued = limiter.queued();
+        leaving.semaphore->set_leaving(clock.now() + serves_for);
+        log.info(fmt::format("queue-leaving upstream={} reason={} serves_ms={} running={} queued={} refused={}",
+                             leaving.record.id, reason,
+                             serves_for == absl::InfiniteDuration() ? -1 : absl::ToInt64Milliseconds(serves_for),
+                             limiter.running(), limiter.queued(), queued - limiter.queued()));
+    }
+
+    /// @overload that applies to an upstream that has just said that it leaves.
+    void set_leaving(local_upstream& leaving, std::string_view reason) {
+        set_leaving(leaving, reason, options.upstream_drain_time);
+    }
+
     const proxy_options& options;
     const steady_clock& clock;
     event_log& log;
--- a/src/http/private/slot_semaphore.cpp
+++ b/src/http/private/slot_semaphore.cpp
@@ -58,7 +58,7 @@
         timer.expires_after(waiter_interval);
         co_await timer.async_wait(as_result);
         for (const request_id id : semaphore->m_limiter.expire(semaphore->m_clock.now())) {
-            semaphore->wake(id, result_code::queue_deadline);
+            semaphore->wake(id, semaphore->m_limiter.drop_reason());
         }
         semaphore->wake_all(semaphore->m_limiter.start_permitted(semaphore->m_clock.now()));
     }
@@ -73,12 +73,26 @@
     wake_all(m_limiter.set_rate_limit(per_second, m_clock.now()));
 }
 
+void slot_semaphore::set_leaving(absl::Time serves_until) {
+    for (const request_id id : m_limiter.set_leaving(serves_until, m_clock.now())) {
+        wake(id, m_limiter.drop_reason());
+    }
+}
+
+void slot_semaphore::clear_leaving() {
+    m_limiter.clear_leaving();
+}
+
+bool slot_semaphore::try_repeat() {
+    return m_limiter.try_repeat(m_clock.now());
+}
+
 void slot_semaphore::wake_all(const slot_change& change) {
     for (const request_id id : change.run) {
         wake(id, result_code::ok);
     }
     for (const request_id id : change.dropped) {
-        wake(id, result_code::queue_deadline);
+        wake(id, m_limiter.drop_reason());
     }
 }
 
--- a/src/http/private/slot_semaphore.h
+++ b/src/http/private/slot_semaphore.h
@@ -41,10 +41,20 @@
     /// @param per_second starts per second; nothing lifts the limit.
     void set_rate_limit(std::optional<double> per_second);
 
-    slot_limiter& limiter() {
+    /// Refuses further requests, and waiting ones that the upstream cannot serve any more.
+    /// @param serves_until when the upstream may end.
+    void set_leaving(absl::Time serves_until);
+
+    /// Accepts requests again.
+    void clear_leaving();
+
+    const slot_limiter& limiter() const {
         return m_limiter;
     }
 
+    /// Counts a request that is sent a second time; see slot_limiter::try_repeat.
+    bool try_repeat();
+
 private:
     struct waiter {
         asio::steady_timer* timer = nullptr;
--- a/src/http/proxy_options.h
+++ b/src/http/proxy_options.h
@@ -46,6 +46,8 @@
     /// Longest idle time after which a pooled connection is reused for a non-idempotent request.
     absl::Duration max_idle_non_idempotent = absl::Seconds(1);
     absl::Duration default_timeout = absl::Seconds(15);
+    /// Time for which an upstream is sent requests from its queue after it has said that it leaves.
+    absl::Duration upstream_drain_time = absl::InfiniteDuration();
     /// Time from the start of a drain, its notice period included, after which requests in flight are given up.
     absl::Duration drain_timeout = absl::Seconds(60);
 };
--- a/src/http/request_proxy.cpp
+++ b/src/http/request_proxy.cpp
@@ -117,15 +117,25 @@
             known->rate_limit = {};
             known->semaphore->set_rate_limit(std::nullopt);
         }
-        slot_limiter& limiter = known->semaphore->limiter();
+        known->record = std::move(record);
         // Announcements may be older than the response that said leaving.
-        const bool is_leaving = record.is_leaving || known->has_said_leaving;
-        if (is_leaving && !limiter.is_leaving()) {
-            limiter.set_leaving();
-        } else if (!is_leaving && limiter.is_leaving()) {
-            limiter.clear_leaving();
+        const bool is_leaving = known->record.is_leaving || known->has_said_leaving;
+        const bool was_leaving = known->semaphore->limiter().is_leaving();
+        if (is_leaving && !was_leaving) {
+            m_state.set_leaving(*known, "record");
+        } else if (!is_leaving && was_leaving) {
+            known->semaphore->clear_leaving();
+        }
+    }
+
+    void remove_local_upstream(const std::string& id, upstream_removal reason) {
+        if (local_upstream* const known = m_state.find_local_upstream(id)) {
+            // The requests that hold or wait for a slot outlive the upstream's entry.
+            const bool still_serves = reason == upstream_removal::withdrawn;
+            m_state.set_leaving(*known, name(reason),
+                                still_serves ? m_options.upstream_drain_time : absl::ZeroDuration());
+            m_state.local_upstreams.erase(id);
         }
-        known->record = std::move(record);
     }
 
 private:
@@ -342,8 +352,8 @@
     });
 }
 
-void request_proxy::remove_local_upstream(const std::string& id) {
-    m_implementation->post([this, id] { m_implementation->state().local_upstreams.erase(id); });
+void request_proxy::remove_local_upstream(const std::string& id, upstream_removal reason) {
+    m_implementation->post([this, id, reason] { m_implementation->remove_local_upstream(id, reason); });
 }
 
 endpoint request_proxy::address() const {
--- a/src/http/request_proxy.h
+++ b/src/http/request_proxy.h
@@ -5,6 +5,7 @@
 #include "http/control_request.h"
 #include "http/proxy_options.h"
 #include "http/proxy_statistics.h"
+#include "http/upstream_removal.h"
 #include "peers/upstream_record.h"
 #include "routing/retry_budget.h"
 #include "routing/router.h"
@@ -70,8 +71,9 @@
     /// @param answer receives the number, 0 for an unknown upstream; called on the event loop's thread.
     void query_load(const std::string& id, std::function<void(int)> answer);
 
-    /// Stops serving requests for a local upstream.
-    void remove_local_upstream(const std::string& id);
+    /// Stops serving requests for a local upstream. Those in its queue are served only if it still serves, see
+    /// proxy_options::upstream_drain_time.
+    void remove_local_upstream(const std::string& id, upstream_removal reason);
 
     /// @return the address where the proxy listens for callers.
     endpoint address() const;
--- a/src/routing/slot_limiter.cpp
+++ b/src/routing/slot_limiter.cpp
@@ -85,12 +85,34 @@
     return removed > 0 ? cancel_result::queued : cancel_result::unknown;
 }
 
-void slot_limiter::set_leaving() {
+std::vector<request_id> slot_limiter::set_leaving(absl::Time serves_until, absl::Time now) {
     m_is_leaving = true;
+    m_serves_until = std::min(m_serves_until, serves_until);
+    std::vector<request_id> dropped;
+    if (m_serves_until == absl::InfiniteFuture()) {
+        return dropped;
+    }
+    const std::vector<waiting_request> queue = m_queue;
+    std::ptrdiff_t kept = 0;
+    while (!m_queue.empty()) {
+        const auto position = m_queue.begin() + static_cast<std::ptrdiff_t>(next_position(now));
+        if (now + wait_behind(kept, now) >= latest_start(*position)) {
+            dropped.push_back(position->id);
+        } else {
+            ++kept;
+        }
+        m_queue.erase(position);
+    }
+    m_queue = queue;
+    std::erase_if(m_queue, [&](const waiting_request& waiting) {
+        return std::ranges::find(dropped, waiting.id) != dropped.end();
+    });
+    return dropped;
 }
 
 void slot_limiter::clear_leaving() {
     m_is_leaving = false;
+    m_serves_until = absl::InfiniteFuture();
 }
 
 slot_change slot_limiter::set_limits(int slots, int queue_limit, absl::Time now) {
@@ -109,7 +131,7 @@
 }
 
 bool slot_limiter::try_repeat(absl::Time now) {
-    if (!m_start_rate.may_start(now)) {
+    if (!may_send(now) || !m_start_rate.may_start(now)) {
         return false;
     }
     m_start_rate.on_start(now);
@@ -155,7 +177,9 @@
 }
 
 absl::Time slot_limiter::latest_start(const waiting_request& waiting) const {
-    return m_policy.drops_unmeetable ? waiting.deadline - m_service_time_by_kind[waiting.kind] : waiting.deadline;
+    const absl::Time meetable =
+        m_policy.drops_unmeetable ? waiting.deadline - m_service_time_by_kind[waiting.kind] : waiting.deadline;
+    return std::min(meetable, m_serves_until - service_time_of(waiting.kind));
 }
 
 absl::Duration slot_limiter::service_time_of(std::size_t kind) const {
--- a/src/routing/slot_limiter.h
+++ b/src/routing/slot_limiter.h
@@ -60,7 +60,7 @@
 /// What the user of the limiter must do after a change.
 struct slot_change {
     std::vector<request_id> run;     ///< Start these now; each holds a slot until finish is called.
-    std::vector<request_id> dropped; ///< Refuse these with result_code::queue_deadline; they have not run.
+    std::vector<request_id> dropped; ///< Refuse these with slot_limiter::drop_reason(); they have not run.
 };
 
 /// State of a request when it was cancelled.
@@ -111,12 +111,27 @@
     /// Removes a queued request.
     cancel_result cancel(request_id id);
 
-    /// Refuses new requests from now on. Queued requests are still served.
-    void set_leaving();
+    /// Refuses new requests from now on. Queued requests are served as long as they can end while the upstream still
+    /// serves.
+    /// @param serves_until when the upstream may end; of several calls the earliest time counts.
+    /// @param now current time.
+    /// @return queued requests whose turn would come too late, to be refused now.
+    std::vector<request_id> set_leaving(absl::Time serves_until = absl::InfiniteFuture(),
+                                        absl::Time now = absl::InfinitePast());
 
     /// Accepts new requests again, after a new announcement of the upstream.
     void clear_leaving();
 
+    /// @return true if a request that holds a slot may be sent to the upstream.
+    bool may_send(absl::Time now) const {
+        return now < m_serves_until;
+    }
+
+    /// @return the code with which dropped requests are refused.
+    result_code drop_reason() const {
+        return m_is_leaving ? result_code::upstream_leaving : result_code::queue_deadline;
+    }
+
     /// Changes the limits. Running requests are not interrupted: a lower limit takes effect as requests finish.
     /// @return requests to start or refuse now.
     slot_change set_limits(int slots, int queue_limit, absl::Time now);
@@ -132,7 +147,7 @@
     slot_change start_permitted(absl::Time now);
 
     /// Counts a request that is sent a second time against the rate limit.
-    /// @return false if the limit does not allow it now.
+    /// @return false if the limit does not allow it now, or if the upstream may have ended.
     bool try_repeat(absl::Time now);
 
     /// @return when to call expire next, which may be in the past; nothing if the queue is empty.
@@ -207,6 +222,7 @@
     int m_slots;
     int m_queue_limit;
     bool m_is_leaving = false;
+    absl::Time m_serves_until = absl::InfiniteFuture(); ///< Nothing is sent to a leaving upstream after this time.
     start_rate m_start_rate;
     std::vector<running_request> m_running; // Small, so a scan is faster than a tree.
     std::vector<waiting_request> m_queue;   // In order of arrival.
--- a/src/tests/request_proxy_test.cpp
+++ b/src/tests/request_proxy_test.cpp
@@ -278,7 +278,7 @@
     while (mesh.owner->counters().owner_requests == 0) {
         std::this_thread::sleep_for(std::chrono::milliseconds(20));
     }
-    mesh.owner->remove_local_upstream("tienda-1");
+    mesh.owner->remove_local_upstream("tienda-1", upstream_removal::silent);
     std::this_thread::sleep_for(std::chrono::milliseconds(50));
     BOOST_REQUIRE(::send(socket, "der", 3, MSG_NOSIGNAL) == 3);
     std::string answer(4096, '\0');
--- a/src/tests/upstream_leaving_test.cpp
+++ b/src/tests/upstream_leaving_test.cpp
@@ -71,7 +71,7 @@
     behavior.headers["x-amaranthladder-leaving"] = "1";
     mesh.upstream.set_behavior(behavior);
     BOOST_TEST(mesh.client().Get("/x")->status == 200);
-    mesh.owner->remove_local_upstream(mesh.record.id);
+    mesh.owner->remove_local_upstream(mesh.record.id, upstream_removal::withdrawn);
     mesh.entry->set_upstreams({});
     mesh.record.incarnation += 1;
     mesh.owner->set_local_upstream(mesh.record, 16);
