Believe a refusal without a request id only where it cannot be an earlier one

An upstream that writes its refusal of an earlier request once more, on a kept connection and without a request id, made the caller of the next request hear 503, "not run", while that request ran; an order could run at a second upstream.

Cause: the id of a response was compared only if it had one. Ruled out as other ways: a copy that arrives while the connection rests (found as unread bytes) and one with the id of the earlier request (skipped).

A refusal without an id is now skipped if the upstream names ids otherwise, so that the response to the request is delivered; from an upstream that has named none, it is believed only as the first response on its connection.

--- a/src/http/private/exchange.cpp
+++ b/src/http/private/exchange.cpp
@@ -39,6 +39,7 @@
 
 asio::awaitable<exchange_status> exchange::connect(const endpoint& target, bool is_idempotent, absl::Time deadline) {
     m_connection = m_pool.take(target, is_idempotent, m_clock.now());
+    m_is_connection_reused = m_connection != nullptr;
     if (m_connection) {
         m_idle_before_send = m_clock.now() - m_connection->last_received_at;
         co_return exchange_status{};
--- a/src/http/private/exchange.h
+++ b/src/http/private/exchange.h
@@ -62,6 +62,11 @@
         return m_has_idle_connection_timed_out;
     }
 
+    /// @return true if the connection has carried other requests before this one.
+    bool is_connection_reused() const {
+        return m_is_connection_reused;
+    }
+
     /// Closes the connection, so that start() can be called again.
     void reset();
 
@@ -108,6 +113,7 @@
     std::optional<body_time_limit> m_body_limit; ///< Set once the header of a response has been read.
     absl::Time m_sent_at;
     absl::Duration m_idle_before_send; ///< Time for which the connection had been idle in the pool.
+    bool m_is_connection_reused = false;
     bool m_has_idle_connection_timed_out = false;
     bool m_has_received_continue = false;
     bool m_is_request_sent = false;
--- a/src/http/private/local_upstream.h
+++ b/src/http/private/local_upstream.h
@@ -19,6 +19,8 @@
     absl::Time unreachable_until = absl::InfinitePast(); ///< Requests are refused until then after a failed connection.
     requested_rate_limit rate_limit;
     bool has_said_leaving = false; ///< A response of this upstream said so.
+    /// A response of this upstream has carried the id of its request, so a refusal without one is to another request.
+    bool echoes_request_ids = false;
     std::shared_ptr<slot_semaphore>
         semaphore; ///< Limits its concurrent requests; shared with those that hold or wait for a slot.
 };
--- a/src/http/private/owner_call.cpp
+++ b/src/http/private/owner_call.cpp
@@ -150,13 +150,13 @@
 
 asio::awaitable<exchange_status> owner_call::check_response(const exchange::request& outgoing) {
     const header_names& names = m_proxy.options.headers;
-    // An upstream may answer an earlier request twice. The second response carries the id of that request and precedes
-    // the response to this one.
-    for (int surplus = 0;; ++surplus) {
-        const std::string_view answered_id = field_value(m_exchange.response().get(), names.request_id);
-        if (answered_id.empty() || answered_id == m_request.info.request_id) {
-            break;
-        }
+    // An upstream may answer an earlier request twice. The second response precedes the response to this request.
+    for (int surplus = 0; !is_own_response(); ++surplus) {
+        ++m_proxy.counters.surplus_responses;
+        m_proxy.log.warning(
+            fmt::format("surplus-response upstream={} request={} answered={} status={} not_run={} number={}",
+                        m_upstream.id, m_request.info.request_id,
+                        field_value(m_exchange.response().get(), names.request_id), status(), says_not_run(), surplus));
         const exchange_status next = surplus < max_surplus_responses
                                          ? co_await m_exchange.read_next_response(outgoing)
                                          : exchange_status{result_code::response_mismatched, execution::may_have_run};
@@ -165,7 +165,7 @@
             co_return exchange_status{result_code::response_mismatched, execution::may_have_run};
         }
     }
-    if (has_field(names.not_executed) || status() == misdirected_status) {
+    if (says_not_run()) {
         observe_signals(false);
         co_return co_await handle_upstream_refusal();
     }
@@ -179,6 +179,24 @@
     co_return exchange_status{};
 }
 
+bool owner_call::is_own_response() {
+    const std::string_view answered_id = field_value(m_exchange.response().get(), m_proxy.options.headers.request_id);
+    local_upstream* const known = m_proxy.find_local_upstream(m_upstream.id);
+    if (answered_id.empty()) {
+        // Whether a request has run is too important to be told by a response that may be to another one.
+        return !says_not_run() || known == nullptr || !known->echoes_request_ids;
+    }
+    const bool is_own = answered_id == m_request.info.request_id;
+    if (is_own && known != nullptr) {
+        known->echoes_request_ids = true;
+    }
+    return is_own;
+}
+
+bool owner_call::says_not_run() {
+    return has_field(m_proxy.options.headers.not_executed) || status() == misdirected_status;
+}
+
 void owner_call::observe_signals(bool is_complete) {
     local_upstream* const known = m_proxy.find_local_upstream(m_upstream.id);
     if (known == nullptr || status() == misdirected_status || !is_same_start(known->record, m_upstream)) {
@@ -209,6 +227,12 @@
 
 asio::awaitable<exchange_status> owner_call::handle_upstream_refusal() {
     const bool is_other_upstream = status() == misdirected_status;
+    const bool is_unnamed = field_value(m_exchange.response().get(), m_proxy.options.headers.request_id).empty();
+    if (is_unnamed && m_exchange.is_connection_reused()) {
+        // It may be a second copy of an earlier refusal, while this request runs.
+        m_exchange.abort();
+        co_return exchange_status{result_code::response_mismatched, execution::may_have_run};
+    }
     co_await discard_response();
     co_return exchange_status{is_other_upstream ? result_code::no_upstream : result_code::overloaded,
                               execution::not_run};
--- a/src/http/private/owner_call.h
+++ b/src/http/private/owner_call.h
@@ -71,6 +71,10 @@
     void observe_signals(bool is_complete);
     void log_admission(result_code granted, const slot_request& wanted);
     bool has_field(const std::string& name);
+    /// @return true if the response is one to this request, as far as its id tells.
+    bool is_own_response();
+    /// @return true if the response says that the request did not run.
+    bool says_not_run();
     /// @return true if the request may be sent again on a new connection. Spends a retry.
     bool may_resend();
     absl::Duration first_byte_timeout() const;
--- a/src/http/request_proxy.cpp
+++ b/src/http/request_proxy.cpp
@@ -114,6 +114,7 @@
         }
         if (!is_same_start(known->record, record)) {
             known->has_said_leaving = false;
+            known->echoes_request_ids = false;
             known->rate_limit = {};
             known->semaphore->set_rate_limit(std::nullopt);
         }
