--- a/src/daemon/announced_upstreams.cpp
+++ b/src/daemon/announced_upstreams.cpp
@@ -9,10 +9,21 @@
 
 namespace amaranthladder {
 
+namespace {
+
+/// Clocks of hosts differ, and jump, by seconds. A start beyond this would make all true ones count as earlier.
+constexpr absl::Duration max_clock_difference = absl::Hours(1);
+
+} // namespace
+
 announced_upstreams::announced_upstreams(std::string data_center, absl::Duration timeout)
     : m_chart(state_chart::embedded("upstream")), m_data_center(std::move(data_center)), m_timeout(timeout) {}
 
 announced_upstreams::change announced_upstreams::announce(const upstream_announcement& announcement, absl::Time now) {
+    if (announcement.started_at > now + max_clock_difference) {
+        throw error(result_code::announcement_malformed,
+                    fmt::format("upstream {} states a start in the future", announcement.id));
+    }
     change result;
     if (is_outdated(announcement)) {
         result.is_ignored = true;
--- a/src/daemon/announced_upstreams.h
+++ b/src/daemon/announced_upstreams.h
@@ -42,7 +42,7 @@
     /// Processes an announcement. One that is older than the last known one, by start time and sequence number, was
     /// delayed in transit and is ignored.
     /// @throws error with result_code::announcement_conflict if another upstream has the same address and neither
-    ///         started later.
+    ///         started later, with result_code::announcement_malformed if it states a start in the future.
     change announce(const upstream_announcement& announcement, absl::Time now);
 
     /// Removes an upstream that has reported its end. Its announcements that are still in transit are ignored.
