Follow an order although the record of its state cannot be read

A daemon that starts refused an operator's order if the record of its state under mesh/orders could not be read, so one odd entry there hid the order.

Cause: both were decoded under one handler, which logged intent-refused for the order. Such a record now counts as none and is logged as order-record-refused.

--- a/src/daemon/intent_store_client.h
+++ b/src/daemon/intent_store_client.h
@@ -192,10 +192,7 @@
         move_order order = make_order(request);
         const auto record = m_store->get(order_record_key(request.service), call_timeout);
         if (record.is_ok()) {
-            const move_order known = move_order::decode(record.value->value);
-            if (is_same_order(known, order)) {
-                order = merge(order, known);
-            }
+            order = merge_order_record(order, *record.value);
         }
         const auto report = m_store->get(m_format.report_key(request.service), call_timeout);
         if (report.is_ok() && report.value->key_revision > order.introduced_in) {
@@ -204,6 +201,18 @@
         return order;
     }
 
+    /// @return @p order with the state in its record; unchanged if that is of another order or cannot be read.
+    move_order merge_order_record(const move_order& order, const stored_item& record) {
+        try {
+            const move_order known = move_order::decode(record.value);
+            return is_same_order(known, order) ? merge(order, known) : order;
+        } catch (const error& problem) {
+            m_log.warning(fmt::format("order-record-refused key={} code={} reason=\"{}\"", record.key,
+                                      name(problem.code()), problem.what()));
+            return order;
+        }
+    }
+
     void run_maintenance() {
         absl::BitGen random;
         const absl::Time started_at = m_clock.now();
--- a/src/tests/fakes/platform_host.cpp
+++ b/src/tests/fakes/platform_host.cpp
@@ -136,15 +136,19 @@
 }
 
 int platform_host::announce(std::uint64_t sequence, const std::string& state) {
-    return announce_body(heartbeat(sequence, state));
+    return call_control("PUT", upstream_id(), heartbeat(sequence, state));
 }
 
-int platform_host::announce_body(const std::string& body) {
-    return call_control("PUT", body);
+int platform_host::announce_as(const std::string& id, std::uint64_t sequence) {
+    return call_control("PUT", id, heartbeat(sequence, "ready"));
+}
+
+endpoint platform_host::peer_address() const {
+    return {m_address, peer_port};
 }
 
 int platform_host::withdraw() {
-    return call_control("DELETE", "");
+    return call_control("DELETE", upstream_id(), "");
 }
 
 httplib::Client platform_host::client() const {
@@ -176,15 +180,26 @@
     return fmt::format("i-{:08x}", m_number);
 }
 
+bool platform_host::wait_for_log(const std::string& text, absl::Duration limit) const {
+    const absl::Time until = absl::Now() + limit;
+    while (log().find(text) == std::string::npos) {
+        if (absl::Now() >= until) {
+            return false;
+        }
+        absl::SleepFor(poll_interval);
+    }
+    return true;
+}
+
 std::string platform_host::log() const {
     return read_file(m_log_path);
 }
 
-int platform_host::call_control(const std::string& method, const std::string& body) const {
+int platform_host::call_control(const std::string& method, const std::string& id, const std::string& body) const {
     httplib::Client control(m_address, control_port);
     httplib::Request request;
     request.method = method;
-    request.path = "/amaranthladder/instances/" + upstream_id();
+    request.path = "/amaranthladder/instances/" + id;
     request.body = body;
     request.headers = {{"Content-Length", std::to_string(body.size())}};
     const auto answer = control.send(request);
@@ -197,9 +212,9 @@
                            R"("target_latency_ms":1000,"priority":1,"max_attempts":{2}}})",
                            name, kind, max_attempts);
     };
-    store.put("op/config", fmt::format(R"({{"version":"0000000c","routes":[{},{}],)"
+    store.put("op/config", fmt::format(R"({{"version":"{:08x}","routes":[{},{}],)"
                                        R"("services":[{{"name":"tienda","health_path":"/health"}}]}})",
-                                       route("reads", "safe"), route("orders", "unsafe")));
+                                       10 + max_attempts, route("reads", "safe"), route("orders", "unsafe")));
 }
 
 } // namespace amaranthladder
--- a/src/tests/fakes/platform_host.h
+++ b/src/tests/fakes/platform_host.h
@@ -54,8 +54,11 @@
     /// @return the HTTP status; 0 without an answer.
     int announce(std::uint64_t sequence, const std::string& state = "ready");
 
-    /// Sends a heartbeat with this body.
-    int announce_body(const std::string& body);
+    /// Sends a heartbeat of the upstream under another id.
+    int announce_as(const std::string& id, std::uint64_t sequence);
+
+    /// @return the daemon's address for messages between daemons.
+    endpoint peer_address() const;
 
     /// Reports that the upstream has ended or ends soon.
     int withdraw();
@@ -73,6 +76,10 @@
     /// @return id of the upstream.
     std::string upstream_id() const;
 
+    /// Waits until a daemon has logged @p text.
+    /// @return false if none does within @p limit.
+    bool wait_for_log(const std::string& text, absl::Duration limit = absl::Seconds(10)) const;
+
     /// @return what the daemons of all starts have logged.
     std::string log() const;
 
@@ -80,7 +87,7 @@
     int slots = 12; ///< That the upstream announces.
 
 private:
-    int call_control(const std::string& method, const std::string& body) const;
+    int call_control(const std::string& method, const std::string& id, const std::string& body) const;
 
     std::string m_address;
     int m_number;
@@ -93,7 +100,7 @@
 
 /// Writes a configuration to the store: the service `tienda` with the idempotent route `/reads/` and the route
 /// `/orders/` that is not.
-/// @param max_attempts upstreams to which a request may be sent.
+/// @param max_attempts upstreams to which a request may be sent; the version is higher by 10.
 void put_test_configuration(platform_store& store, int max_attempts = 2);
 
 } // namespace amaranthladder
