Do not end a daemon over an upstream id that another daemon announces

An id announced at two daemons at once belongs to one of them after their tables have been merged. The other daemon still took it for its own: at SIGTERM announce_upstream threw announcement-conflict on the signal thread and the process aborted, with the requests it was serving.

The daemon now forgets such an upstream as soon as it hears of the other record, answers its heartbeats 409, and no longer throws where it announces a change.

upstream_conflict_test ended with signal 6 before ("i-both is announced by the daemon at ...").

--- a/src/daemon/announced_upstreams.cpp
+++ b/src/daemon/announced_upstreams.cpp
@@ -69,6 +69,19 @@
     return false;
 }
 
+void announced_upstreams::forget(const std::string& id) {
+    m_upstreams.erase(id);
+}
+
+std::vector<std::string> announced_upstreams::ids() const {
+    std::vector<std::string> result;
+    result.reserve(m_upstreams.size());
+    for (const auto& [id, known] : m_upstreams) {
+        result.push_back(id);
+    }
+    return result;
+}
+
 bool announced_upstreams::set_said_leaving(const std::string& id, absl::Time now) {
     const auto found = m_upstreams.find(id);
     if (found == m_upstreams.end() || std::exchange(found->second.has_said_leaving, true)) {
--- a/src/daemon/announced_upstreams.h
+++ b/src/daemon/announced_upstreams.h
@@ -49,6 +49,9 @@
     /// @return true if the upstream was known.
     bool withdraw(const std::string& id, absl::Time now);
 
+    /// Forgets an upstream whose id belongs to another daemon. It may announce itself again.
+    void forget(const std::string& id);
+
     /// Records that an upstream has said in a response that it leaves. Its announcements do not revoke that, since they
     /// may have been sent before; only a new start does.
     /// @return true if its record has changed.
@@ -85,6 +88,9 @@
         return m_upstreams;
     }
 
+    /// @return the ids of upstreams().
+    std::vector<std::string> ids() const;
+
 private:
     /// Orders announcements: first by the start of the upstream, then by sequence number.
     struct ordering_key {
--- a/src/daemon/mesh_daemon.cpp
+++ b/src/daemon/mesh_daemon.cpp
@@ -220,7 +220,7 @@
     /// Announces to the other daemons that the upstreams beside this one are leaving.
     void announce_leave() ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex) {
         m_announced_upstreams.set_all_leaving();
-        for (const auto& [id, known] : m_announced_upstreams.upstreams()) {
+        for (const std::string& id : m_announced_upstreams.ids()) {
             publish_upstream(id);
         }
     }
@@ -529,6 +529,12 @@
         if (!changes.upstreams.empty() || !changes.members.empty()) {
             const absl::MutexLock lock(&m_mutex);
             m_are_upstreams_changed = true;
+            for (const auto& upstream : changes.upstreams) {
+                if (!upstream.is_withdrawn && upstream.owner != m_proxy.owner_address() &&
+                    m_announced_upstreams.upstreams().contains(upstream.id) && !m_peers.is_own_upstream(upstream.id)) {
+                    forget_upstream(upstream.id, fmt::format("announced at {}", to_string(upstream.owner)));
+                }
+            }
         }
     }
 
@@ -579,7 +585,10 @@
             publish_departure(announcement.id);
         }
         if (changed.is_record_changed) {
-            publish_upstream(announcement.id);
+            if (!publish_upstream(announcement.id)) {
+                throw error(result_code::announcement_conflict,
+                            fmt::format("upstream {} is announced by another daemon", announcement.id));
+            }
             m_moves.set_upstream(announcement.service, announcement.version);
         }
     }
@@ -594,15 +603,33 @@
     }
 
     /// Publishes an upstream beside this daemon to the data path and to the other daemons.
-    void publish_upstream(const std::string& id) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex) {
+    /// @return false if another living daemon has announced the same id; the upstream is then forgotten here.
+    bool publish_upstream(const std::string& id) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex) {
         upstream_record record = m_announced_upstreams.record(id);
         record.is_leaving = record.is_leaving || m_superseded_upstreams.contains(id);
-        const upstream_record published = m_peers.announce_upstream(record);
+        upstream_record published;
+        try {
+            published = m_peers.announce_upstream(record);
+        } catch (const error& problem) {
+            forget_upstream(id, problem.what());
+            return false;
+        }
         m_proxy.set_local_upstream(published, queue_limit(published.service));
         m_log.info(fmt::format("placement upstream={} service={} version={} address={} slots={} leaving={}", id,
                                published.service, published.version, to_string(published.address), published.slots,
                                published.is_leaving));
         m_are_upstreams_changed = true;
+        return true;
+    }
+
+    /// Stops serving an upstream whose id belongs to another daemon, without a word to the others.
+    void forget_upstream(const std::string& id, std::string_view reason) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex) {
+        m_announced_upstreams.forget(id);
+        m_proxy.remove_local_upstream(id, upstream_removal::replaced);
+        m_refused_upstreams.erase(id);
+        m_superseded_upstreams.erase(id);
+        m_log.warning(fmt::format("upstream-conflict upstream={} reason=\"{}\"", id, reason));
+        m_are_upstreams_changed = true;
     }
 
     int queue_limit(const std::string& service_name) const {
@@ -731,17 +758,20 @@
     /// Marks upstreams of replaced versions as leaving, and checks whether they are idle.
     void supersede_old_versions() {
         const absl::MutexLock lock(&m_mutex);
-        for (const auto& [id, known] : m_announced_upstreams.upstreams()) {
-            const auto order = m_orders.superseding_order(known.announcement.service, known.announcement.version);
+        for (const std::string& id : m_announced_upstreams.ids()) {
+            const upstream_announcement announcement = m_announced_upstreams.upstreams().at(id).announcement;
+            const auto order = m_orders.superseding_order(announcement.service, announcement.version);
             if (order.has_value() != m_superseded_upstreams.contains(id)) {
-                m_log.info(fmt::format("placement upstream={} version={} superseded={}", id, known.announcement.version,
+                m_log.info(fmt::format("placement upstream={} version={} superseded={}", id, announcement.version,
                                        order.has_value()));
                 if (order) {
                     m_superseded_upstreams.insert(id);
                 } else {
                     m_superseded_upstreams.erase(id);
                 }
-                publish_upstream(id);
+                if (!publish_upstream(id)) {
+                    continue;
+                }
             }
             if (order) {
                 m_proxy.query_load(id, [this, id = id, order = *order](int load) { handle_load(id, order, load); });
--- a/src/peers/peer_node.h
+++ b/src/peers/peer_node.h
@@ -149,6 +149,11 @@
     /// @return the upstreams of @p service that may receive requests: not leaving or withdrawn, owner not dead.
     std::vector<upstream_record> usable_upstreams(const std::string& service) const;
 
+    /// @return true if this daemon has announced @p id and no later record of another daemon replaces that.
+    bool is_own_upstream(const std::string& id) const {
+        return m_own_upstreams.contains(id);
+    }
+
     /// @return all upstream records, including tombstones.
     std::vector<upstream_record> upstreams() const;
 
--- a/src/peers/peer_server.cpp
+++ b/src/peers/peer_server.cpp
@@ -353,6 +353,10 @@
     return m_implementation->query([&](const peer_node& node) { return node.usable_upstreams(service); });
 }
 
+bool peer_server::is_own_upstream(const std::string& id) const {
+    return m_implementation->query([&](const peer_node& node) { return node.is_own_upstream(id); });
+}
+
 std::vector<upstream_record> peer_server::upstreams() const {
     return m_implementation->query([](const peer_node& node) { return node.upstreams(); });
 }
--- a/src/peers/peer_server.h
+++ b/src/peers/peer_server.h
@@ -84,6 +84,7 @@
     void set_store_followers(std::vector<endpoint> followers);
 
     std::vector<upstream_record> usable_upstreams(const std::string& service) const;
+    bool is_own_upstream(const std::string& id) const;
     std::vector<upstream_record> upstreams() const;
     std::vector<opaque_record> opaque_records() const;
     std::vector<member> members() const;
