End a task, not the process, over an unexpected exception

The threads of the peers, of the control loop and of the store client and the event loop of the data path had no handler of their own, so an exception that nothing expected ended the whole daemon. No message that causes one is known; the conflict of upstream ids was one.

Each of them now reports the failure as task-failed and goes on; the store client waits a second first. Failures within a repair or a pull count like those of a peer out of reach, so that the next one is made.

--- a/src/daemon/intent_store_client.h
+++ b/src/daemon/intent_store_client.h
@@ -19,6 +19,7 @@
 
 #include <algorithm>
 #include <atomic>
+#include <exception>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -113,6 +114,8 @@
     /// Intervals at which registrations of other daemons are read: the shorter one while this daemon knows no peer.
     static constexpr absl::Duration isolated_contact_read_interval = absl::Milliseconds(700);
     static constexpr absl::Duration contact_read_interval = absl::Seconds(20);
+    /// Bounds the calls and log lines of a task that fails again and again.
+    static constexpr absl::Duration failure_retry_interval = absl::Seconds(1);
 
     prefix_listener make_listener() {
         prefix_listener listener;
@@ -145,18 +148,33 @@
         absl::BitGen random;
         bool has_listed = false;
         while (!is_stopped()) {
-            if (has_listed && !m_callbacks.must_follow_store()) {
-                m_follower.relist();
-                set_follows(false);
-                wait(poll_interval);
-                continue;
-            }
-            const absl::Duration delay = m_follower.step(random);
-            m_followed_era = era_of(m_follower.as_of());
-            const bool is_first_list = !has_listed && m_follower.is_reachable();
-            has_listed = has_listed || is_first_list;
-            set_follows(m_follower.is_reachable() && !is_first_list);
-            wait(is_first_list ? first_watch_delay : delay);
+            wait(run_guarded("store-follower", [&] { return follow_once(random, has_listed); }));
+        }
+    }
+
+    /// @return the time to wait before the next call.
+    absl::Duration follow_once(absl::BitGen& random, bool& has_listed) {
+        if (has_listed && !m_callbacks.must_follow_store()) {
+            m_follower.relist();
+            set_follows(false);
+            return poll_interval;
+        }
+        const absl::Duration delay = m_follower.step(random);
+        m_followed_era = era_of(m_follower.as_of());
+        const bool is_first_list = !has_listed && m_follower.is_reachable();
+        has_listed = has_listed || is_first_list;
+        set_follows(m_follower.is_reachable() && !is_first_list);
+        return is_first_list ? first_watch_delay : delay;
+    }
+
+    /// Runs @p task; an exception that nothing else handles is logged and does not end the thread.
+    /// @return the result of @p task; the retry interval after an exception.
+    template <typename Task> absl::Duration run_guarded(std::string_view part, Task&& task) {
+        try {
+            return task();
+        } catch (const std::exception& problem) {
+            m_log.error(fmt::format("task-failed part={} reason=\"{}\"", part, problem.what()));
+            return failure_retry_interval;
         }
     }
 
@@ -216,34 +234,44 @@
     void run_maintenance() {
         absl::BitGen random;
         const absl::Time started_at = m_clock.now();
-        absl::Time next_registration = started_at;
-        absl::Time next_contact_read = next_registration;
+        maintenance_times times{started_at, started_at, started_at};
         while (!is_stopped()) {
-            check_era();
-            const std::string upstream = m_callbacks.saved_upstream();
-            const bool is_registration_due =
-                !upstream.empty() || m_clock.now() - started_at >= first_registration_limit;
-            m_registration.set_value(registration_value(upstream));
-            if (!m_registration.is_written()) {
-                next_registration = std::min(next_registration, m_clock.now() + registration_delay);
-            }
-            // The registration of the previous run must be read before it is overwritten.
-            if (m_has_read_registration && is_registration_due && m_clock.now() >= next_registration) {
-                next_registration = m_clock.now() + m_registration.step(random);
-            }
-            if (m_clock.now() >= next_contact_read) {
-                read_contacts();
-                next_contact_read =
-                    m_clock.now() + (m_callbacks.has_peers() ? contact_read_interval : isolated_contact_read_interval);
-            }
-            for (const move_order& order : m_callbacks.due_reports()) {
-                write_report(order);
-            }
-            wait(poll_interval);
+            wait(run_guarded("store-maintenance", [&] { return maintain_once(random, times); }));
         }
         // The registration is left for the next run of this daemon; without one, it expires with its lease.
     }
 
+    struct maintenance_times {
+        absl::Time started_at;
+        absl::Time next_registration;
+        absl::Time next_contact_read;
+    };
+
+    /// @return the time to wait before the next turn.
+    absl::Duration maintain_once(absl::BitGen& random, maintenance_times& times) {
+        check_era();
+        const std::string upstream = m_callbacks.saved_upstream();
+        const bool is_registration_due =
+            !upstream.empty() || m_clock.now() - times.started_at >= first_registration_limit;
+        m_registration.set_value(registration_value(upstream));
+        if (!m_registration.is_written()) {
+            times.next_registration = std::min(times.next_registration, m_clock.now() + registration_delay);
+        }
+        // The registration of the previous run must be read before it is overwritten.
+        if (m_has_read_registration && is_registration_due && m_clock.now() >= times.next_registration) {
+            times.next_registration = m_clock.now() + m_registration.step(random);
+        }
+        if (m_clock.now() >= times.next_contact_read) {
+            read_contacts();
+            times.next_contact_read =
+                m_clock.now() + (m_callbacks.has_peers() ? contact_read_interval : isolated_contact_read_interval);
+        }
+        for (const move_order& order : m_callbacks.due_reports()) {
+            write_report(order);
+        }
+        return poll_interval;
+    }
+
     /// Called on the maintenance thread only.
     void check_era() {
         m_store->raise_era(m_callbacks.heard_era());
--- a/src/daemon/mesh_daemon.cpp
+++ b/src/daemon/mesh_daemon.cpp
@@ -28,6 +28,7 @@
 #include <atomic>
 #include <charconv>
 #include <cstdint>
+#include <exception>
 #include <functional>
 #include <iterator>
 #include <optional>
@@ -237,6 +238,9 @@
         };
         callbacks.apply_snapshot = [this](const std::string& bytes) { return m_configuration.apply_update(bytes); };
         callbacks.on_change = [this](const node_output& changes) { on_peer_change(changes); };
+        callbacks.on_failure = [this](const std::string& task, const std::string& reason) {
+            log_failure("peers-" + task, reason);
+        };
         return callbacks;
     }
 
@@ -643,9 +647,18 @@
         return m_settings.requests.queue_limit;
     }
 
+    /// Logs an unexpected exception that has ended a task, but not its thread.
+    void log_failure(const std::string& part, const std::string& reason) {
+        m_log.error(fmt::format("task-failed part={} reason=\"{}\"", part, reason));
+    }
+
     void run_control_loop() {
         while (!m_is_stopped) {
-            tick();
+            try {
+                tick();
+            } catch (const std::exception& problem) {
+                log_failure("control-loop", problem.what());
+            }
             std::this_thread::sleep_for(absl::ToChronoMilliseconds(control_interval));
         }
     }
--- a/src/http/request_proxy.cpp
+++ b/src/http/request_proxy.cpp
@@ -16,6 +16,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <exception>
 #include <future>
 #include <list>
 #include <optional>
@@ -60,7 +61,16 @@
     }
 
     void run() {
-        m_state.context.run();
+        bool has_ended = false;
+        while (!has_ended) {
+            try {
+                m_state.context.run();
+                has_ended = true;
+            } catch (const std::exception& problem) {
+                // The other tasks are unaffected, and the event loop may be run again.
+                m_state.log.error(fmt::format("task-failed part=data-path reason=\"{}\"", problem.what()));
+            }
+        }
     }
 
     void stop() {
--- a/src/peers/peer_server.cpp
+++ b/src/peers/peer_server.cpp
@@ -142,20 +142,43 @@
     void run_udp_loop() {
         while (m_is_running) {
             m_socket.wait(tick_interval);
-            for (int turn = 0; turn < max_datagrams_per_tick; ++turn) {
-                const std::optional<std::string> bytes = m_socket.receive();
-                if (!bytes) {
-                    break;
-                }
-                const node_output output = receive(*bytes);
-                if (output.received) {
-                    const absl::MutexLock lock(&m_counter_mutex);
-                    count(m_counters.datagrams[static_cast<std::size_t>(*output.received)], 0, bytes->size());
-                }
-                process_output(output);
+            int turn = 0;
+            while (turn < max_datagrams_per_tick && run_guarded("datagram", [this] { return receive_next(); })) {
+                ++turn;
             }
-            process_output(tick());
+            run_guarded("tick", [this] {
+                process_output(tick());
+                return true;
+            });
+        }
+    }
+
+    /// Runs @p task; an exception that nothing else handles is reported and does not end the thread.
+    /// @return the result of @p task; true after an exception.
+    template <typename Task> bool run_guarded(const char* name, Task&& task) {
+        try {
+            return task();
+        } catch (const std::exception& problem) {
+            if (m_callbacks.on_failure) {
+                m_callbacks.on_failure(name, problem.what());
+            }
+            return true;
+        }
+    }
+
+    /// @return false if no datagram was waiting.
+    bool receive_next() {
+        const std::optional<std::string> bytes = m_socket.receive();
+        if (!bytes) {
+            return false;
+        }
+        const node_output output = receive(*bytes);
+        if (output.received) {
+            const absl::MutexLock lock(&m_counter_mutex);
+            count(m_counters.datagrams[static_cast<std::size_t>(*output.received)], 0, bytes->size());
         }
+        process_output(output);
+        return true;
     }
 
     node_output receive(const std::string& bytes) {
@@ -193,11 +216,14 @@
 
     void run_worker() {
         while (const std::optional<peer_task> next = next_task()) {
-            if (const auto* const pulled = std::get_if<pull_task>(&*next)) {
-                pull(*pulled);
-            } else {
-                repair(std::get<repair_task>(*next));
-            }
+            run_guarded("exchange", [&] {
+                if (const auto* const pulled = std::get_if<pull_task>(&*next)) {
+                    pull(*pulled);
+                } else {
+                    repair(std::get<repair_task>(*next));
+                }
+                return true;
+            });
         }
     }
 
@@ -227,7 +253,7 @@
         std::string bytes;
         try {
             bytes = rpc_client(m_settings, task.peer, rpc_kind::pull, traffic_callback()).pull(task.base);
-        } catch (const error&) {
+        } catch (const std::exception&) {
             return pull_outcome::unreachable;
         }
         if (bytes.empty()) {
@@ -244,7 +270,8 @@
         bool is_ok = true;
         try {
             run_repair(task);
-        } catch (const error&) {
+        } catch (const std::exception&) {
+            // The peer is out of reach or has sent something malformed; the counter shows it, another repair follows.
             is_ok = false;
             const absl::MutexLock lock(&m_counter_mutex);
             ++m_counters.failed_repairs;
--- a/src/peers/peer_server.h
+++ b/src/peers/peer_server.h
@@ -28,6 +28,9 @@
 
     /// Called with changed members, upstream records and opaque records. May be empty.
     std::function<void(const node_output& changes)> on_change;
+
+    /// Called when a task ended with an unexpected exception; the work goes on. May be empty.
+    std::function<void(const std::string& task, const std::string& reason)> on_failure = {};
 };
 
 /// Numbers of bytes and messages sent and received, for the metrics endpoint.
