Keep the departure of an upstream in the daemon's registration

A daemon that was restarted while no other one could tell it that its upstream had left, because it reached none or all were restarted at once, used that upstream again after a late heartbeat.

The registration in the store holds the announcement of the upstream for the next run; it now holds the departure once the upstream has left. That is the same write as before with another value, so it costs no call.

--- a/src/daemon/intent_store_client.h
+++ b/src/daemon/intent_store_client.h
@@ -58,10 +58,9 @@
     std::function<void(std::uint64_t era)> announce_era;
     /// @return the newest era of the store that other daemons have told; 0: none.
     std::function<std::uint64_t()> heard_era;
-    /// @return the announcement of the upstream beside this daemon, for the next run of the daemon; empty if there is
-    ///         nothing to save.
+    /// @return what the next run of the daemon must know of the upstream beside it; empty if there is nothing to save.
     std::function<std::string()> saved_upstream;
-    /// Called at most once, after the start, with the announcement that the previous run saved.
+    /// Called at most once, after the start, with what the previous run saved.
     std::function<void(const std::string& upstream)> restore_upstream;
 };
 
--- a/src/daemon/mesh_daemon.cpp
+++ b/src/daemon/mesh_daemon.cpp
@@ -343,26 +343,28 @@
         m_peers.set_store_followers(std::move(followers));
     }
 
-    /// @return the announcement of the upstream beside this daemon, for the next run of the daemon; empty if there is
-    ///         no single upstream or it is leaving.
+    /// @return the announcement of the upstream beside this daemon, for the next run of the daemon, or the last
+    /// departure
+    ///         of one; empty if there is neither.
     std::string saved_upstream() {
         const absl::MutexLock lock(&m_mutex);
-        if (m_announced_upstreams.upstreams().size() != 1) {
-            return "";
+        if (m_announced_upstreams.upstreams().size() == 1) {
+            const announced_upstreams::upstream& known = m_announced_upstreams.upstreams().begin()->second;
+            if (!known.announcement.is_leaving && !known.has_said_leaving) {
+                return to_json(known.announcement);
+            }
         }
-        const announced_upstreams::upstream& known = m_announced_upstreams.upstreams().begin()->second;
-        return known.announcement.is_leaving || known.has_said_leaving ? "" : to_json(known.announcement);
+        const std::optional<upstream_departure> departure = m_announced_upstreams.departure(m_last_departed);
+        return departure ? fmt::format("{}{} {}", departure_key_prefix, m_last_departed, departure->encode()) : "";
     }
 
-    /// Restores the upstream that the previous run of this daemon saved, if its address still answers with the same id.
-    /// This avoids waiting for its next announcement.
+    /// Restores what the previous run of this daemon saved.
     void restore_upstream(const std::string& saved) {
         try {
-            const upstream_announcement saved_announcement = parse_announcement(saved);
-            const bool is_same = m_platform->query_upstream_id(saved_announcement.address) == saved_announcement.id;
-            m_log.info(fmt::format("upstream-recalled upstream={} is_used={}", saved_announcement.id, is_same));
-            if (is_same) {
-                handle_announcement(saved_announcement);
+            if (saved.starts_with(departure_key_prefix)) {
+                restore_departure(std::string_view(saved).substr(departure_key_prefix.size()));
+            } else {
+                restore_announcement(saved);
             }
         } catch (const error& problem) {
             m_log.warning(
@@ -370,6 +372,30 @@
         }
     }
 
+    /// Restores the departure of an upstream, which no other daemon may remember: they may have been restarted as well.
+    /// @param saved the upstream's id and the departure.
+    void restore_departure(std::string_view saved) {
+        const std::size_t separator = std::min(saved.find(' '), saved.size());
+        const std::string id(saved.substr(0, separator));
+        const upstream_departure departure =
+            upstream_departure::decode(saved.substr(std::min(separator + 1, saved.size())));
+        m_log.info(fmt::format("departure-recalled upstream={} kind={}", id, name(departure.kind)));
+        handle_departure(id, departure);
+        const absl::MutexLock lock(&m_mutex);
+        publish_departure(id);
+    }
+
+    /// Restores an upstream, if its address still answers with the same id. This avoids waiting for its next
+    /// announcement.
+    void restore_announcement(const std::string& saved) {
+        const upstream_announcement saved_announcement = parse_announcement(saved);
+        const bool is_same = m_platform->query_upstream_id(saved_announcement.address) == saved_announcement.id;
+        m_log.info(fmt::format("upstream-recalled upstream={} is_used={}", saved_announcement.id, is_same));
+        if (is_same) {
+            handle_announcement(saved_announcement);
+        }
+    }
+
     void serve_platform() {
         const auto answer = [this](const control_request& request) {
             control_reply reply = m_platform->answer(request, m_control_actions);
@@ -435,6 +461,9 @@
     /// Tells the other daemons what is known of the leaving of an upstream, so that they tell this one after a restart.
     void publish_departure(const std::string& id) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex) {
         const std::optional<upstream_departure> departure = m_announced_upstreams.departure(id);
+        if (departure) {
+            m_last_departed = id;
+        }
         if (departure && m_peers.put_opaque({std::string(departure_key_prefix) + id, departure->encode()})) {
             m_log.info(fmt::format("departure upstream={} kind={} sequence={} started_ms={}", id, name(departure->kind),
                                    departure->sequence, absl::ToUnixMillis(departure->started_at)));
@@ -922,6 +951,7 @@
     mutable absl::Mutex m_mutex;
     announced_upstreams m_announced_upstreams ABSL_GUARDED_BY(m_mutex);
     report_collector m_report_collector ABSL_GUARDED_BY(m_mutex);
+    std::string m_last_departed ABSL_GUARDED_BY(m_mutex); ///< Id of the upstream beside this daemon that left last.
     bool m_are_upstreams_changed ABSL_GUARDED_BY(m_mutex) = false;
     std::optional<absl::Time> m_applied_at ABSL_GUARDED_BY(m_mutex);
     std::set<std::string> m_refused_upstreams ABSL_GUARDED_BY(m_mutex); ///< Ids whose version was rolled back.
--- a/src/tests/upstream_departure_test.cpp
+++ b/src/tests/upstream_departure_test.cpp
@@ -189,4 +189,25 @@
     BOOST_TEST(leaving.upstream.execution_counts().size() == before.size(), leaving.log());
 }
 
+// The same where no other daemon remembers the departure: the daemon reads it in its own registration in the store.
+BOOST_AUTO_TEST_CASE(left_upstream_is_not_used_after_a_restart_without_peers) {
+    platform_store store;
+    put_test_configuration(store);
+    platform_host host(store, 1);
+    BOOST_REQUIRE(host.wait_for_status("/elsewhere", 404));
+    BOOST_REQUIRE(host.announce(1) == 200);
+    BOOST_REQUIRE(host.wait_for_status("/reads/x", 200));
+    BOOST_REQUIRE(host.withdraw() == 200);
+    absl::SleepFor(absl::Seconds(1));
+    for (int start = 0; start < 2; ++start) {
+        host.kill();
+        host.start();
+        BOOST_REQUIRE(host.wait_for_status("/elsewhere", 404));
+        host.announce(2);
+        BOOST_TEST(host.wait_for_status("/reads/x", 503), host.log());
+        absl::SleepFor(absl::Milliseconds(500));
+        BOOST_TEST(host.client().Get("/reads/x")->status == 503);
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
