--- a/src/daemon/mesh_daemon.cpp
+++ b/src/daemon/mesh_daemon.cpp
@@ -343,9 +343,8 @@
         m_peers.set_store_followers(std::move(followers));
     }
 
-    /// @return the announcement of the upstream beside this daemon, for the next run of the daemon, or the last
-    /// departure
-    ///         of one; empty if there is neither.
+    /// @return for the next run of this daemon: the announcement of the upstream beside it, or the departure of the one
+    ///         that left last; empty if there is neither.
     std::string saved_upstream() {
         const absl::MutexLock lock(&m_mutex);
         if (m_announced_upstreams.upstreams().size() == 1) {
--- a/src/tests/odd_entries_test.cpp
+++ b/src/tests/odd_entries_test.cpp
@@ -1,3 +1,4 @@
+#include "fakes/nested_text.h"
 #include "fakes/platform_host.h"
 #include "fakes/platform_store.h"
 
@@ -14,18 +15,6 @@
 
 namespace {
 
-std::string nested(const std::string& open, const std::string& inner, const std::string& close, int depth) {
-    std::string text;
-    for (int level = 0; level < depth; ++level) {
-        text += open;
-    }
-    text += inner;
-    for (int level = 0; level < depth; ++level) {
-        text += close;
-    }
-    return text;
-}
-
 /// Values that another writer may leave under a key.
 std::vector<std::string> odd_values() {
     return {
--- a/src/tests/odd_heartbeat_test.cpp
+++ b/src/tests/odd_heartbeat_test.cpp
@@ -1,5 +1,6 @@
 #include "common/error.h"
 #include "daemon/announced_upstreams.h"
+#include "fakes/nested_text.h"
 #include "peers/message_codec.h"
 #include "platform/control_calls.h"
 
@@ -17,18 +18,6 @@
 
 namespace {
 
-std::string nested(const std::string& open, const std::string& inner, const std::string& close, int depth) {
-    std::string text;
-    for (int level = 0; level < depth; ++level) {
-        text += open;
-    }
-    text += inner;
-    for (int level = 0; level < depth; ++level) {
-        text += close;
-    }
-    return text;
-}
-
 const std::string valid_heartbeat = R"({"address":"127.0.0.1:8080","born":1700000000123,
  "info":{"service":"tienda","version":"v1","zone":"rosario-a","slots":12},
  "status":{"state":"ready","sequence":4,"cold_ms":250}})";
