Share the start of a host and its slow upstream between tests

Three tests of real processes repeated the steps that bring a host's upstream into use, two of them also those that make it slow. Both are now functions of platform_host. The checks and times are unchanged; no product code is touched.

--- a/src/tests/fakes/platform_host.cpp
+++ b/src/tests/fakes/platform_host.cpp
@@ -180,6 +180,17 @@
     return fmt::format("i-{:08x}", m_number);
 }
 
+bool platform_host::start_upstream() {
+    // Before the first configuration no request gets 404.
+    return wait_for_status("/elsewhere", 404) && announce(1) == 200 && wait_for_status("/reads/x", 200);
+}
+
+void platform_host::set_upstream_delay(absl::Duration delay) {
+    fake_upstream_behavior behavior = signed_responses();
+    behavior.delay = delay;
+    upstream.set_behavior(behavior);
+}
+
 bool platform_host::wait_for_log(const std::string& text, absl::Duration limit) const {
     const absl::Time until = absl::Now() + limit;
     while (log().find(text) == std::string::npos) {
--- a/src/tests/fakes/platform_host.h
+++ b/src/tests/fakes/platform_host.h
@@ -70,6 +70,13 @@
     /// @return false if none does within @p limit.
     bool wait_for_status(const std::string& path, int status, absl::Duration limit = absl::Seconds(15)) const;
 
+    /// Announces the upstream, once the daemon has its configuration, and waits until it is used.
+    /// @return false if that does not happen.
+    bool start_upstream();
+
+    /// Makes the upstream take this long for each request.
+    void set_upstream_delay(absl::Duration delay);
+
     /// @return the body of a heartbeat.
     std::string heartbeat(std::uint64_t sequence, const std::string& state) const;
 
--- a/src/tests/leaving_queue_test.cpp
+++ b/src/tests/leaving_queue_test.cpp
@@ -90,13 +90,8 @@
     put_test_configuration(store);
     platform_host host(store, 1);
     host.slots = 1;
-    BOOST_REQUIRE(host.wait_for_status("/elsewhere", 404));
-    BOOST_REQUIRE(host.announce(1) == 200);
-    BOOST_REQUIRE(host.wait_for_status("/reads/x", 200));
-    fake_upstream_behavior slow;
-    slow.headers["X-Response-Signature"] = "test";
-    slow.delay = absl::Milliseconds(3500);
-    host.upstream.set_behavior(slow);
+    BOOST_REQUIRE(host.start_upstream());
+    host.set_upstream_delay(absl::Milliseconds(3500));
     const auto order = [&host](const char* id) {
         const auto answer =
             host.client().Post("/orders/x", httplib::Headers{{"x-caller-id", id}}, "order", "text/plain");
--- a/src/tests/planned_stop_test.cpp
+++ b/src/tests/planned_stop_test.cpp
@@ -19,13 +19,8 @@
     platform_store store;
     put_test_configuration(store);
     platform_host host(store, 1, "grace_s=9,drain_ms=3000,config_ms=3000");
-    BOOST_REQUIRE(host.wait_for_status("/elsewhere", 404));
-    BOOST_REQUIRE(host.announce(1) == 200);
-    BOOST_REQUIRE(host.wait_for_status("/reads/x", 200));
-    fake_upstream_behavior slow;
-    slow.headers["X-Response-Signature"] = "test";
-    slow.delay = absl::Milliseconds(6500);
-    host.upstream.set_behavior(slow);
+    BOOST_REQUIRE(host.start_upstream());
+    host.set_upstream_delay(absl::Milliseconds(6500));
     int status = 0;
     std::thread caller([&] {
         const auto answer = host.client().Get("/reads/slow");
@@ -46,13 +41,8 @@
     platform_store store;
     put_test_configuration(store);
     platform_host host(store, 1, "grace_s=4,drain_ms=2000,config_ms=2000");
-    BOOST_REQUIRE(host.wait_for_status("/elsewhere", 404));
-    BOOST_REQUIRE(host.announce(1) == 200);
-    BOOST_REQUIRE(host.wait_for_status("/reads/x", 200));
-    fake_upstream_behavior slow;
-    slow.headers["X-Response-Signature"] = "test";
-    slow.delay = absl::Seconds(10);
-    host.upstream.set_behavior(slow);
+    BOOST_REQUIRE(host.start_upstream());
+    host.set_upstream_delay(absl::Seconds(10));
     std::thread caller([&] { host.client().Get("/reads/slow"); });
     host.upstream.wait_for_running_request();
     host.terminate();
--- a/src/tests/upstream_departure_test.cpp
+++ b/src/tests/upstream_departure_test.cpp
@@ -194,9 +194,7 @@
     platform_store store;
     put_test_configuration(store);
     platform_host host(store, 1);
-    BOOST_REQUIRE(host.wait_for_status("/elsewhere", 404));
-    BOOST_REQUIRE(host.announce(1) == 200);
-    BOOST_REQUIRE(host.wait_for_status("/reads/x", 200));
+    BOOST_REQUIRE(host.start_upstream());
     BOOST_REQUIRE(host.withdraw() == 200);
     absl::SleepFor(absl::Seconds(1));
     for (int start = 0; start < 2; ++start) {
