Refuse requests that a stopping daemon cannot end

In a planned stop of one host, an order whose last byte came 3.7 s after the request to stop was passed on to another host's upstream, ran there, and its connection was closed without an answer at the end of the drain (5.5 s of a grace period of 6 s).

Cause: nothing compared a request with the end of the drain. Ruled out: the owner's queue, which is bounded (leaving_queue_test); with a single host the same order got 503, since its own upstream was out of use by then.

drain_schedule knows the notice period and the end of the drain. What has been read after the notice period is accepted only if its deadline lies before the end, and nothing is sent, repeats included, that is not expected to end in time. The rest gets 503 daemon-draining at once, which is true: it has not run and can be sent elsewhere.

--- a/src/http/private/entry_call.cpp
+++ b/src/http/private/entry_call.cpp
@@ -32,6 +32,10 @@
 /// Retry-After is at most this fraction of the time that the caller has left, but not below min_retry_after.
 constexpr double max_wait_fraction = 1.0 / 3;
 
+absl::Duration expected_latency(const routing_decision& decision) {
+    return decision.chosen ? decision.chosen->latency : absl::ZeroDuration();
+}
+
 attempt_outcome refusal_outcome(result_code code) {
     switch (code) {
     case result_code::upstream_leaving:
@@ -84,6 +88,9 @@
 asio::awaitable<serve_result> entry_call::serve_route(const route& matched_route) {
     m_service = choose_service(matched_route);
     m_deadline = deadline_of(matched_route);
+    if (!m_proxy.drain.may_accept(m_proxy.clock.now(), m_deadline)) {
+        co_return co_await refuse(result_code::daemon_draining, execution::not_run, "");
+    }
     set_target_time(matched_route);
     m_proxy.budget.on_request(m_service, m_proxy.clock.now());
     m_request.info.caller_service = m_proxy.options.caller_service;
@@ -107,6 +114,12 @@
             }
             co_return co_await refuse_after_attempt(last, decision.service);
         }
+        if (!m_proxy.drain.may_send(m_proxy.clock.now(), expected_latency(decision), m_deadline)) {
+            if (attempts == 0) {
+                last.code = result_code::daemon_draining;
+            }
+            co_return co_await refuse_after_attempt(last, decision.upstream_id);
+        }
         ++attempts;
         ++m_proxy.counters.attempts;
         m_request.info.attempt = attempts;
--- a/src/http/private/inbound_session.cpp
+++ b/src/http/private/inbound_session.cpp
@@ -233,7 +233,7 @@
 }
 
 bool inbound_session::may_read_ahead() {
-    return m_peer_type != peer_type::daemon && !m_is_read_stopping && !m_read_failure && !m_proxy.is_draining &&
+    return m_peer_type != peer_type::daemon && !m_is_read_stopping && !m_read_failure && !m_proxy.drain.has_started() &&
            m_pipeline.may_read() && m_proxy.requests_ahead < m_proxy.options.max_requests_ahead_total;
 }
 
@@ -363,7 +363,7 @@
     if (request.info.request_id.empty()) {
         request.info.request_id = make_request_id();
     }
-    request.keeps_connection = request.keeps_connection && !m_proxy.is_draining;
+    request.keeps_connection = request.keeps_connection && !m_proxy.drain.has_started();
     if (++request.info.hop > max_hops) {
         request.keeps_connection = false;
         co_return co_await write_refusal(request, result_code::too_many_hops, execution::not_run, "");
--- a/src/http/private/proxy_state.h
+++ b/src/http/private/proxy_state.h
@@ -4,6 +4,7 @@
 #include "common/steady_clock.h"
 #include "http/private/asio_types.h"
 #include "http/private/connection_pool.h"
+#include "http/private/drain_schedule.h"
 #include "http/private/local_upstream.h"
 #include "http/private/response_relay.h"
 #include "http/proxy_options.h"
@@ -99,7 +100,7 @@
     proxy_counters counters;
     request_id next_request_id = 1;
     std::size_t requests_ahead = 0; ///< Requests on all connections that were read behind others.
-    bool is_draining = false;
+    drain_schedule drain;           ///< Of this daemon; not started unless it has been asked to stop.
 
     // The destructor of the event loop destroys suspended requests, which use the members above. The sockets of the
     // pool must be destroyed before the event loop.
--- a/src/http/request_proxy.cpp
+++ b/src/http/request_proxy.cpp
@@ -79,8 +79,13 @@
 
     void drain(absl::Duration notice) {
         asio::post(m_state.context, [this, notice] {
-            if (!m_state.is_draining) {
-                m_state.is_draining = true;
+            if (!m_state.drain.has_started()) {
+                const absl::Time now = m_state.clock.now();
+                m_state.drain.start(now + notice, now + m_options.drain_timeout);
+                m_state.log.info(fmt::format("drain notice_ms={} limit_ms={} connections={} requests={}",
+                                             absl::ToInt64Milliseconds(notice),
+                                             absl::ToInt64Milliseconds(m_options.drain_timeout), m_sessions.size(),
+                                             std::ranges::count_if(m_sessions, &inbound_session::is_serving)));
                 asio::co_spawn(m_state.context, drain_connections(notice), asio::detached);
             }
         });
--- a/src/tests/planned_stop_test.cpp
+++ b/src/tests/planned_stop_test.cpp
@@ -1,6 +1,8 @@
 #include "fakes/platform_host.h"
 #include "fakes/platform_store.h"
+#include "fakes/two_daemons.h"
 
+#include <absl/time/clock.h>
 #include <boost/test/unit_test.hpp>
 
 #include <sys/wait.h>
@@ -12,6 +14,35 @@
 
 BOOST_AUTO_TEST_SUITE(planned_stop_test)
 
+namespace {
+
+constexpr absl::Duration answer_limit = absl::Seconds(10);
+
+/// An order without its body, which has five bytes.
+std::string order_head(const std::string& id) {
+    return "POST /orders/x HTTP/1.1\r\nHost: x\r\nx-caller-id: " + id +
+           "\r\nX-Deadline: 9000\r\nContent-Length: 5\r\n\r\n";
+}
+
+/// Two hosts of which only the second one has an upstream, so that the first one passes its requests on to the second.
+struct two_hosts {
+    platform_store store;
+    platform_host stopped{with_configuration(store), 1};
+    platform_host serving{store, 2};
+
+    /// @return false if the first host does not reach the upstream.
+    bool start() {
+        return serving.start_upstream() && stopped.wait_for_status("/reads/x", 200);
+    }
+
+    static platform_store& with_configuration(platform_store& store) {
+        put_test_configuration(store);
+        return store;
+    }
+};
+
+} // namespace
+
 // Guards against a planned stop that cuts requests at which an upstream is at work although the platform lets the
 // daemon run for longer (review case 2). The request needs longer than the 5.2 s after which a daemon of a platform
 // with a grace period of 6 s must give up.
@@ -51,4 +82,25 @@
     caller.join();
 }
 
+// Guards against an order whose body ends late in a planned stop, that is passed on and cut without an answer at the
+// end of the grace period. Its caller must hear at once that it has not run.
+BOOST_AUTO_TEST_CASE(order_that_ends_late_is_refused) {
+    two_hosts hosts;
+    BOOST_REQUIRE(hosts.start());
+    hosts.serving.set_upstream_delay(absl::Seconds(4));
+    raw_connection caller(hosts.stopped.request_address(), answer_limit);
+    BOOST_REQUIRE(caller.send(order_head("late") + "or"));
+    absl::SleepFor(absl::Milliseconds(200));
+    hosts.stopped.terminate();
+    absl::SleepFor(absl::Milliseconds(3500));
+    const absl::Time sent_at = absl::Now();
+    BOOST_REQUIRE(caller.send("der"));
+    const std::string response = caller.receive_all();
+    BOOST_TEST(response.starts_with("HTTP/1.1 503"), response << hosts.stopped.log());
+    BOOST_TEST(response.find("Retry-After") != std::string::npos, response);
+    BOOST_TEST(absl::Now() - sent_at < absl::Seconds(1));
+    hosts.stopped.wait_for_end(absl::Seconds(6));
+    BOOST_TEST(!hosts.serving.upstream.execution_counts().contains("late"));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
