Decide at the response whether a stopping daemon keeps a connection

Two things that callers saw around a planned stop: - The response to a request that had begun before the stop did not say that the connection ends. The next request came on it, late in the drain. - Of three requests sent one behind the other, the last one, an order, was read and dropped without an answer.

Cause: keeps_connection was decided when the work on a request began. A request that began before the stop kept its connection, and one that began after it closed the connection although others had been read behind it.

The session is now asked when the header of a response or refusal is written: the connection ends with the response to the last request that has been read. Nothing is read ahead during a drain, as before, so that response comes.

planned_stop_test/late_order_on_an_open_connection_is_not_cut and requests_read_ahead_are_answered failed before (no Connection: close; two of three responses).

--- a/src/http/private/inbound_session.cpp
+++ b/src/http/private/inbound_session.cpp
@@ -166,6 +166,9 @@
     next.request.emplace(served_request{
         m_stream, head, *next.body, {}, next.received_at, expects_continue(head), next.parser.keep_alive()});
     next.request->turn = &next.turn;
+    next.request->must_close = [this, &next] {
+        return !next.request->info.is_from_entry() && must_close_after_response();
+    };
     try {
         next.request->info = read_forwarding_info(head);
     } catch (const error& failure) {
@@ -173,6 +176,11 @@
     }
 }
 
+bool inbound_session::must_close_after_response() const {
+    // Requests that have been read must be answered first.
+    return m_proxy.drain.has_started() && m_pipeline.size() <= 1 && !m_reading && m_buffer.size() == 0;
+}
+
 bool inbound_session::is_repeatable(const pending_request& next) const {
     const served_request& request = *next.request;
     if (!next.problem.empty() || request.expects_continue || !next.body->is_at_end() || request.info.is_from_entry()) {
@@ -363,7 +371,6 @@
     if (request.info.request_id.empty()) {
         request.info.request_id = make_request_id();
     }
-    request.keeps_connection = request.keeps_connection && !m_proxy.drain.has_started();
     if (++request.info.hop > max_hops) {
         request.keeps_connection = false;
         co_return co_await write_refusal(request, result_code::too_many_hops, execution::not_run, "");
--- a/src/http/private/inbound_session.h
+++ b/src/http/private/inbound_session.h
@@ -92,6 +92,7 @@
     asio::awaitable<void> stop_reading_ahead();
     void add_read_request(const request_pointer& read);
     void start_behind();
+    bool must_close_after_response() const;
     bool is_repeatable(const pending_request& next) const;
     void pop_front();
     void cancel_all();
--- a/src/http/private/response_relay.cpp
+++ b/src/http/private/response_relay.cpp
@@ -90,7 +90,7 @@
         co_await request.turn->wait();
     }
     http::response<http::empty_body> response(std::move(head));
-    response.keep_alive(request.keeps_connection);
+    response.keep_alive(request.decide_keep_alive());
     request.stream.expires_after(absl::ToChronoNanoseconds(m_options.body_idle_timeout));
     const auto [failure, bytes] = co_await http::async_write(request.stream, response, as_result);
     co_return relay_result{failure ? result_code::caller_disconnected : result_code::ok, true};
@@ -103,7 +103,7 @@
     }
     http::response<http::string_body> response(std::move(head), std::move(body));
     response.content_length(response.body().size());
-    response.keep_alive(request.keeps_connection);
+    response.keep_alive(request.decide_keep_alive());
     request.stream.expires_after(absl::ToChronoNanoseconds(m_options.body_idle_timeout));
     const auto [failure, bytes] = co_await http::async_write(request.stream, response, as_result);
     co_return relay_result{failure ? result_code::caller_disconnected : result_code::ok, true};
@@ -124,7 +124,7 @@
     } else if (request.head.version() >= 11) {
         response.chunked(true);
     }
-    response.keep_alive(request.keeps_connection);
+    response.keep_alive(request.decide_keep_alive());
     http::response_serializer<http::buffer_body> serializer(response);
     std::string chunk = std::move(buffered);
     std::size_t size = chunk.size();
--- a/src/http/private/served_request.cpp
+++ b/src/http/private/served_request.cpp
@@ -46,7 +46,6 @@
     if (request.retry_after) {
         response.set(http::field::retry_after, fmt::format("{:.3f}", absl::ToDoubleSeconds(*request.retry_after)));
     }
-    response.keep_alive(request.keeps_connection);
     std::string body = refusal_body(request, code, request_execution, detail);
     response.content_length(body.size());
     if (!request.is_head_only()) {
@@ -55,6 +54,7 @@
     if (request.is_behind()) {
         co_await request.turn->wait();
     }
+    response.keep_alive(request.decide_keep_alive());
     request.stream.expires_after(refusal_write_timeout);
     const auto [failure, bytes] = co_await http::async_write(request.stream, response, as_result);
     if (failure) {
--- a/src/http/private/served_request.h
+++ b/src/http/private/served_request.h
@@ -9,6 +9,7 @@
 
 #include <absl/time/time.h>
 
+#include <functional>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -29,6 +30,7 @@
     std::optional<owner_report> report = {};        ///< For refusals to another daemon.
     std::optional<absl::Duration> retry_after = {}; ///< For refusals: time after which the caller may retry.
     one_shot_event* turn = nullptr; ///< Set once the responses to earlier requests on the connection have been sent.
+    std::function<bool()> must_close = {}; ///< Asked before a response: the connection ends with it. Null: no.
 
     std::string_view method() const {
         const auto text = head.method_string();
@@ -40,6 +42,13 @@
         return turn != nullptr && !turn->is_set();
     }
 
+    /// Decides whether the connection is kept after the response that is about to be written.
+    /// @return true if it is.
+    bool decide_keep_alive() {
+        keeps_connection = keeps_connection && !(must_close && must_close());
+        return keeps_connection;
+    }
+
     bool is_head_only() const {
         return head.method() == http::verb::head;
     }
--- a/src/tests/planned_stop_test.cpp
+++ b/src/tests/planned_stop_test.cpp
@@ -18,6 +18,10 @@
 
 constexpr absl::Duration answer_limit = absl::Seconds(10);
 
+std::string get_message(const std::string& id) {
+    return "GET /reads/x HTTP/1.1\r\nHost: x\r\nx-caller-id: " + id + "\r\n\r\n";
+}
+
 /// An order without its body, which has five bytes.
 std::string order_head(const std::string& id) {
     return "POST /orders/x HTTP/1.1\r\nHost: x\r\nx-caller-id: " + id +
@@ -82,6 +86,26 @@
     caller.join();
 }
 
+// Guards against an order that comes late in a planned stop on a connection that was left open, is passed on and cut
+// without an answer at the end of the grace period. The response before it must say that the connection ends, although
+// its request came before the stop.
+BOOST_AUTO_TEST_CASE(late_order_on_an_open_connection_is_not_cut) {
+    two_hosts hosts;
+    BOOST_REQUIRE(hosts.start());
+    hosts.serving.set_upstream_delay(absl::Milliseconds(3200));
+    raw_connection caller(hosts.stopped.request_address(), answer_limit);
+    BOOST_REQUIRE(caller.send(get_message("early")));
+    hosts.serving.upstream.wait_for_running_request();
+    hosts.stopped.terminate();
+    hosts.serving.set_upstream_delay(absl::Seconds(4));
+    const std::string response = caller.receive_until("\r\n\r\n");
+    BOOST_TEST(response.find("Connection: close") != std::string::npos, response);
+    caller.send(order_head("late") + "order");
+    caller.receive_all();
+    hosts.stopped.wait_for_end(absl::Seconds(6));
+    BOOST_TEST(!hosts.serving.upstream.execution_counts().contains("late"), hosts.stopped.log());
+}
+
 // Guards against an order whose body ends late in a planned stop, that is passed on and cut without an answer at the
 // end of the grace period. Its caller must hear at once that it has not run.
 BOOST_AUTO_TEST_CASE(order_that_ends_late_is_refused) {
@@ -103,4 +127,28 @@
     BOOST_TEST(!hosts.serving.upstream.execution_counts().contains("late"));
 }
 
+// Guards against requests that were read ahead before a planned stop and are dropped without an answer, because the
+// response to the one in front of them closes the connection.
+BOOST_AUTO_TEST_CASE(requests_read_ahead_are_answered) {
+    platform_store store;
+    put_test_configuration(store);
+    platform_host host(store, 1);
+    BOOST_REQUIRE(host.start_upstream());
+    host.set_upstream_delay(absl::Milliseconds(600));
+    raw_connection caller(host.request_address(), answer_limit);
+    BOOST_REQUIRE(caller.send(get_message("first") + order_head("second") + "order" + order_head("third") + "order"));
+    host.upstream.wait_for_running_request();
+    absl::SleepFor(absl::Milliseconds(200));
+    host.terminate();
+    const std::string responses = caller.receive_all();
+    std::size_t answered = 0;
+    for (std::size_t at = responses.find("HTTP/1.1 200"); at != std::string::npos;
+         at = responses.find("HTTP/1.1 200", at + 1)) {
+        ++answered;
+    }
+    BOOST_TEST(answered == 3U, responses << host.log());
+    // Only the last response may say that the connection ends.
+    BOOST_TEST(responses.find("Connection: close") > responses.rfind("HTTP/1.1 200"), responses);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
