Limit the requests to the status and metrics address

One connection that sends a line without an end to a daemon's status address filled its memory: in a trial 16 to 293 MB in 4 s.

What exceeds a limit or is malformed now gets a numbered error there too; such connections were closed without one. open_acceptor is shared with request_proxy.

--- a/src/http/private/control_session.cpp
+++ b/src/http/private/control_session.cpp
@@ -1,5 +1,8 @@
 #include "http/private/control_session.h"
 
+#include <boost/json.hpp>
+
+#include <optional>
 #include <utility>
 
 namespace amaranthladder {
@@ -11,9 +14,42 @@
 constexpr std::uint32_t max_header_bytes = 16 * 1024;
 /// Well above the one to two seconds between the announcements of an upstream.
 constexpr auto idle_timeout = std::chrono::seconds(30);
+constexpr int default_error_status = 500;
+
+/// @return the reply to bytes that are no request that is accepted; nothing if the connection has just ended.
+std::optional<control_reply> reply_to_failed_read(error_code failure) {
+    if (failure == http::error::header_limit || failure == http::error::body_limit ||
+        failure == http::error::buffer_overflow) {
+        return make_error_reply(result_code::message_too_large, failure.message());
+    }
+    const bool is_malformed = failure.category() == http::make_error_code(http::error::bad_version).category() &&
+                              failure != http::error::end_of_stream && failure != http::error::partial_message;
+    return is_malformed ? std::optional(make_error_reply(result_code::request_malformed, failure.message()))
+                        : std::nullopt;
+}
+
+asio::awaitable<bool> write_reply(beast::tcp_stream& stream, control_reply reply, unsigned version, bool keep_alive) {
+    http::response<http::string_body> response(static_cast<http::status>(reply.status), version);
+    response.set(http::field::content_type, reply.type);
+    response.keep_alive(keep_alive);
+    response.body() = std::move(reply.body);
+    response.prepare_payload();
+    const auto [failure, written] = co_await http::async_write(stream, response, as_result);
+    co_return !failure && response.keep_alive();
+}
 
 } // namespace
 
+control_reply make_error_reply(result_code code, const std::string& detail) {
+    boost::json::object body;
+    body["code"] = static_cast<int>(code);
+    body["name"] = std::string(name(code));
+    body["text"] = std::string(describe(code).text);
+    body["detail"] = detail;
+    const int status = describe(code).http_status;
+    return {static_cast<unsigned>(status == 0 ? default_error_status : status), boost::json::serialize(body) + "\n"};
+}
+
 asio::awaitable<void> serve_control(asio::ip::tcp::socket socket,
                                     std::function<control_reply(const control_request&)> handler) {
     beast::tcp_stream stream(std::move(socket));
@@ -26,6 +62,9 @@
         stream.expires_after(idle_timeout);
         const auto [read_failure, size] = co_await http::async_read(stream, buffer, parser, as_result);
         if (read_failure) {
+            if (std::optional<control_reply> reply = reply_to_failed_read(read_failure)) {
+                co_await write_reply(stream, std::move(*reply), parser.get().version(), false);
+            }
             co_return;
         }
         const auto& received = parser.get();
@@ -33,14 +72,7 @@
         const auto target = received.target();
         control_reply reply = handler(
             {std::string(method.data(), method.size()), std::string(target.data(), target.size()), received.body()});
-        http::response<http::string_body> response(static_cast<http::status>(reply.status), received.version());
-        response.set(http::field::content_type, "application/json");
-        response.keep_alive(received.keep_alive());
-        response.body() = std::move(reply.body);
-        response.prepare_payload();
-        is_open = response.keep_alive();
-        const auto [write_failure, written] = co_await http::async_write(stream, response, as_result);
-        is_open = is_open && !write_failure;
+        is_open = co_await write_reply(stream, std::move(reply), received.version(), received.keep_alive());
     }
 }
 
--- a/src/http/request_proxy.cpp
+++ b/src/http/request_proxy.cpp
@@ -4,6 +4,7 @@
 #include "http/private/control_session.h"
 #include "http/private/entry_call.h"
 #include "http/private/inbound_session.h"
+#include "http/private/open_acceptor.h"
 #include "http/private/proxy_state.h"
 
 #include <absl/cleanup/cleanup.h>
@@ -37,7 +38,6 @@
 constexpr absl::Duration drain_extension = absl::Milliseconds(700);
 constexpr auto poll_interval = std::chrono::milliseconds(20);
 constexpr auto explain_timeout = std::chrono::seconds(2);
-constexpr int listen_backlog = 1024;
 
 } // namespace
 
@@ -49,11 +49,11 @@
           m_state(m_options, std::move(routing), budget, clock, log, std::move(observer)), m_acceptor(m_state.context),
           m_owner_acceptor(m_state.context) {
         const bool has_owner_address = !m_options.owner_address.address.empty();
-        m_address = listen(m_acceptor, m_options.listen_address);
+        m_address = open_acceptor(m_acceptor, m_options.listen_address);
         asio::co_spawn(m_state.context, accept(m_acceptor, has_owner_address ? peer_type::caller : peer_type::any),
                        asio::detached);
         if (has_owner_address) {
-            m_owner_address = listen(m_owner_acceptor, m_options.owner_address);
+            m_owner_address = open_acceptor(m_owner_acceptor, m_options.owner_address);
             asio::co_spawn(m_state.context, accept(m_owner_acceptor, peer_type::daemon), asio::detached);
         }
         asio::co_spawn(m_state.context, run_maintenance(), asio::detached);
@@ -109,7 +109,7 @@
 
     void serve_control(const endpoint& address, std::function<control_reply(const control_request&)> handler) {
         m_control_acceptors.emplace_back(m_state.context);
-        listen(m_control_acceptors.back(), address);
+        open_acceptor(m_control_acceptors.back(), address);
         asio::co_spawn(m_state.context, accept_control(m_control_acceptors.back(), std::move(handler)), asio::detached);
     }
 
@@ -155,19 +155,6 @@
     }
 
 private:
-    static endpoint listen(asio::ip::tcp::acceptor& acceptor, const endpoint& address) {
-        try {
-            const asio::ip::tcp::endpoint local(asio::ip::make_address(address.address), address.port);
-            acceptor.open(local.protocol());
-            acceptor.set_option(asio::socket_base::reuse_address(true));
-            acceptor.bind(local);
-            acceptor.listen(listen_backlog);
-            return {address.address, acceptor.local_endpoint().port()};
-        } catch (const boost::system::system_error& problem) {
-            throw error(result_code::listen_failed, fmt::format("{}: {}", to_string(address), problem.what()));
-        }
-    }
-
     /// Accepts a connection. After a failure, such as a lack of file descriptors, it waits so that the caller does not
     /// spin.
     asio::awaitable<std::optional<asio::ip::tcp::socket>> accept_connection(asio::ip::tcp::acceptor& acceptor) {
--- a/src/tests/fakes/platform_host.cpp
+++ b/src/tests/fakes/platform_host.cpp
@@ -27,6 +27,8 @@
 constexpr int control_port = 21004;
 constexpr int upstream_port = 21005;
 constexpr int peer_port = 21006;
+/// The template names it.
+constexpr int status_port = 9190;
 constexpr absl::Duration poll_interval = absl::Milliseconds(10);
 
 /// @return a loopback address that other test processes do not use.
@@ -152,6 +154,10 @@
     return {m_address, request_port};
 }
 
+endpoint platform_host::control_address() const {
+    return {m_address, status_port};
+}
+
 endpoint platform_host::peer_address() const {
     return {m_address, peer_port};
 }
--- a/src/tests/fakes/platform_host.h
+++ b/src/tests/fakes/platform_host.h
@@ -63,6 +63,9 @@
     /// @return the daemon's address for requests of callers.
     endpoint request_address() const;
 
+    /// @return the daemon's address for its status and metrics.
+    endpoint control_address() const;
+
     /// @return the daemon's address for messages between daemons.
     endpoint peer_address() const;
 
