--- a/src/http/private/asio_types.h
+++ b/src/http/private/asio_types.h
@@ -42,6 +42,14 @@
     return {text.data(), text.size()};
 }
 
+/// @return true if a read failed because the peer's bytes are no HTTP message, and not because the connection ended or
+/// a
+///         timeout passed.
+inline bool is_malformed(error_code failure) {
+    return failure.category() == http::make_error_code(http::error::bad_version).category() &&
+           failure != http::error::end_of_stream && failure != http::error::partial_message;
+}
+
 using request_parser = http::request_parser<http::buffer_body>;
 using response_parser = http::response_parser<http::buffer_body>;
 
--- a/src/http/private/control_session.cpp
+++ b/src/http/private/control_session.cpp
@@ -1,7 +1,5 @@
 #include "http/private/control_session.h"
 
-#include <boost/json.hpp>
-
 #include <optional>
 #include <utility>
 
@@ -14,7 +12,6 @@
 constexpr std::uint32_t max_header_bytes = 16 * 1024;
 /// Well above the one to two seconds between the announcements of an upstream.
 constexpr auto idle_timeout = std::chrono::seconds(30);
-constexpr int default_error_status = 500;
 
 /// @return the reply to bytes that are no request that is accepted; nothing if the connection has just ended.
 std::optional<control_reply> reply_to_failed_read(error_code failure) {
@@ -22,10 +19,8 @@
         failure == http::error::buffer_overflow) {
         return make_error_reply(result_code::message_too_large, failure.message());
     }
-    const bool is_malformed = failure.category() == http::make_error_code(http::error::bad_version).category() &&
-                              failure != http::error::end_of_stream && failure != http::error::partial_message;
-    return is_malformed ? std::optional(make_error_reply(result_code::request_malformed, failure.message()))
-                        : std::nullopt;
+    return is_malformed(failure) ? std::optional(make_error_reply(result_code::request_malformed, failure.message()))
+                                 : std::nullopt;
 }
 
 asio::awaitable<bool> write_reply(beast::tcp_stream& stream, control_reply reply, unsigned version, bool keep_alive) {
@@ -40,16 +35,6 @@
 
 } // namespace
 
-control_reply make_error_reply(result_code code, const std::string& detail) {
-    boost::json::object body;
-    body["code"] = static_cast<int>(code);
-    body["name"] = std::string(name(code));
-    body["text"] = std::string(describe(code).text);
-    body["detail"] = detail;
-    const int status = describe(code).http_status;
-    return {static_cast<unsigned>(status == 0 ? default_error_status : status), boost::json::serialize(body) + "\n"};
-}
-
 asio::awaitable<void> serve_control(asio::ip::tcp::socket socket,
                                     std::function<control_reply(const control_request&)> handler) {
     beast::tcp_stream stream(std::move(socket));
--- a/src/http/private/exchange.cpp
+++ b/src/http/private/exchange.cpp
@@ -17,11 +17,6 @@
     return failure == beast::error::timeout;
 }
 
-bool is_malformed(error_code failure) {
-    return failure.category() == http::make_error_code(http::error::bad_version).category() &&
-           failure != http::error::end_of_stream && failure != http::error::partial_message;
-}
-
 constexpr std::size_t discard_chunk_bytes = std::size_t{16} * 1024;
 /// Discarding a longer response takes more time than a new connection.
 constexpr std::size_t max_discarded_bytes = std::size_t{256} * 1024;
--- a/src/http/private/inbound_session.cpp
+++ b/src/http/private/inbound_session.cpp
@@ -29,12 +29,6 @@
 constexpr std::size_t max_discarded_bytes = std::size_t{1024} * 1024;
 constexpr auto discard_timeout = std::chrono::seconds(2);
 
-/// @return true if @p failure is the sender's, and not the end of the connection or a timeout.
-bool is_malformed(error_code failure) {
-    return failure.category() == http::make_error_code(http::error::bad_version).category() &&
-           failure != http::error::end_of_stream && failure != http::error::partial_message;
-}
-
 bool expects_continue(const http::request_header<>& head) {
     return beast::iequals(head[http::field::expect], "100-continue");
 }
