--- a/bench/endless_response.h
+++ b/bench/endless_response.h
@@ -48,6 +48,12 @@
     {endless_kind::late_duplicate, "late-duplicate"},
 }};
 
+/// The kinds that never become a complete response.
+constexpr std::array<endless_kind, 12> unfinished_kinds{
+    endless_kind::head_flood,    endless_kind::head_line,   endless_kind::head_drip,  endless_kind::garbage,
+    endless_kind::interim,       endless_kind::chunk_flood, endless_kind::chunk_drip, endless_kind::chunk_extension,
+    endless_kind::chunk_trailer, endless_kind::close_flood, endless_kind::close_drip, endless_kind::length_drip};
+
 /// @return the name of @p kind on the command line.
 std::string_view name(endless_kind kind);
 
--- a/src/tests/endless_response_test.cpp
+++ b/src/tests/endless_response_test.cpp
@@ -61,14 +61,9 @@
 
 } // namespace
 
-const endless_kind endless_kinds[] = {
-    endless_kind::head_flood,    endless_kind::head_line,   endless_kind::head_drip,  endless_kind::garbage,
-    endless_kind::interim,       endless_kind::chunk_flood, endless_kind::chunk_drip, endless_kind::chunk_extension,
-    endless_kind::chunk_trailer, endless_kind::close_flood, endless_kind::close_drip, endless_kind::length_drip};
-
 // Guards against an upstream whose response never ends and that so holds callers, slots, connections or memory past
 // the request's time, and against such bytes passed off as a complete response.
-BOOST_DATA_TEST_CASE(endless_responses_end_with_the_deadline, endless_kinds, kind) {
+BOOST_DATA_TEST_CASE(endless_responses_end_with_the_deadline, unfinished_kinds, kind) {
     two_daemons mesh(caller_count);
     mesh.set_route_timeout(route_timeout);
     auto client = mesh.client();
--- a/src/tests/endless_store_response_test.cpp
+++ b/src/tests/endless_store_response_test.cpp
@@ -72,14 +72,9 @@
 
 } // namespace
 
-const endless_kind endless_kinds[] = {
-    endless_kind::head_flood,    endless_kind::head_line,   endless_kind::head_drip,  endless_kind::garbage,
-    endless_kind::interim,       endless_kind::chunk_flood, endless_kind::chunk_drip, endless_kind::chunk_extension,
-    endless_kind::chunk_trailer, endless_kind::close_flood, endless_kind::close_drip, endless_kind::length_drip};
-
 // Guards against a response of the store or to a health check that never ends and so fills the daemon's memory or holds
 // its thread past the deadline of the call (review case 1).
-BOOST_DATA_TEST_CASE(endless_responses_end_with_the_deadline, endless_kinds, kind) {
+BOOST_DATA_TEST_CASE(endless_responses_end_with_the_deadline, unfinished_kinds, kind) {
     endless_server endless;
     store_connection_pool pool(endless.server.address(), small_responses);
     const long before_kib = resident_kib(::getpid());
