Share the HTTP basics of the data path with the store's connections

store_connection_pool had written again what the data path has: the names of Asio and Beast, as_result, the classification of read failures, the bounds on interim responses, and the check whether an idle connection can carry another request. asio_types.h moves from http/private to common, check_idle with it; inbound_session and control_session share is_too_large. Two comments that the formatter had garbled and a wrong one in a test are put right.

--- a/src/http/private/asio_types.h
+++ b/src/common/asio_types.h
@@ -42,14 +42,24 @@
     return {text.data(), text.size()};
 }
 
-/// @return true if a read failed because the peer's bytes are no HTTP message, and not because the connection ended or
-/// a
-///         timeout passed.
+/// Number of interim (1xx) responses that are skipped before a response is given up.
+inline constexpr int max_interim_responses = 8;
+/// Lowest status of a final response, RFC 9110, section 15.
+inline constexpr unsigned min_final_status = 200;
+
+/// @return true if a read failed because the bytes of the peer are no HTTP message. False if the connection ended or a
+/// timeout passed.
 inline bool is_malformed(error_code failure) {
     return failure.category() == http::make_error_code(http::error::bad_version).category() &&
            failure != http::error::end_of_stream && failure != http::error::partial_message;
 }
 
+/// @return true if a read failed because the message of the peer exceeds a limit of the parser or of the buffer.
+inline bool is_too_large(error_code failure) {
+    return failure == http::error::header_limit || failure == http::error::body_limit ||
+           failure == http::error::buffer_overflow;
+}
+
 using request_parser = http::request_parser<http::buffer_body>;
 using response_parser = http::response_parser<http::buffer_body>;
 
--- a/src/http/private/connection_pool.cpp
+++ b/src/http/private/connection_pool.cpp
@@ -1,6 +1,6 @@
 #include "http/private/connection_pool.h"
 
-#include <sys/socket.h>
+#include "common/idle_connection.h"
 
 #include <algorithm>
 #include <utility>
@@ -12,25 +12,6 @@
 /// Time for which the connections to a target are not used again after bytes of no response arrived on one of them.
 constexpr absl::Duration reuse_suspension = absl::Seconds(2);
 
-enum class idle_state {
-    quiet,   ///< Can carry another request.
-    closed,  ///< The peer has closed it.
-    surplus, ///< Has unread bytes, although no response is due.
-};
-
-idle_state check_idle(pooled_connection& connection) {
-    if (connection.buffer.size() > 0) {
-        return idle_state::surplus;
-    }
-    char byte = 0;
-    const auto received =
-        ::recv(connection.stream.socket().native_handle(), &byte, sizeof(byte), MSG_PEEK | MSG_DONTWAIT);
-    if (received > 0) {
-        return idle_state::surplus;
-    }
-    return received < 0 && (errno == EAGAIN || errno == EWOULDBLOCK) ? idle_state::quiet : idle_state::closed;
-}
-
 } // namespace
 
 connection_pool::connection_pool(asio::io_context& context, std::size_t max_idle_per_target,
@@ -52,7 +33,7 @@
         }
         auto connection = std::move(idle.back());
         idle.pop_back();
-        const idle_state state = check_idle(*connection);
+        const idle_state state = check_idle(connection->stream, connection->buffer);
         if (state == idle_state::surplus) {
             suspend_reuse(target, now);
             return nullptr;
@@ -71,7 +52,7 @@
 }
 
 void connection_pool::put(std::unique_ptr<pooled_connection> connection, absl::Time now) {
-    if (check_idle(*connection) == idle_state::surplus) {
+    if (check_idle(connection->stream, connection->buffer) == idle_state::surplus) {
         suspend_reuse(connection->target, now);
     }
     if (const auto suspended = m_suspended_until.find(connection->target); suspended != m_suspended_until.end()) {
--- a/src/http/private/connection_pool.h
+++ b/src/http/private/connection_pool.h
@@ -1,7 +1,7 @@
 #pragma once
 
+#include "common/asio_types.h"
 #include "common/endpoint.h"
-#include "http/private/asio_types.h"
 #include "routing/connection_health.h"
 
 #include <absl/time/time.h>
--- a/src/http/private/control_session.cpp
+++ b/src/http/private/control_session.cpp
@@ -15,8 +15,7 @@
 
 /// @return the reply to bytes that are no request that is accepted; nothing if the connection has just ended.
 std::optional<control_reply> reply_to_failed_read(error_code failure) {
-    if (failure == http::error::header_limit || failure == http::error::body_limit ||
-        failure == http::error::buffer_overflow) {
+    if (is_too_large(failure)) {
         return make_error_reply(result_code::message_too_large, failure.message());
     }
     return is_malformed(failure) ? std::optional(make_error_reply(result_code::request_malformed, failure.message()))
--- a/src/http/private/control_session.h
+++ b/src/http/private/control_session.h
@@ -1,7 +1,7 @@
 #pragma once
 
+#include "common/asio_types.h"
 #include "http/control_request.h"
-#include "http/private/asio_types.h"
 
 #include <functional>
 
--- a/src/http/private/exchange.cpp
+++ b/src/http/private/exchange.cpp
@@ -20,10 +20,6 @@
 constexpr std::size_t discard_chunk_bytes = std::size_t{16} * 1024;
 /// Discarding a longer response takes more time than a new connection.
 constexpr std::size_t max_discarded_bytes = std::size_t{256} * 1024;
-/// Number of interim (1xx) responses that are skipped before the connection is closed.
-constexpr int max_interim_responses = 8;
-/// Lowest status of a final response, RFC 9110, section 15.
-constexpr unsigned min_final_status = 200;
 /// A pooled connection may go silent without a reset. One that was in use within this time has just worked.
 constexpr absl::Duration max_trusted_idle_time = absl::Seconds(1);
 
--- a/src/http/private/exchange.h
+++ b/src/http/private/exchange.h
@@ -1,8 +1,8 @@
 #pragma once
 
+#include "common/asio_types.h"
 #include "common/result_code.h"
 #include "common/steady_clock.h"
-#include "http/private/asio_types.h"
 #include "http/private/body_time_limit.h"
 #include "http/private/connection_pool.h"
 #include "http/private/request_body.h"
--- a/src/http/private/forwarding_headers.h
+++ b/src/http/private/forwarding_headers.h
@@ -1,7 +1,7 @@
 #pragma once
 
+#include "common/asio_types.h"
 #include "http/header_names.h"
-#include "http/private/asio_types.h"
 #include "routing/router.h"
 #include "routing/upstream_signals.h"
 
--- a/src/http/private/inbound_session.cpp
+++ b/src/http/private/inbound_session.cpp
@@ -133,10 +133,10 @@
     const request_pointer reading = m_reading ? std::exchange(m_reading, nullptr) : make_pending_request();
     request_body no_body(m_stream, m_buffer, reading->parser, 0, m_proxy.options.body_idle_timeout);
     served_request request{m_stream, no_header, no_body, {}, reading->received_at, false, false};
-    const bool is_too_large = failure == http::error::header_limit || failure == http::error::buffer_overflow;
     std::string detail = failure.message();
     m_proxy.log.warning(fmt::format("malformed-request reason=\"{}\"", detail));
-    co_await write_refusal(request, is_too_large ? result_code::headers_too_large : result_code::request_malformed,
+    co_await write_refusal(request,
+                           is_too_large(failure) ? result_code::headers_too_large : result_code::request_malformed,
                            execution::not_run, std::move(detail));
     co_await close_after_response();
 }
--- a/src/http/private/proxy_state.h
+++ b/src/http/private/proxy_state.h
@@ -1,8 +1,8 @@
 #pragma once
 
+#include "common/asio_types.h"
 #include "common/event_log.h"
 #include "common/steady_clock.h"
-#include "http/private/asio_types.h"
 #include "http/private/connection_pool.h"
 #include "http/private/drain_schedule.h"
 #include "http/private/local_upstream.h"
--- a/src/http/private/request_body.h
+++ b/src/http/private/request_body.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "http/private/asio_types.h"
+#include "common/asio_types.h"
 
 #include <absl/time/time.h>
 
--- a/src/http/private/response_relay.h
+++ b/src/http/private/response_relay.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "http/private/asio_types.h"
+#include "common/asio_types.h"
 #include "http/private/exchange.h"
 #include "http/private/served_request.h"
 #include "http/proxy_options.h"
--- a/src/http/private/served_request.h
+++ b/src/http/private/served_request.h
@@ -1,7 +1,7 @@
 #pragma once
 
+#include "common/asio_types.h"
 #include "common/result_code.h"
-#include "http/private/asio_types.h"
 #include "http/private/forwarding_headers.h"
 #include "http/private/one_shot_event.h"
 #include "http/private/request_body.h"
--- a/src/http/private/slot_semaphore.h
+++ b/src/http/private/slot_semaphore.h
@@ -1,8 +1,8 @@
 #pragma once
 
+#include "common/asio_types.h"
 #include "common/result_code.h"
 #include "common/steady_clock.h"
-#include "http/private/asio_types.h"
 #include "routing/slot_limiter.h"
 
 #include <absl/time/time.h>
--- a/src/routing/connection_health.h
+++ b/src/routing/connection_health.h
@@ -73,8 +73,7 @@
                                                             std::span<const connection_info> others);
 
     /// @return true if enough responses of a route are known to tell a silent connection from a slow response. If not,
-    /// a
-    ///         request should not be sent on a connection that may have gone silent.
+    /// no request should be sent on a connection that may have gone silent.
     bool can_time_out_early(const first_byte_latency& latency) const {
         return latency.samples() >= m_limits.min_samples;
     }
--- a/src/store/store_connection_pool.cpp
+++ b/src/store/store_connection_pool.cpp
@@ -1,19 +1,13 @@
 #include "store/store_connection_pool.h"
 
+#include "common/asio_types.h"
+#include "common/idle_connection.h"
 #include "common/tcp_keepalive.h"
 
 #include <absl/base/thread_annotations.h>
 #include <absl/synchronization/mutex.h>
-#include <boost/asio/as_tuple.hpp>
-#include <boost/asio/awaitable.hpp>
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/io_context.hpp>
-#include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
-#include <boost/asio/use_awaitable.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/core/tcp_stream.hpp>
-#include <boost/beast/http.hpp>
 
 #include <algorithm>
 #include <array>
@@ -22,19 +16,10 @@
 #include <exception>
 #include <set>
 
-#include <sys/socket.h>
-
 namespace amaranthladder {
 
 namespace {
 
-namespace asio = boost::asio;
-namespace beast = boost::beast;
-namespace http = boost::beast::http;
-using boost::system::error_code;
-
-constexpr auto as_result = asio::as_tuple(asio::use_awaitable);
-
 // Further idle connections are closed; a daemon has one watch and one other call at a time.
 constexpr std::size_t max_idle_connections = 4;
 
@@ -49,10 +34,6 @@
 
 /// Received bytes that are not parsed yet.
 constexpr std::size_t max_buffered_bytes = std::size_t{64} * 1024;
-/// Number of interim (1xx) responses that are skipped before the call is given up.
-constexpr int max_interim_responses = 8;
-/// Lowest status of a final response, RFC 9110, section 15.
-constexpr unsigned min_final_status = 200;
 constexpr int http_version = 11;
 
 constexpr std::array<std::pair<http_call_failure, std::string_view>, 7> failure_names{{
@@ -69,14 +50,10 @@
     if (problem == beast::error::timeout) {
         return http_call_failure::timed_out;
     }
-    if (problem == http::error::header_limit || problem == http::error::body_limit ||
-        problem == http::error::buffer_overflow) {
+    if (is_too_large(problem)) {
         return http_call_failure::too_large;
     }
-    if (problem == http::error::end_of_stream || problem == http::error::partial_message) {
-        return http_call_failure::connection_lost;
-    }
-    if (problem.category() == http::make_error_code(http::error::bad_version).category()) {
+    if (is_malformed(problem)) {
         return http_call_failure::malformed;
     }
     return http_call_failure::connection_lost;
@@ -89,20 +66,13 @@
     beast::flat_buffer buffer{max_buffered_bytes};
     std::chrono::steady_clock::time_point idle_since;
     std::atomic<bool> is_aborted = false;
-
-    /// @return true if the server has neither closed the connection nor sent bytes for which no request is waiting.
-    bool is_quiet() {
-        char byte = 0;
-        const auto received = ::recv(stream.socket().native_handle(), &byte, sizeof(byte), MSG_PEEK | MSG_DONTWAIT);
-        return buffer.size() == 0 && received < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
-    }
 };
 
 http::request<http::string_body> make_message(const store_http_request& sent, const endpoint& address) {
     http::request<http::string_body> message;
     message.version(http_version);
-    message.method_string({sent.method.data(), sent.method.size()});
-    message.target({sent.path.data(), sent.path.size()});
+    message.method_string(beast_view(sent.method));
+    message.target(beast_view(sent.path));
     message.set(http::field::host, to_string(address));
     for (const auto& [name, value] : sent.headers) {
         message.set(name, value);
@@ -186,7 +156,9 @@
             return nullptr;
         }
         const auto oldest = std::chrono::steady_clock::now() - absl::ToChronoNanoseconds(max_idle_time);
-        std::erase_if(m_idle, [oldest](const auto& idle) { return idle->idle_since < oldest || !idle->is_quiet(); });
+        std::erase_if(m_idle, [oldest](const auto& idle) {
+            return idle->idle_since < oldest || check_idle(idle->stream, idle->buffer) != idle_state::quiet;
+        });
         std::unique_ptr<connection> acquired;
         if (m_idle.empty()) {
             acquired = std::make_unique<connection>();
--- a/src/tests/endless_control_request_test.cpp
+++ b/src/tests/endless_control_request_test.cpp
@@ -26,7 +26,7 @@
 struct endless_request_row {
     const char* name;
     const char* first;
-    const char* repeated; ///< Its first letter fills a piece if it has no line end.
+    const char* repeated; ///< Sent again and again after `first`.
 
     friend std::ostream& operator<<(std::ostream& out, const endless_request_row& row) {
         return out << row.name;
