Check once whether a drain has started

request_proxy asked has_started() and drain_schedule::start() asked again; start() now says whether the call started it. No behaviour changes.

--- a/src/http/private/drain_schedule.cpp
+++ b/src/http/private/drain_schedule.cpp
@@ -11,11 +11,13 @@
 
 } // namespace
 
-void drain_schedule::start(absl::Time notice_ends_at, absl::Time ends_at) {
-    if (!has_started()) {
-        m_notice_ends_at = notice_ends_at;
-        m_ends_at = ends_at;
+bool drain_schedule::start(absl::Time notice_ends_at, absl::Time ends_at) {
+    if (has_started()) {
+        return false;
     }
+    m_notice_ends_at = notice_ends_at;
+    m_ends_at = ends_at;
+    return true;
 }
 
 bool drain_schedule::may_accept(absl::Time now, absl::Time deadline) const {
--- a/src/http/private/drain_schedule.h
+++ b/src/http/private/drain_schedule.h
@@ -14,7 +14,8 @@
     /// Starts the drain; later calls have no effect.
     /// @param notice_ends_at when callers have been redirected.
     /// @param ends_at when requests in flight are given up.
-    void start(absl::Time notice_ends_at, absl::Time ends_at);
+    /// @return true for the call that started it.
+    bool start(absl::Time notice_ends_at, absl::Time ends_at);
 
     bool has_started() const {
         return m_ends_at < absl::InfiniteFuture();
--- a/src/http/request_proxy.cpp
+++ b/src/http/request_proxy.cpp
@@ -79,9 +79,8 @@
 
     void drain(absl::Duration notice) {
         asio::post(m_state.context, [this, notice] {
-            if (!m_state.drain.has_started()) {
-                const absl::Time now = m_state.clock.now();
-                m_state.drain.start(now + notice, now + m_options.drain_timeout);
+            const absl::Time now = m_state.clock.now();
+            if (m_state.drain.start(now + notice, now + m_options.drain_timeout)) {
                 m_state.log.info(fmt::format("drain notice_ms={} limit_ms={} connections={} requests={}",
                                              absl::ToInt64Milliseconds(notice),
                                              absl::ToInt64Milliseconds(m_options.drain_timeout), m_sessions.size(),
