Parse whole numbers in one place

upstream_departure had brought another copy of the check that a text consists of a number and nothing else; it stood in ten places. parse_number serves them now, each with its own error and bounds as before. Where a number is followed by other text, from_chars stays.

In mesh_daemon, remove_upstream and forget_upstream shared four lines, now stop_serving.

No behaviour changes.

--- a/src/common/endpoint.cpp
+++ b/src/common/endpoint.cpp
@@ -1,11 +1,13 @@
 #include "common/endpoint.h"
 
 #include "common/error.h"
+#include "common/parse_number.h"
 
 #include <fmt/format.h>
 
+#include <optional>
+
 #include <arpa/inet.h>
-#include <charconv>
 
 namespace amaranthladder {
 
@@ -27,14 +29,11 @@
     if (address.size() > 2 && address.front() == '[' && address.back() == ']') {
         address = address.substr(1, address.size() - 2);
     }
-    std::uint16_t port = 0;
-    const std::string_view port_text = text.substr(colon + 1);
-    const char* const end = port_text.data() + port_text.size();
-    const auto [parsed_end, failure] = std::from_chars(port_text.data(), end, port);
-    if (!is_ip_address(address) || failure != std::errc{} || parsed_end != end) {
+    const std::optional<std::uint16_t> port = parse_number<std::uint16_t>(text.substr(colon + 1));
+    if (!is_ip_address(address) || !port) {
         throw error(result_code::setting_bad_value, fmt::format("'{}' is not a numeric IP address with a port", text));
     }
-    return {address, port};
+    return {address, *port};
 }
 
 std::string to_string(const endpoint& value) {
--- a/src/daemon/mesh_daemon.cpp
+++ b/src/daemon/mesh_daemon.cpp
@@ -2,6 +2,7 @@
 
 #include "common/error.h"
 #include "common/event_log.h"
+#include "common/parse_number.h"
 #include "common/steady_clock.h"
 #include "daemon/active_configuration.h"
 #include "daemon/announced_upstreams.h"
@@ -26,7 +27,6 @@
 
 #include <algorithm>
 #include <atomic>
-#include <charconv>
 #include <cstdint>
 #include <exception>
 #include <functional>
@@ -57,12 +57,11 @@
 constexpr std::string_view store_era_key = "store-era";
 
 std::uint64_t parse_era(const std::string& bytes) {
-    std::uint64_t era = 0;
-    const auto [end, failure] = std::from_chars(bytes.data(), bytes.data() + bytes.size(), era);
-    if (failure != std::errc{} || end != bytes.data() + bytes.size()) {
+    const std::optional<std::uint64_t> era = parse_number<std::uint64_t>(bytes);
+    if (!era) {
         throw error(result_code::message_malformed, "the era of the store is not a number");
     }
-    return era;
+    return *era;
 }
 
 /// @return the record with the newer era; @p held if @p heard cannot be read.
@@ -491,10 +490,15 @@
     /// Removes an upstream beside this daemon from the mesh and the data path.
     void remove_upstream(const std::string& id, upstream_removal reason) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex) {
         m_peers.withdraw_upstream(id);
+        stop_serving(id, reason);
+        m_log.warning(fmt::format("upstream-gone upstream={} reason={}", id, name(reason)));
+    }
+
+    /// Removes an upstream beside this daemon from the data path.
+    void stop_serving(const std::string& id, upstream_removal reason) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex) {
         m_proxy.remove_local_upstream(id, reason);
         m_refused_upstreams.erase(id);
         m_superseded_upstreams.erase(id);
-        m_log.warning(fmt::format("upstream-gone upstream={} reason={}", id, name(reason)));
         m_are_upstreams_changed = true;
     }
 
@@ -661,11 +665,8 @@
     /// Stops serving an upstream whose id belongs to another daemon, without a word to the others.
     void forget_upstream(const std::string& id, std::string_view reason) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex) {
         m_announced_upstreams.forget(id);
-        m_proxy.remove_local_upstream(id, upstream_removal::replaced);
-        m_refused_upstreams.erase(id);
-        m_superseded_upstreams.erase(id);
+        stop_serving(id, upstream_removal::replaced);
         m_log.warning(fmt::format("upstream-conflict upstream={} reason=\"{}\"", id, reason));
-        m_are_upstreams_changed = true;
     }
 
     int queue_limit(const std::string& service_name) const {
--- a/src/daemon/upstream_departure.cpp
+++ b/src/daemon/upstream_departure.cpp
@@ -1,12 +1,12 @@
 #include "daemon/upstream_departure.h"
 
 #include "common/error.h"
+#include "common/parse_number.h"
 
 #include <fmt/format.h>
 
 #include <algorithm>
 #include <array>
-#include <charconv>
 #include <optional>
 #include <tuple>
 #include <utility>
@@ -32,13 +32,12 @@
     return word;
 }
 
-template <typename Number> Number parse_number(std::string_view word) {
-    Number number = 0;
-    const auto [end, failure] = std::from_chars(word.data(), word.data() + word.size(), number);
-    if (failure != std::errc{} || end != word.data() + word.size()) {
+template <typename Number> Number read_number(std::string_view word) {
+    const std::optional<Number> number = parse_number<Number>(word);
+    if (!number) {
         throw error(result_code::message_malformed, fmt::format("departure: '{}' is not a number", word));
     }
-    return number;
+    return *number;
 }
 
 std::optional<upstream_departure> try_decode(const std::string& bytes) {
@@ -70,15 +69,15 @@
 
 upstream_departure upstream_departure::decode(std::string_view bytes) {
     upstream_departure result;
-    result.started_at = absl::FromUnixMillis(parse_number<std::int64_t>(take_word(bytes)));
+    result.started_at = absl::FromUnixMillis(read_number<std::int64_t>(take_word(bytes)));
     const std::string_view kind = take_word(bytes);
     const auto* const found = std::ranges::find(kind_names, kind, &decltype(kind_names)::value_type::second);
     if (found == kind_names.end()) {
         throw error(result_code::message_malformed, fmt::format("departure: unknown kind '{}'", kind));
     }
     result.kind = found->first;
-    result.sequence = parse_number<std::uint64_t>(take_word(bytes));
-    result.said_at = absl::FromUnixMillis(parse_number<std::int64_t>(bytes));
+    result.sequence = read_number<std::uint64_t>(take_word(bytes));
+    result.said_at = absl::FromUnixMillis(read_number<std::int64_t>(bytes));
     return result;
 }
 
--- a/src/http/private/forwarding_headers.cpp
+++ b/src/http/private/forwarding_headers.cpp
@@ -1,6 +1,7 @@
 #include "http/private/forwarding_headers.h"
 
 #include "common/error.h"
+#include "common/parse_number.h"
 
 #include <boost/algorithm/string/predicate.hpp>
 #include <boost/beast/http/rfc7230.hpp>
@@ -11,6 +12,7 @@
 #include <array>
 #include <charconv>
 #include <cmath>
+#include <optional>
 #include <vector>
 
 namespace amaranthladder {
@@ -28,9 +30,8 @@
     if (text.empty()) {
         return std::nullopt;
     }
-    std::int64_t number = 0;
-    const auto [end, failure] = std::from_chars(text.data(), text.data() + text.size(), number);
-    if (failure != std::errc{} || end != text.data() + text.size() || number < 0) {
+    const std::optional<std::int64_t> number = parse_number<std::int64_t>(text);
+    if (!number || *number < 0) {
         throw error(result_code::request_malformed,
                     fmt::format("header {}: '{}' is not a non-negative number", name, text));
     }
--- a/src/report/report_writer.cpp
+++ b/src/report/report_writer.cpp
@@ -1,6 +1,7 @@
 #include "report/report_writer.h"
 
 #include "common/error.h"
+#include "common/parse_number.h"
 
 #include <boost/algorithm/string/classification.hpp>
 #include <boost/algorithm/string/split.hpp>
@@ -8,8 +9,8 @@
 #include <fmt/format.h>
 
 #include <algorithm>
-#include <charconv>
 #include <cmath>
+#include <optional>
 #include <set>
 
 namespace amaranthladder {
@@ -139,12 +140,11 @@
         if (std::ranges::find(report_figures(), figure_name, &report_figure::name) == report_figures().end()) {
             throw_malformed("unknown figure");
         }
-        double value = 0;
-        const auto [end, status] = std::from_chars(number.data(), number.data() + number.size(), value);
-        if (status != std::errc() || end != number.data() + number.size() || !std::isfinite(value) || value < 0) {
+        const std::optional<double> value = parse_number<double>(number);
+        if (!value || !std::isfinite(*value) || *value < 0) {
             throw_malformed("not a number of at least 0");
         }
-        if (!figures.emplace(figure_name, value).second) {
+        if (!figures.emplace(figure_name, *value).second) {
             throw_malformed("figure given twice");
         }
     }
--- a/src/routing/upstream_signals.cpp
+++ b/src/routing/upstream_signals.cpp
@@ -1,17 +1,15 @@
 #include "routing/upstream_signals.h"
 
-#include <charconv>
+#include "common/parse_number.h"
+
 #include <cmath>
+#include <optional>
 
 namespace amaranthladder {
 
 std::optional<double> parse_rate_limit(std::string_view text) {
-    double rate = 0;
-    const char* const end = text.data() + text.size();
-    const auto [parsed_end, failure] = std::from_chars(text.data(), end, rate);
-    const bool is_valid =
-        !text.empty() && failure == std::errc{} && parsed_end == end && std::isfinite(rate) && !std::signbit(rate);
-    return is_valid ? std::optional(rate) : std::nullopt;
+    const std::optional<double> rate = parse_number<double>(text);
+    return rate && std::isfinite(*rate) && !std::signbit(*rate) ? rate : std::nullopt;
 }
 
 bool requested_rate_limit::observe(std::optional<double> named, absl::Time sent_at, absl::Time now) {
--- a/src/store/http_store.cpp
+++ b/src/store/http_store.cpp
@@ -1,11 +1,12 @@
 #include "store/http_store.h"
 
+#include "common/parse_number.h"
 #include "store/call_counter.h"
 #include "store/store_connection_pool.h"
 
 #include <fmt/format.h>
 
-#include <charconv>
+#include <optional>
 #include <utility>
 
 namespace amaranthladder {
@@ -18,11 +19,8 @@
 
 constexpr const char* era_header = "Era";
 
-bool read_number(const store_http_response& reply, const char* header, std::uint64_t& number) {
-    const std::string text = reply.header(header);
-    const char* const end = text.data() + text.size();
-    const auto [parsed_end, failure] = std::from_chars(text.data(), end, number);
-    return !text.empty() && failure == std::errc{} && parsed_end == end;
+std::optional<std::uint64_t> read_number(const store_http_response& reply, const char* header) {
+    return parse_number<std::uint64_t>(reply.header(header));
 }
 
 store_outcome outcome_of_status(int status, bool is_write) {
@@ -79,11 +77,11 @@
     if (received.outcome != store_outcome::ok) {
         return {received.outcome, {}};
     }
-    std::uint64_t number = 0;
-    if (!read_number(received.response, "Revision", number)) {
+    const std::optional<std::uint64_t> number = read_number(received.response, "Revision");
+    if (!number) {
         return {store_outcome::unavailable, {}};
     }
-    value.key_revision = make_revision(answered_in, number);
+    value.key_revision = make_revision(answered_in, *number);
     value.value = std::move(received.response.body);
     return {store_outcome::ok, std::move(value)};
 }
@@ -94,15 +92,15 @@
     if (received.outcome != store_outcome::ok) {
         return {received.outcome, {}};
     }
-    std::uint64_t number = 0;
-    if (!read_number(received.response, "Lease-Id", number)) {
+    const std::optional<std::uint64_t> number = read_number(received.response, "Lease-Id");
+    if (!number) {
         return {store_outcome::unknown, {}};
     }
     const bool is_renewal = held.id != 0;
     if (is_renewal && era_of(held.id) != answered_in) {
         return {store_outcome::absent, {}};
     }
-    held.id = make_revision(answered_in, number);
+    held.id = make_revision(answered_in, *number);
     return {store_outcome::ok, std::move(held)};
 }
 
@@ -132,13 +130,13 @@
     if (received.outcome != store_outcome::ok) {
         return {received.outcome, {}};
     }
-    std::uint64_t written = 0;
+    const std::optional<std::uint64_t> written = read_number(received.response, "Revision");
     // A write that met a revision of another era has replaced a value that its caller has not read.
     const bool is_other_era = expected != 0 && answered_in != era_of(expected);
-    if (!read_number(received.response, "Revision", written) || is_other_era) {
+    if (!written || is_other_era) {
         return {store_outcome::unknown, {}};
     }
-    return {store_outcome::ok, make_revision(answered_in, written)};
+    return {store_outcome::ok, make_revision(answered_in, *written)};
 }
 
 store_result<lease> http_store::acquire_lease(const std::string& key, const std::string& holder, absl::Duration ttl,
--- a/src/store/store_era.cpp
+++ b/src/store/store_era.cpp
@@ -1,19 +1,19 @@
 #include "store/store_era.h"
 
+#include "common/parse_number.h"
 #include "common/revision.h"
 
-#include <charconv>
+#include <optional>
 
 namespace amaranthladder {
 
 std::uint64_t store_era::observe(const std::string& text) {
-    std::uint64_t named = 0;
-    const auto [end, failure] = std::from_chars(text.data(), text.data() + text.size(), named);
-    if (text.empty() || failure != std::errc{} || end != text.data() + text.size() || named > max_era) {
+    const std::optional<std::uint64_t> named = parse_number<std::uint64_t>(text);
+    if (!named || *named > max_era) {
         return m_value;
     }
-    raise(named);
-    return named;
+    raise(*named);
+    return *named;
 }
 
 void store_era::raise(std::uint64_t era) {
