Add tenants, cold upstreams and uploads to the configuration model

Cause: the model could not hold what two new deployments configure: tenants with keys and quotas, uploads, and the rate that cold upstreams tolerate.

--- a/src/common/result_code.h
+++ b/src/common/result_code.h
@@ -45,6 +45,7 @@
     config_bad_name = 1111,
     config_share_without_weight = 1112,
     config_move_conflict = 1113,
+    config_shared_key = 1114,
     snapshot_malformed = 1120,
     snapshot_hash_mismatch = 1121,
     snapshot_not_newer = 1122,
@@ -94,6 +95,11 @@
     overloaded = 1420,
     no_configuration = 1421,
     upstream_failed = 1423,
+    unknown_key = 1424,
+    quota_exceeded = 1425,
+    quota_unknown = 1426,
+    data_center_evacuated = 1427,
+    service_short = 1428,
 
     // Moves and state charts.
     move_taken_back_failures = 1500,
--- a/src/config/config_table.h
+++ b/src/config/config_table.h
@@ -18,6 +18,8 @@
     kind,    ///< A route_kind by name.
     weights, ///< `NAME WEIGHT`, separated by commas.
     host,    ///< Name or address, without a port.
+    number,  ///< Decimal number.
+    keys,    ///< Keys of callers, separated by commas.
 };
 
 /// Describes one key of the configuration folder. The reader, the validator and docs/configuration.md use these rows.
--- a/src/config/folder_merger.cpp
+++ b/src/config/folder_merger.cpp
@@ -31,7 +31,7 @@
                             boost::algorithm::token_compress_on);
     if (!is_config_section(words.front())) {
         add_problem(result_code::config_unknown_section, "must be [service NAME], [route NAME], [share SERVICE], "
-                                                         "[move NAME] or [limits NAME]");
+                                                         "[move NAME], [limits NAME] or [tenant NAME]");
         return;
     }
     if (words.size() != 2 || !is_valid_name(words[1])) {
--- a/src/config/intended_state.cpp
+++ b/src/config/intended_state.cpp
@@ -7,11 +7,12 @@
 
 namespace {
 
-constexpr std::array<std::pair<route_kind, std::string_view>, 4> route_kind_names{{
+constexpr std::array<std::pair<route_kind, std::string_view>, 5> route_kind_names{{
     {route_kind::by_method, "by-method"},
     {route_kind::idempotent, "idempotent"},
     {route_kind::non_idempotent, "non-idempotent"},
     {route_kind::download, "download"},
+    {route_kind::upload, "upload"},
 }};
 
 } // namespace
--- a/src/config/intended_state.h
+++ b/src/config/intended_state.h
@@ -26,8 +26,15 @@
     absl::Duration timeout; ///< Deadline of a request whose caller gives none.
     int queue_limit = 0;    ///< Requests that may wait at one upstream while all its slots are taken.
     source_line origin;
-    int max_connections = 0;      ///< Connections that one upstream accepts from all callers together; 0: no limit.
-    std::string health_path = {}; ///< Path of the health check of an upstream; empty: none.
+    int max_connections = 0;        ///< Connections that one upstream accepts from all callers together; 0: no limit.
+    std::string health_path = {};   ///< Path of the health check of an upstream; empty: none.
+    absl::Duration cold_start = {}; ///< Time for which an upstream is cold after its start; zero: not stated.
+    double cold_rate = 0;           ///< Requests per second that a cold upstream tolerates; 0: not stated.
+
+    /// @return true if upstreams of the service tolerate only a limited rate while they are cold.
+    bool limits_cold_upstreams() const {
+        return cold_rate > 0;
+    }
 
     friend bool operator==(const service&, const service&) = default;
 };
@@ -38,6 +45,7 @@
     idempotent,     ///< Any method may be repeated.
     non_idempotent, ///< No method may be repeated once it may have run.
     download,       ///< Large responses; any method may be repeated.
+    upload,         ///< Large bodies; no method may be repeated once it may have run.
 };
 
 /// @return the name of @p kind in configuration files and snapshots.
@@ -59,12 +67,14 @@
     std::map<std::string, int> weight_by_service = {}; ///< Divides the requests; empty: all to `service`.
     bool needs_subpath = false;                        ///< The prefix itself, without a slash after it, does not match.
     absl::Duration target_latency = {};                ///< Responses are wanted within this time; zero: not stated.
-    int max_attempts = 0; ///< Upstreams that one request may be sent to; 0: the daemon's limit.
-    int priority = 0;     ///< 0 is the most urgent.
+    int max_attempts = 0;          ///< Upstreams that one request may be sent to; 0: the daemon's limit.
+    int priority = 0;              ///< 0 is the most urgent.
+    bool allows_anonymous = false; ///< If there are tenants, requests without a tenant's key are served too.
 
     /// @return true if a request with this method may be sent again although it may have run.
     bool may_repeat(bool is_idempotent_method) const {
-        return kind == route_kind::by_method ? is_idempotent_method : kind != route_kind::non_idempotent;
+        return kind == route_kind::by_method ? is_idempotent_method
+                                             : kind != route_kind::non_idempotent && kind != route_kind::upload;
     }
 
     friend bool operator==(const route&, const route&) = default;
@@ -109,6 +119,23 @@
     friend bool operator==(const caller_limits&, const caller_limits&) = default;
 };
 
+/// A customer of the mesh, whose callers identify themselves with a key.
+struct tenant {
+    std::string name;
+    std::vector<std::string> key_digests; ///< Digests of the keys (key_digest), sorted. The keys are never kept.
+    std::optional<int> priority;          ///< Goes before the priority of the route; 0 is the most urgent.
+    double rate_per_second = 0;           ///< Requests per second over all daemons; 0: no limit.
+    double burst = 0;                     ///< Requests beyond the rate that may come at once.
+    source_line origin;
+
+    /// @return true if the tenant's requests are limited.
+    bool has_quota() const {
+        return rate_per_second > 0;
+    }
+
+    friend bool operator==(const tenant&, const tenant&) = default;
+};
+
 /// Name of the only section of kind `limits`.
 inline constexpr std::string_view caller_limits_name = "callers";
 
@@ -119,6 +146,7 @@
     std::map<std::string, share> shares; ///< By service.
     std::map<std::string, move> moves;
     std::map<std::string, caller_limits> limits; ///< At most the one named caller_limits_name.
+    std::map<std::string, tenant> tenants;       ///< Empty: callers need no key.
 
     friend bool operator==(const intended_state&, const intended_state&) = default;
 };
--- a/src/config/private/row_codec.cpp
+++ b/src/config/private/row_codec.cpp
@@ -7,6 +7,7 @@
 #include <openssl/evp.h>
 
 #include <array>
+#include <cmath>
 #include <limits>
 #include <map>
 #include <optional>
@@ -18,6 +19,16 @@
 namespace {
 
 constexpr std::size_t scratch_bytes = 16'384;
+/// Bound of decimal numbers, far above any rate.
+constexpr std::int64_t max_thousandths = 1'000'000'000'000'000;
+constexpr double thousandths = 1000;
+
+double from_thousandths(std::int64_t value) {
+    return static_cast<double>(value) / thousandths;
+}
+
+/// Stands for the priority of a tenant that states none.
+constexpr int no_priority = -1;
 // The end of the year 9999, the last year that RFC 3339 can represent.
 constexpr std::int64_t latest_milliseconds = 253'402'300'799'999;
 
@@ -44,6 +55,8 @@
     result.queue_limit = row.count();
     result.max_connections = row.count();
     result.health_path = row.text();
+    result.cold_start = row.duration();
+    result.cold_rate = row.number();
     result.origin = row.origin();
     return result;
 }
@@ -71,6 +84,15 @@
     return weights;
 }
 
+json::array write_texts(const std::vector<std::string>& values, const json::storage_ptr& memory) {
+    json::array texts(memory);
+    texts.reserve(values.size());
+    for (const std::string& value : values) {
+        texts.emplace_back(view(value));
+    }
+    return texts;
+}
+
 route read_route(row_reader& row) {
     route result;
     result.name = row.text();
@@ -79,13 +101,7 @@
     result.weight_by_service = read_weights(row);
     result.path_prefix = row.text();
     result.needs_subpath = row.boolean();
-    const json::array* methods = row.next().if_array();
-    if (methods == nullptr) {
-        throw malformed("the methods of a route row are not an array");
-    }
-    for (const json::value& method : *methods) {
-        result.methods.push_back(text_of(method));
-    }
+    result.methods = row.texts();
     const std::optional<route_kind> kind = parse_route_kind(row.text());
     if (!kind) {
         throw malformed("a route row has an unknown kind");
@@ -95,6 +111,7 @@
     result.target_latency = row.duration();
     result.max_attempts = row.count();
     result.priority = row.count();
+    result.allows_anonymous = row.boolean();
     result.origin = row.origin();
     return result;
 }
@@ -137,8 +154,32 @@
     return result;
 }
 
+tenant read_tenant(row_reader& row) {
+    tenant result;
+    result.name = row.text();
+    result.key_digests = row.texts();
+    const std::int64_t priority = row.integer(no_priority, std::numeric_limits<int>::max());
+    if (priority != no_priority) {
+        result.priority = static_cast<int>(priority);
+    }
+    result.rate_per_second = row.number();
+    result.burst = row.number();
+    result.origin = row.origin();
+    return result;
+}
+
 } // namespace
 
+std::int64_t to_thousandths(double value) {
+    const double scaled = std::round(value * thousandths);
+    // Also false for a value that is not a number.
+    return scaled >= 0 && scaled <= static_cast<double>(max_thousandths) ? static_cast<std::int64_t>(scaled) : 0;
+}
+
+double round_to_thousandths(double value) {
+    return from_thousandths(to_thousandths(value));
+}
+
 std::int64_t to_milliseconds(absl::Time value) {
     return absl::ToUnixMillis(value);
 }
@@ -180,27 +221,25 @@
 void row_writer::write(const service& value) {
     json::monotonic_resource memory(m_scratch->buffer.data(), m_scratch->buffer.size());
     write(json::array({"service", view(value.name), absl::ToInt64Milliseconds(value.timeout), value.queue_limit,
-                       value.max_connections, view(value.health_path), view(value.origin.file), value.origin.line},
+                       value.max_connections, view(value.health_path), absl::ToInt64Milliseconds(value.cold_start),
+                       to_thousandths(value.cold_rate), view(value.origin.file), value.origin.line},
                       &memory));
 }
 
 void row_writer::write(const route& value) {
     json::monotonic_resource memory(m_scratch->buffer.data(), m_scratch->buffer.size());
-    json::array methods(&memory);
-    for (const std::string& method : value.methods) {
-        methods.emplace_back(view(method));
-    }
     const std::string_view kind = name(value.kind);
     json::array row({"route", view(value.name), view(value.host), view(value.service)}, &memory);
     row.emplace_back(write_weights(value.weight_by_service, &memory));
     row.emplace_back(view(value.path_prefix));
     row.emplace_back(value.needs_subpath);
-    row.emplace_back(std::move(methods));
+    row.emplace_back(write_texts(value.methods, &memory));
     row.emplace_back(json::string_view(kind.data(), kind.size()));
     row.emplace_back(absl::ToInt64Milliseconds(value.timeout));
     row.emplace_back(absl::ToInt64Milliseconds(value.target_latency));
     row.emplace_back(value.max_attempts);
     row.emplace_back(value.priority);
+    row.emplace_back(value.allows_anonymous);
     row.emplace_back(view(value.origin.file));
     row.emplace_back(value.origin.line);
     write(row);
@@ -231,6 +270,18 @@
                       &memory));
 }
 
+void row_writer::write(const tenant& value) {
+    json::monotonic_resource memory(m_scratch->buffer.data(), m_scratch->buffer.size());
+    json::array row({"tenant", view(value.name)}, &memory);
+    row.emplace_back(write_texts(value.key_digests, &memory));
+    row.emplace_back(value.priority.value_or(no_priority));
+    row.emplace_back(to_thousandths(value.rate_per_second));
+    row.emplace_back(to_thousandths(value.burst));
+    row.emplace_back(view(value.origin.file));
+    row.emplace_back(value.origin.line);
+    write(row);
+}
+
 void row_writer::write(const intended_state& state) {
     const auto write_all = [this](const auto& sections) {
         for (const auto& [name, value] : sections) {
@@ -242,6 +293,7 @@
     write_all(state.shares);
     write_all(state.moves);
     write_all(state.limits);
+    write_all(state.tenants);
 }
 
 row_reader::row_reader(const json::array& row) : m_row(row) {}
@@ -288,6 +340,23 @@
     return static_cast<int>(integer(0, std::numeric_limits<int>::max()));
 }
 
+double row_reader::number() {
+    return from_thousandths(integer(0, max_thousandths));
+}
+
+std::vector<std::string> row_reader::texts() {
+    const json::array* elements = next().if_array();
+    if (elements == nullptr) {
+        throw malformed("a row element is not an array of strings");
+    }
+    std::vector<std::string> result;
+    result.reserve(elements->size());
+    for (const json::value& element : *elements) {
+        result.push_back(text_of(element));
+    }
+    return result;
+}
+
 absl::Time row_reader::time() {
     return absl::FromUnixMillis(integer(0, latest_milliseconds));
 }
@@ -371,6 +440,8 @@
         put(target.moves, &move::name, read_move(reader));
     } else if (kind == "limits") {
         put(target.limits, &caller_limits::name, read_limits(reader));
+    } else if (kind == "tenant") {
+        put(target.tenants, &tenant::name, read_tenant(reader));
     } else {
         throw malformed("a row has an unknown kind");
     }
--- a/src/config/private/row_codec.h
+++ b/src/config/private/row_codec.h
@@ -8,21 +8,24 @@
 #include <memory>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace amaranthladder {
 
 /// Snapshots and deltas are text with one row per line. A row is a JSON array whose first element names its kind;
 /// arrays take less than half the bytes of objects with named members.
 ///
-/// Rows: `["service",name,timeout_ms,queue_limit,max_connections,health_path,file,line]`,
+/// Rows: `["service",name,timeout_ms,queue_limit,max_connections,health_path,cold_start_ms,cold_rate,file,line]`,
 /// `["route",name,host,service,{service:weight},path_prefix,needs_subpath,[methods],kind,timeout_ms,target_latency_ms,
-/// max_attempts,priority,file,line]`, `["share",service,{version:weight},file,line]`,
-/// `["move",name,service,from,to,deadline_ms,introduced_in,file,line]` with the deadline in Unix milliseconds, and
-/// `["limits",name,max_header_bytes,max_body_bytes,header_timeout_ms,idle_timeout_ms,file,line]`.
+/// max_attempts,priority,allows_anonymous,file,line]`, `["share",service,{version:weight},file,line]`,
+/// `["move",name,service,from,to,deadline_ms,introduced_in,file,line]` with the deadline in Unix milliseconds,
+/// `["limits",name,max_header_bytes,max_body_bytes,header_timeout_ms,idle_timeout_ms,file,line]`, and
+/// `["tenant",name,[key_digests],priority,rate_per_second,burst,file,line]` with a priority of -1 if none is stated.
+/// Rates and bursts are in thousandths.
 
 /// Maximum size of an encoded snapshot and of an encoded delta.
 inline constexpr std::size_t max_encoded_bytes = std::size_t{16} * 1024 * 1024;
-/// Maximum size of a row. The longest valid row is a route with all methods or a share of 64 versions.
+/// Maximum size of a row. The longest valid row is a tenant with 1,500 keys.
 inline constexpr std::size_t max_row_bytes = std::size_t{64} * 1024;
 /// Maximum number of sections in a snapshot, which bounds the memory of a decoder. The target size needs about 8,000.
 inline constexpr std::size_t max_rows = 50'000;
@@ -41,7 +44,9 @@
     void write(const share& value);
     void write(const move& value);
     void write(const caller_limits& value);
-    /// Writes each section of @p state: services, routes, shares, moves and limits, each in the order of their names.
+    void write(const tenant& value);
+    /// Writes each section of @p state: services, routes, shares, moves, limits and tenants, each in the order of their
+    /// names.
     void write(const intended_state& state);
     /// Writes any other row.
     void write(const boost::json::array& row);
@@ -64,6 +69,9 @@
     bool boolean();
     /// @return an integer of at least 0.
     int count();
+    /// @return a decimal number of at least 0, which rows hold in thousandths.
+    double number();
+    std::vector<std::string> texts();
     absl::Time time();
     absl::Duration duration();
     source_line origin();
@@ -107,6 +115,12 @@
 /// @throws error with result_code::snapshot_malformed if @p row is not a valid section.
 void read_section(const boost::json::array& row, intended_state& target);
 
+/// @return @p value in thousandths, as rows hold decimal numbers; 0 for a value that rows cannot hold.
+std::int64_t to_thousandths(double value);
+
+/// @return the decimal number that a row holds for @p value.
+double round_to_thousandths(double value);
+
 /// @return @p value as Unix milliseconds.
 std::int64_t to_milliseconds(absl::Time value);
 
--- a/src/config/snapshot.cpp
+++ b/src/config/snapshot.cpp
@@ -11,7 +11,7 @@
 namespace {
 
 constexpr std::string_view format_name = "amaranthladder-snapshot";
-constexpr std::int64_t format_number = 2;
+constexpr std::int64_t format_number = 3;
 constexpr std::size_t max_publish_id_bytes = 128;
 
 std::string encode(std::uint64_t version, absl::Time publish_time, const std::string& publish_id,
@@ -57,6 +57,12 @@
     }
     for (auto& [name, value] : state.services) {
         value.timeout = absl::Trunc(value.timeout, absl::Milliseconds(1));
+        value.cold_start = absl::Trunc(value.cold_start, absl::Milliseconds(1));
+        value.cold_rate = round_to_thousandths(value.cold_rate);
+    }
+    for (auto& [name, value] : state.tenants) {
+        value.rate_per_second = round_to_thousandths(value.rate_per_second);
+        value.burst = round_to_thousandths(value.burst);
     }
     for (auto& [name, value] : state.routes) {
         value.timeout = absl::Trunc(value.timeout, absl::Milliseconds(1));
--- a/src/config/snapshot_delta.cpp
+++ b/src/config/snapshot_delta.cpp
@@ -16,7 +16,7 @@
 namespace {
 
 constexpr std::string_view format_name = "amaranthladder-update";
-constexpr std::int64_t format_number = 2;
+constexpr std::int64_t format_number = 3;
 constexpr std::string_view shift_kind = "shift";
 constexpr std::string_view remove_kind = "remove";
 
@@ -89,6 +89,7 @@
     action("share", states.shares...);
     action("move", states.moves...);
     action("limits", states.limits...);
+    action("tenant", states.tenants...);
 }
 
 line_shifts find_shifts(const intended_state& base, const intended_state& target) {
--- a/src/config/state_builder.cpp
+++ b/src/config/state_builder.cpp
@@ -1,6 +1,8 @@
 #include "config/state_builder.h"
 
+#include "common/parse_number.h"
 #include "config/config_table.h"
+#include "config/key_digest.h"
 #include "config/validator.h"
 
 #include <boost/algorithm/string/classification.hpp>
@@ -10,6 +12,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <cmath>
 #include <set>
 #include <utility>
 
@@ -64,6 +67,20 @@
         return result;
     }
 
+    double number(const std::string& key) const {
+        const merged_value* value = find(key);
+        if (value == nullptr) {
+            return 0;
+        }
+        const std::optional<double> result = parse_number<double>(value->text);
+        if (!result || !std::isfinite(*result) || *result < 0) {
+            add_problem(result_code::config_bad_value, key, value->origin,
+                        fmt::format("'{}' is not a number of at least 0", value->text));
+            return 0;
+        }
+        return *result;
+    }
+
     absl::Duration milliseconds(const std::string& key) const {
         const int value = integer(key, 0);
         // Zero stands for "not given" in the state, so the validator would accept an explicit 0.
@@ -195,6 +212,8 @@
             read_share(section);
         } else if (section.kind == "limits") {
             read_limits(section);
+        } else if (section.kind == "tenant") {
+            read_tenant(section);
         } else {
             read_move(section);
         }
@@ -211,6 +230,8 @@
     value.queue_limit = reader.integer("queue_limit", default_queue_limit);
     value.max_connections = reader.integer("max_connections", 0);
     value.health_path = reader.text("health_path");
+    value.cold_start = reader.milliseconds("cold_start_ms");
+    value.cold_rate = reader.number("cold_rate_per_second");
     value.origin = section.origin;
     m_state.services.emplace(section.name, std::move(value));
 }
@@ -230,6 +251,7 @@
     value.target_latency = reader.milliseconds("target_latency_ms");
     value.max_attempts = reader.integer("max_attempts", 0);
     value.priority = reader.integer("priority", 0);
+    value.allows_anonymous = reader.boolean("allow_anonymous");
     value.origin = section.origin;
     m_state.routes.emplace(section.name, std::move(value));
 }
@@ -257,6 +279,27 @@
     m_state.limits.emplace(section.name, std::move(value));
 }
 
+void state_builder::read_tenant(const merged_section& section) {
+    constexpr int no_priority = -1;
+    const section_reader reader(section, m_problems);
+    tenant value;
+    value.name = section.name;
+    value.key_digests = reader.list("keys");
+    for (std::string& key : value.key_digests) {
+        // An empty key has no digest, which the validator reports.
+        key = key.empty() ? "" : key_digest(key);
+    }
+    std::ranges::sort(value.key_digests);
+    const int priority = reader.integer("priority", no_priority);
+    if (section.values.contains("priority")) {
+        value.priority = priority;
+    }
+    value.rate_per_second = reader.number("rate_per_second");
+    value.burst = reader.number("burst");
+    value.origin = section.origin;
+    m_state.tenants.emplace(section.name, std::move(value));
+}
+
 void state_builder::read_move(const merged_section& section) {
     const section_reader reader(section, m_problems);
     move value;
--- a/src/config/state_builder.h
+++ b/src/config/state_builder.h
@@ -30,6 +30,7 @@
     void read_share(const merged_section& section);
     void read_move(const merged_section& section);
     void read_limits(const merged_section& section);
+    void read_tenant(const merged_section& section);
 
     const merged_folder& m_folder;
     std::vector<config_problem>& m_problems;
--- a/src/config/validator.cpp
+++ b/src/config/validator.cpp
@@ -1,6 +1,7 @@
 #include "config/validator.h"
 
 #include "config/config_table.h"
+#include "config/key_digest.h"
 #include "config/name_rules.h"
 
 #include <fmt/format.h>
@@ -13,6 +14,8 @@
 namespace {
 
 constexpr std::size_t max_versions_per_share = 64;
+/// So that the row of a tenant stays below max_row_bytes.
+constexpr std::size_t max_keys_per_tenant = 1500;
 constexpr absl::Time earliest_deadline = absl::FromUnixSeconds(946'684'800);   // 2000-01-01
 constexpr absl::Time latest_deadline = absl::FromUnixSeconds(253'402'300'799); // 9999-12-31
 
@@ -40,6 +43,7 @@
         for (const auto& [name, value] : m_state.limits) {
             check_limits(name, value);
         }
+        check_tenants();
         return std::move(m_problems);
     }
 
@@ -50,6 +54,8 @@
         check_range("timeout_ms", absl::ToInt64Milliseconds(value.timeout));
         check_range("queue_limit", value.queue_limit);
         check_range("max_connections", value.max_connections);
+        check_optional("cold_start_ms", value.cold_start);
+        check_number("cold_rate_per_second", value.cold_rate);
         if (!value.health_path.empty() && !is_valid_path(value.health_path)) {
             add_problem(result_code::config_bad_value, "health_path", path_rule);
         }
@@ -111,6 +117,41 @@
         check_optional("idle_timeout_ms", value.idle_timeout);
     }
 
+    void check_tenants() {
+        std::unordered_map<std::string_view, const tenant*> first_by_key;
+        for (const auto& [name, value] : m_state.tenants) {
+            begin_section("tenant", name, value.origin);
+            check_names(name, value.name);
+            check_keys(value, first_by_key);
+            if (value.priority) {
+                check_range("priority", *value.priority);
+            }
+            check_number("rate_per_second", value.rate_per_second);
+            check_number("burst", value.burst);
+        }
+    }
+
+    void check_keys(const tenant& value, std::unordered_map<std::string_view, const tenant*>& first_by_key) {
+        if (value.key_digests.size() > max_keys_per_tenant) {
+            add_problem(result_code::config_too_large, "keys", fmt::format("more than {} keys", max_keys_per_tenant));
+        }
+        if (!std::ranges::is_sorted(value.key_digests)) {
+            add_problem(result_code::config_bad_value, "keys", "the digests of the keys are not sorted");
+        }
+        for (const std::string& key : value.key_digests) {
+            if (!is_key_digest(key)) {
+                add_problem(result_code::config_bad_value, "keys", "a key is empty");
+                continue;
+            }
+            const auto [first, is_first] = first_by_key.emplace(key, &value);
+            if (!is_first) {
+                add_problem(result_code::config_shared_key, "keys",
+                            fmt::format("[tenant {}] ({}:{}) has the same key", first->second->name,
+                                        first->second->origin.file, first->second->origin.line));
+            }
+        }
+    }
+
     static bool overlap(const route& left, const route& right) {
         const auto is_in_right = [&](const std::string& method) {
             return std::ranges::find(right.methods, method) != right.methods.end();
@@ -226,6 +267,15 @@
         }
     }
 
+    void check_number(std::string_view key, double value) {
+        const config_key* row = find_config_key(m_kind, key);
+        // Written so that a value that is not a number is reported, too.
+        if (row != nullptr && !(value >= static_cast<double>(row->low) && value <= static_cast<double>(row->high))) {
+            add_problem(result_code::config_out_of_range, key,
+                        fmt::format("{} is outside the range {} to {}", value, row->low, row->high));
+        }
+    }
+
     /// Checks an optional duration; zero means that it is not given.
     void check_optional(std::string_view key, absl::Duration value) {
         if (value != absl::ZeroDuration()) {
--- a/src/http/private/forwarding_headers.cpp
+++ b/src/http/private/forwarding_headers.cpp
@@ -73,6 +73,8 @@
     if (const auto target_ms = number_field(fields, header::target_ms)) {
         info.target_time_left = absl::Milliseconds(*target_ms);
     }
+    info.tenant = field_value(fields, header::tenant);
+    info.is_nested = field_value(fields, header::nested) == "1";
     return info;
 }
 
@@ -96,6 +98,8 @@
     set_if_not_empty(fields, header::caller_service, info.caller_service);
     set_if_not_empty(fields, header::repeatable, info.is_idempotent ? "1" : "");
     set_if_not_empty(fields, header::priority, info.priority == 0 ? "" : std::to_string(info.priority));
+    set_if_not_empty(fields, header::tenant, info.tenant);
+    set_if_not_empty(fields, header::nested, info.is_nested ? "1" : "");
     if (info.target_time_left) {
         set_if_not_empty(fields, header::target_ms, milliseconds_text(*info.target_time_left));
     }
--- a/src/http/private/forwarding_headers.h
+++ b/src/http/private/forwarding_headers.h
@@ -36,6 +36,8 @@
 inline constexpr std::string_view route_us = "x-amaranthladder-route-us";
 inline constexpr std::string_view rate_limit = "x-amaranthladder-rate-limit";
 inline constexpr std::string_view leaving = "x-amaranthladder-leaving";
+inline constexpr std::string_view tenant = "x-amaranthladder-tenant";
+inline constexpr std::string_view nested = "x-amaranthladder-nested";
 inline constexpr std::string_view backlog_ms = "x-amaranthladder-backlog-ms";
 } // namespace header
 
@@ -52,6 +54,8 @@
     bool is_idempotent = false;                     ///< The request may be executed more than once.
     int priority = 0;                               ///< 0 is the most urgent.
     std::optional<absl::Duration> target_time_left; ///< Time left of the route's target latency.
+    std::string tenant;                             ///< Tenant that holds the caller's key; empty: none.
+    bool is_nested = false;                         ///< Sent by an upstream while it runs a request of a caller.
 
     /// @return true if an entry daemon sent the request to its owner.
     bool is_from_entry() const {
--- a/src/tool/state_difference.cpp
+++ b/src/tool/state_difference.cpp
@@ -44,6 +44,7 @@
     append_differences("share", from.shares, to.shares, differences);
     append_differences("move", from.moves, to.moves, differences);
     append_differences("limits", from.limits, to.limits, differences);
+    append_differences("tenant", from.tenants, to.tenants, differences);
     return differences;
 }
 
