--- a/src/tests/platform_test.cpp
+++ b/src/tests/platform_test.cpp
@@ -1,4 +1,5 @@
 #include "common/error.h"
+#include "config/key_digest.h"
 #include "platform/control_calls.h"
 #include "platform/intent.h"
 
@@ -18,13 +19,17 @@
 
 const std::string configuration = R"({"version":"0000000c","routes":[
   {"name":"r-1","authority":"ficu95.example","prefix":"/pufi791/","kind":"unsafe","timeout_ms":1500,
-   "target_latency_ms":500,"priority":1,"service":"huvo11a","max_attempts":2},
+   "target_latency_ms":500,"priority":1,"service":"huvo11a","max_attempts":2,"allow_anonymous":true},
   {"name":"r-2","authority":"ficu95.example","prefix":"/lohu930/","kind":"safe","timeout_ms":1200,
    "target_latency_ms":400,"priority":2,"backends":[{"service":"huvo11a","weight":90},
    {"service":"wuno96b","weight":10}],"max_attempts":2},
+  {"name":"r-4","authority":"ficu95.example","prefix":"/up/","kind":"upload","service":"wuno96b"},
   {"name":"r-3","authority":"ficu95.example","prefix":"/","kind":"download","priority":2,"service":"wuno96b"}],
  "services":[{"name":"huvo11a","health_path":"/health","max_connections":110,"protocol":"h1","tls":false},
-  {"name":"wuno96b","health_path":"/health","max_connections":110,"protocol":"h1","tls":false}],
+  {"name":"wuno96b","health_path":"/health","max_connections":110,"protocol":"h1","tls":false,
+   "cold_start_s":3.0,"cold_per_s":14.0}],
+ "tenants":[{"name":"hule930","api_keys":["k2","k1"],"priority":0,"rate_per_s":606,"burst":60.5},
+  {"name":"free","api_keys":[]}],
  "limits":{"max_header_bytes":16384,"max_body_bytes":67108864,"header_timeout_ms":3000,"idle_timeout_ms":15000}})";
 
 std::string replaced(std::string text, const std::string& from, const std::string& to) {
@@ -55,6 +60,22 @@
     BOOST_TEST(read.state().routes.at("r-2").weight_by_service.at("wuno96b") == 10);
     BOOST_TEST((read.state().routes.at("r-3").kind == route_kind::download));
     BOOST_TEST(read.state().routes.at("r-3").path_prefix == "/");
+    BOOST_TEST((read.state().routes.at("r-4").kind == route_kind::upload));
+    BOOST_TEST(!read.state().routes.at("r-4").may_repeat(true));
+    BOOST_TEST(order.allows_anonymous);
+    BOOST_TEST(!read.state().routes.at("r-2").allows_anonymous);
+    const tenant& customer = read.state().tenants.at("hule930");
+    std::vector<std::string> digests{key_digest("k1"), key_digest("k2")};
+    std::ranges::sort(digests);
+    BOOST_TEST(customer.key_digests == digests);
+    BOOST_TEST((customer.priority == 0));
+    BOOST_TEST(customer.rate_per_second == 606);
+    BOOST_TEST(customer.burst == 60.5);
+    BOOST_TEST(!read.state().tenants.at("free").priority.has_value());
+    BOOST_TEST(!read.state().tenants.at("free").has_quota());
+    BOOST_TEST(read.canonical_bytes().find("\"k1\"") == std::string::npos);
+    BOOST_TEST(read.state().services.at("wuno96b").cold_start == absl::Seconds(3));
+    BOOST_TEST(read.state().services.at("wuno96b").cold_rate == 14);
     BOOST_TEST(read.state().services.at("huvo11a").max_connections == 110);
     BOOST_TEST(read.state().limits.at("callers").idle_timeout == absl::Seconds(15));
     // Every daemon must translate the version to the same bytes.
@@ -81,6 +102,9 @@
     {"version a number", "op/config", replaced(configuration, "\"0000000c\"", "12")},
     {"routes an object", "op/config", replaced(configuration, "\"routes\":[", "\"routes\":{},\"x\":[")},
     {"weight negative", "op/config", replaced(configuration, "\"weight\":90", "\"weight\":-1")},
+    {"key empty", "op/config", replaced(configuration, "\"k1\"", "\"\"")},
+    {"quota a text", "op/config", replaced(configuration, "606", "\"many\"")},
+    {"cold rate negative", "op/config", replaced(configuration, "14.0", "-14.0")},
     {"timeout a text", "op/config", replaced(configuration, "1500", "\"soon\"")},
     {"order without a duration", "op/rollout/huvo11a", R"({"service":"huvo11a","target_version":"v2"})"},
     {"order with a duration of zero", "op/rollout/huvo11a",
--- a/src/tests/snapshot_delta_test.cpp
+++ b/src/tests/snapshot_delta_test.cpp
@@ -164,7 +164,7 @@
 BOOST_DATA_TEST_CASE(refuses_malformed_updates, malformed_rows, row) {
     const auto base = make(1, make_state(10));
     const std::string header =
-        fmt::format("[\"amaranthladder-update\",2,1,\"{}\",2,\"{}\",0,\"p\"]\n", base->hash(), std::string(64, '0'));
+        fmt::format("[\"amaranthladder-update\",3,1,\"{}\",2,\"{}\",0,\"p\"]\n", base->hash(), std::string(64, '0'));
     BOOST_TEST((code_of_apply(base.get(), header) == result_code::snapshot_hash_mismatch));
     BOOST_TEST((code_of_apply(base.get(), header + row.rows) == result_code::snapshot_malformed));
 }
@@ -172,9 +172,9 @@
 const char* const malformed_headers[] = {"",
                                          "\n",
                                          "[]\n",
-                                         "[\"amaranthladder-update\",2,2,\"\",2,\"\",0,\"p\"]\n",
-                                         "[\"amaranthladder-update\",2,0,\"\",0,\"\",0,\"p\"]\n",
-                                         "[\"amaranthladder-update\",3,0,\"\",1,\"\",0,\"p\"]\n",
+                                         "[\"amaranthladder-update\",3,2,\"\",2,\"\",0,\"p\"]\n",
+                                         "[\"amaranthladder-update\",3,0,\"\",0,\"\",0,\"p\"]\n",
+                                         "[\"amaranthladder-update\",4,0,\"\",1,\"\",0,\"p\"]\n",
                                          "[\"amaranthladder-update\",1,0,\"\",1,\"\",0,\"p\"]\n",
                                          "[\"amaranthladder-snapshot\",1,1,0,\"p\"]\n"};
 
--- a/src/tests/snapshot_test.cpp
+++ b/src/tests/snapshot_test.cpp
@@ -1,6 +1,7 @@
 #include "config/snapshot.h"
 
 #include "common/error.h"
+#include "config/key_digest.h"
 
 #include <boost/test/data/monomorphic.hpp>
 #include <boost/test/data/test_case.hpp>
@@ -18,6 +19,11 @@
     state.routes["precios"] = {
         "precios",      "tienda", "/precios", {"GET", "HEAD"}, route_kind::idempotent, absl::Milliseconds(700),
         {"10-a.ini", 5}};
+    state.services["tienda"].cold_start = absl::Seconds(3);
+    state.services["tienda"].cold_rate = 14.5;
+    state.routes["precios"].allows_anonymous = true;
+    state.tenants["t1"] = {"t1", {key_digest("k1")}, 0, 2.5, 7, {"30-c.ini", 1}};
+    state.tenants["t2"] = {"t2", {key_digest("k2")}, std::nullopt, 0, 0, {"30-c.ini", 9}};
     state.shares["tienda"] = {"tienda", {{"1.4", 90}, {"1.5", 10}}, {"20-b.ini", 1}};
     state.moves["m1"] = {"m1", "tienda", "1.4", "1.5", absl::FromUnixSeconds(1'900'000'000), 7, {"20-b.ini", 4}};
     return state;
@@ -55,7 +61,7 @@
     {"empty", ""},
     {"no line feed at the end", head.substr(0, head.size() - 1)},
     {"other format", "[\"x\",2,7,0,\"p\"]\n"},
-    {"later format", "[\"amaranthladder-snapshot\",3,7,0,\"p\"]\n"},
+    {"later format", "[\"amaranthladder-snapshot\",4,7,0,\"p\"]\n"},
     {"earlier format", "[\"amaranthladder-snapshot\",1,7,0,\"p\"]\n"},
     {"version 0", "[\"amaranthladder-snapshot\",3,0,0,\"p\"]\n"},
     {"negative version", "[\"amaranthladder-snapshot\",3,-1,0,\"p\"]\n"},
--- a/src/tests/validator_test.cpp
+++ b/src/tests/validator_test.cpp
@@ -58,6 +58,14 @@
 
 const folder_row folder_rows[] = {
     {"nothing more", "", ""},
+    {"tenants", "[tenant t]\nkeys = k1, k2\nrate_per_second = 2.5\n[tenant u]\nkeys = k3\n", ""},
+    {"tenant without keys", "[tenant t]\nburst = 1\n", "b.ini:1 1104 keys;"},
+    {"empty key", "[tenant t]\nkeys = k1,\n", "b.ini:2 1105 keys;"},
+    {"key of two tenants", "[tenant t]\nkeys = k1, k2\n[tenant u]\nkeys = k2\n", "b.ini:4 1114 keys;"},
+    {"key twice", "[tenant t]\nkeys = k1, k1\n", "b.ini:2 1114 keys;"},
+    {"quota not a number", "[tenant t]\nkeys = k1\nrate_per_second = nan\n", "b.ini:3 1105 rate_per_second;"},
+    {"negative quota", "[tenant t]\nkeys = k1\nburst = -1\n", "b.ini:3 1105 burst;"},
+    {"tenant priority over its range", "[tenant t]\nkeys = k1\npriority = 1001\n", "b.ini:3 1106 priority;"},
     {"override of one key", "[service s]\ntimeout_ms = 500\n", ""},
     {"shortest and longest timeout", "[service s]\ntimeout_ms = 10\n[route r]\ntimeout_ms = 3600000\n", ""},
     {"same prefix with other methods", "[route q]\nservice=s\npath_prefix=/r\nmethods=PUT, DELETE\n", ""},
