Http: identify tenants by key and tell upstreams their names

Cause: upstreams could not know for whom a request runs, and saw callers' keys. Effect: if the configuration has tenants, the entry refuses unknown and missing keys with 401 and decides again before each attempt; the owner refuses a waiting request whose key was removed. Callers' own headers for key and tenant never pass on: in any case, with underscores, repeated, in trailers, or named by Connection, of which only the first header was read before. Only digests travel between daemons.

--- a/src/daemon/status_text.cpp
+++ b/src/daemon/status_text.cpp
@@ -195,6 +195,12 @@
                static_cast<double>(status.requests.malformed_rate_limits));
     add_metric(text, "upstream_surplus_responses_total", "counter", "",
                static_cast<double>(status.requests.surplus_responses));
+    add_metric(text, "refusals_missing_key_total", "counter", "",
+               static_cast<double>(status.requests.refusals_missing_key));
+    add_metric(text, "refusals_unknown_key_total", "counter", "",
+               static_cast<double>(status.requests.refusals_unknown_key));
+    add_metric(text, "refusals_withdrawn_key_total", "counter", "",
+               static_cast<double>(status.requests.refusals_withdrawn_key));
     add_metric(text, "connections", "gauge", "", static_cast<double>(status.requests.connections_open));
     add_metric(text, "log_lines_dropped_total", "counter", "", static_cast<double>(status.dropped_log_lines));
     return text;
--- a/src/http/header_names.h
+++ b/src/http/header_names.h
@@ -18,7 +18,10 @@
     /// In a response of an upstream: requests per second that it takes from all callers together, a decimal number.
     std::string rate_limit = "x-amaranthladder-rate-limit";
     std::string leaving = "x-amaranthladder-leaving"; ///< In a response of an upstream: `1` if it ends soon.
-    bool passes_mesh_headers = true;                  ///< Upstreams also receive the route, hop and attempt headers.
+    std::string authorization = "Authorization"; ///< In a request of a caller: the scheme, a space and a tenant's key.
+    std::string authorization_scheme = "Bearer"; ///< Precedes the key; case-sensitive.
+    std::string tenant = "x-amaranthladder-tenant"; ///< In a request to an upstream: the tenant that holds the key.
+    bool passes_mesh_headers = true;                ///< Upstreams also receive the route, hop and attempt headers.
 };
 
 } // namespace amaranthladder
--- a/src/http/private/entry_call.cpp
+++ b/src/http/private/entry_call.cpp
@@ -2,6 +2,7 @@
 
 #include "http/private/exchange.h"
 #include "http/private/owner_call.h"
+#include "routing/request_priority.h"
 
 #include <absl/cleanup/cleanup.h>
 #include <absl/random/distributions.h>
@@ -66,9 +67,30 @@
         co_return co_await refuse(found.refusal, execution::not_run,
                                   fmt::format("{} {}", m_request.method(), std::string_view(path.data(), path.size())));
     }
+    if (!identify(*found.matched, false)) {
+        co_return co_await refuse(result_code::unknown_key, execution::not_run, "");
+    }
     co_return co_await serve_route(*found.matched);
 }
 
+bool entry_call::identify(const route& matched_route, bool is_waiting) {
+    const tenant_decision decided = m_proxy.tenants.decide(matched_route, m_request.info.key);
+    m_request.info.tenant = decided.identified == nullptr ? "" : decided.identified->name;
+    m_request.info.priority = request_priority(decided.identified, matched_route);
+    if (decided.refusal == key_refusal::none) {
+        return true;
+    }
+    proxy_counters& counters = m_proxy.counters;
+    ++(is_waiting                                    ? counters.refusals_withdrawn_key
+       : decided.refusal == key_refusal::missing_key ? counters.refusals_missing_key
+                                                     : counters.refusals_unknown_key);
+    // Without the digest: a wrong key may be a right one with a typing error.
+    m_proxy.log.info(fmt::format("key-refused request={} route={} reason={} waited={} after_ms={}",
+                                 m_request.info.request_id, matched_route.name, name(decided.refusal), is_waiting,
+                                 absl::ToInt64Milliseconds(m_proxy.clock.now() - m_request.received_at)));
+    return false;
+}
+
 void entry_call::cancel_attempt_if_unreachable(absl::Time now) {
     if (m_cancel_attempt && m_proxy.request_router.is_unreachable(m_remote_upstream, now) &&
         m_proxy.budget.available(m_service, now) >= 1) {
@@ -85,6 +107,12 @@
     }
 }
 
+entry_call::attempt_result entry_call::withdrawn_key_result() {
+    attempt_result ended;
+    ended.code = result_code::unknown_key;
+    return ended;
+}
+
 asio::awaitable<serve_result> entry_call::serve_route(const route& matched_route) {
     m_service = choose_service(matched_route);
     m_deadline = deadline_of(matched_route);
@@ -95,7 +123,6 @@
     m_proxy.budget.on_request(m_service, m_proxy.clock.now());
     m_request.info.caller_service = m_proxy.options.caller_service;
     m_request.info.is_idempotent = is_idempotent(matched_route);
-    m_request.info.priority = matched_route.priority;
     routing_request request_to_route;
     request_to_route.is_idempotent = is_idempotent(matched_route);
     request_to_route.deadline = m_deadline;
@@ -105,6 +132,9 @@
     last.code = result_code::no_upstream;
     int attempts = 0;
     while (true) {
+        if (attempts > 0 && !identify(matched_route, true)) {
+            co_return co_await refuse_after_attempt(withdrawn_key_result(), "");
+        }
         const routing_decision decision =
             m_proxy.request_router.choose(matched_route, request_to_route, m_proxy.clock.now(), m_proxy.random);
         log_decision(decision, attempts + 1);
@@ -143,6 +173,11 @@
             m_request.keeps_connection = false;
             co_return serve_result{result_code::caller_disconnected, 0};
         }
+        if (last.code == result_code::unknown_key &&
+            m_proxy.tenants.decide(matched_route, m_request.info.key).refusal == key_refusal::none) {
+            // The owner's configuration differs; the caller's key is not at fault.
+            last.code = result_code::overloaded;
+        }
         if (attempts >= max_upstream_choices || !may_retry(matched_route, last, std::max(m_attempts_sent, 1))) {
             co_return co_await refuse_after_attempt(last, decision.upstream_id);
         }
@@ -210,6 +245,9 @@
                                                                          const routing_decision& decision) {
     http::request_header<> head(m_request.head);
     remove_hop_by_hop_headers(head);
+    if (m_proxy.tenants.is_in_use()) {
+        remove_identity_headers(head, m_proxy.options.headers);
+    }
     forwarding_info info = m_request.info;
     info.mesh = m_proxy.options.mesh;
     info.route = matched_route.name;
@@ -312,6 +350,7 @@
         m_request.keeps_connection = false;
     }
     set_retry_after(code);
+    m_request.challenge = code == result_code::unknown_key ? m_proxy.options.headers.authorization_scheme : "";
     if (m_proxy.log.is_enabled(log_level::info)) {
         const absl::Time now = m_proxy.clock.now();
         m_proxy.log.info(fmt::format(
--- a/src/http/private/entry_call.h
+++ b/src/http/private/entry_call.h
@@ -44,12 +44,16 @@
     asio::awaitable<attempt_result> attempt_locally(const route& matched_route, const routing_decision& decision);
     asio::awaitable<attempt_result> attempt_at_owner(const route& matched_route, const routing_decision& decision);
     asio::awaitable<attempt_result> handle_owner_refusal(class exchange& owner_exchange);
+    /// Decides with the newest configuration whether the request may use its route, and sets its tenant and priority.
+    /// @param is_waiting false for the first decision about the request.
+    bool identify(const route& matched_route, bool is_waiting);
     const std::string& choose_service(const route& matched_route);
     void observe_leaving(const std::string& upstream_id, const std::optional<owner_report>& report);
     void set_retry_after(result_code code);
     void set_target_time(const route& matched_route);
     /// @return true if a failed response of an upstream may be replaced by another attempt.
     bool may_replace_response(const route& matched_route, unsigned status);
+    static attempt_result withdrawn_key_result();
     static attempt_result make_replaced_result(absl::Duration latency, std::optional<owner_report> report);
     asio::awaitable<serve_result> refuse_after_attempt(const attempt_result& last, std::string detail);
     asio::awaitable<serve_result> refuse(result_code code, execution request_execution, std::string detail);
--- a/src/http/private/forwarding_headers.cpp
+++ b/src/http/private/forwarding_headers.cpp
@@ -3,6 +3,8 @@
 #include "common/error.h"
 #include "common/parse_number.h"
 
+#include <absl/strings/ascii.h>
+
 #include <boost/algorithm/string/predicate.hpp>
 #include <boost/beast/http/rfc7230.hpp>
 
@@ -12,6 +14,7 @@
 #include <array>
 #include <charconv>
 #include <cmath>
+#include <iterator>
 #include <optional>
 #include <vector>
 
@@ -49,6 +52,28 @@
     }
 }
 
+presented_key read_key(const http::fields& fields, const header_names& names) {
+    if (names.authorization.empty()) {
+        return {};
+    }
+    std::vector<std::string_view> values;
+    const auto [first, last] = fields.equal_range(beast_view(names.authorization));
+    for (auto field = first; field != last; ++field) {
+        values.emplace_back(field->value().data(), field->value().size());
+    }
+    return read_presented_key(values, names.authorization_scheme);
+}
+
+/// @return true if a server may take a header for the one with the name @p wanted.
+bool is_like(beast::string_view name, std::string_view wanted) {
+    return std::ranges::equal(name, wanted, [](char left, char right) {
+        const auto normal = [](char letter) {
+            return letter == '_' ? '-' : absl::ascii_tolower(static_cast<unsigned char>(letter));
+        };
+        return normal(left) == normal(right);
+    });
+}
+
 } // namespace
 
 std::string_view field_value(const http::fields& fields, std::string_view name) {
@@ -74,6 +99,7 @@
         info.target_time_left = absl::Milliseconds(*target_ms);
     }
     info.tenant = field_value(fields, header::tenant);
+    info.key.digest = field_value(fields, header::key_digest);
     info.is_nested = field_value(fields, header::nested) == "1";
     return info;
 }
@@ -85,6 +111,7 @@
     if (const auto time_left_ms = number_field(fields, names.deadline_ms)) {
         info.time_left = absl::Milliseconds(*time_left_ms);
     }
+    info.key = read_key(fields, names);
     return info;
 }
 
@@ -99,6 +126,7 @@
     set_if_not_empty(fields, header::repeatable, info.is_idempotent ? "1" : "");
     set_if_not_empty(fields, header::priority, info.priority == 0 ? "" : std::to_string(info.priority));
     set_if_not_empty(fields, header::tenant, info.tenant);
+    set_if_not_empty(fields, header::key_digest, info.tenant.empty() ? "" : info.key.digest);
     set_if_not_empty(fields, header::nested, info.is_nested ? "1" : "");
     if (info.target_time_left) {
         set_if_not_empty(fields, header::target_ms, milliseconds_text(*info.target_time_left));
@@ -115,6 +143,7 @@
         set_if_not_empty(fields, names.deadline_ms, milliseconds_text(*info.time_left));
     }
     set_if_not_empty(fields, names.expected_upstream, expected_upstream);
+    set_if_not_empty(fields, names.tenant, info.tenant);
     if (!names.caller_service.empty()) {
         fields.erase(beast_view(names.caller_service));
         set_if_not_empty(fields, names.caller_service, info.caller_service);
@@ -167,8 +196,11 @@
 
 void remove_hop_by_hop_headers(http::fields& fields) {
     std::vector<std::string> connection_options;
-    for (const auto& token : http::token_list{fields[http::field::connection]}) {
-        connection_options.emplace_back(token);
+    const auto [first, last] = fields.equal_range(http::field::connection);
+    for (auto field = first; field != last; ++field) {
+        for (const auto& token : http::token_list{field->value()}) {
+            connection_options.emplace_back(token);
+        }
     }
     for (const auto& name : connection_options) {
         fields.erase(name);
@@ -188,4 +220,12 @@
     }
 }
 
+void remove_identity_headers(http::fields& fields, const header_names& names) {
+    for (auto field = fields.begin(); field != fields.end();) {
+        const bool is_identity =
+            is_like(field->name_string(), names.authorization) || is_like(field->name_string(), names.tenant);
+        field = is_identity ? fields.erase(field) : std::next(field);
+    }
+}
+
 } // namespace amaranthladder
--- a/src/http/private/forwarding_headers.h
+++ b/src/http/private/forwarding_headers.h
@@ -3,6 +3,7 @@
 #include "common/asio_types.h"
 #include "http/header_names.h"
 #include "routing/router.h"
+#include "routing/tenant_directory.h"
 #include "routing/upstream_signals.h"
 
 #include <absl/time/time.h>
@@ -37,6 +38,7 @@
 inline constexpr std::string_view rate_limit = "x-amaranthladder-rate-limit";
 inline constexpr std::string_view leaving = "x-amaranthladder-leaving";
 inline constexpr std::string_view tenant = "x-amaranthladder-tenant";
+inline constexpr std::string_view key_digest = "x-amaranthladder-key-digest";
 inline constexpr std::string_view nested = "x-amaranthladder-nested";
 inline constexpr std::string_view backlog_ms = "x-amaranthladder-backlog-ms";
 } // namespace header
@@ -55,6 +57,7 @@
     int priority = 0;                               ///< 0 is the most urgent.
     std::optional<absl::Duration> target_time_left; ///< Time left of the route's target latency.
     std::string tenant;                             ///< Tenant that holds the caller's key; empty: none.
+    presented_key key;                              ///< From another daemon, only the digest.
     bool is_nested = false;                         ///< Sent by an upstream while it runs a request of a caller.
 
     /// @return true if an entry daemon sent the request to its owner.
@@ -93,6 +96,10 @@
 /// Removes hop-by-hop headers (RFC 9110, section 7.6.1) and all headers of the mesh.
 void remove_hop_by_hop_headers(http::fields& fields);
 
+/// Removes all headers that may be taken for the key or the tenant of a request: in any case, repeated, and with
+/// underscores for hyphens, which some servers do not tell apart. Trailers of a body that has been read are headers.
+void remove_identity_headers(http::fields& fields, const header_names& names);
+
 /// @return the value of header @p name, or an empty string.
 std::string_view field_value(const http::fields& fields, std::string_view name);
 
--- a/src/http/private/inbound_session.cpp
+++ b/src/http/private/inbound_session.cpp
@@ -352,8 +352,14 @@
     if (m_peer_type == peer_type::daemon && !names_upstream) {
         throw error(result_code::request_malformed, "the request does not name an upstream");
     }
-    return names_upstream && m_peer_type != peer_type::caller ? read_forwarding_headers(head)
-                                                              : read_caller_headers(head, m_proxy.options.headers);
+    if (!names_upstream || m_peer_type == peer_type::caller) {
+        return read_caller_headers(head, m_proxy.options.headers);
+    }
+    forwarding_info info = read_forwarding_headers(head);
+    if (m_peer_type != peer_type::daemon) {
+        info.tenant.clear(); // Callers use this address, too, and could claim any tenant.
+    }
+    return info;
 }
 
 absl::Duration inbound_session::time_left(const served_request& request) const {
@@ -416,6 +422,15 @@
             co_return serve_result{result_code::caller_disconnected, 0};
         }
     }
+    if (m_peer_type != peer_type::daemon && m_proxy.tenants.is_in_use()) {
+        // A caller could name a tenant without its key.
+        m_proxy.log.error(fmt::format("owner-address-missing request={} reason=\"requests of other daemons are refused "
+                                      "at the callers' address while there are tenants\"",
+                                      request.info.request_id));
+        request.keeps_connection = request.keeps_connection && request.body.is_at_end();
+        co_return co_await write_refusal(request, result_code::no_upstream, execution::not_run,
+                                         "tenants need a separate address for daemons");
+    }
     // Must follow the read of the body: the upstream may be removed while this coroutine is suspended.
     const local_upstream* upstream = m_proxy.find_local_upstream(request.info.upstream);
     if (upstream == nullptr || upstream->is_version_refused) {
--- a/src/http/private/owner_call.cpp
+++ b/src/http/private/owner_call.cpp
@@ -41,7 +41,7 @@
                        bool is_idempotent, absl::Time deadline)
     : m_proxy(proxy), m_upstream(upstream.record), m_semaphore(upstream.semaphore), m_request(request),
       m_route(std::move(route)), m_is_idempotent(is_idempotent), m_deadline(deadline), m_id(proxy.next_request_id++),
-      m_exchange(proxy.pool, proxy.options, proxy.clock) {}
+      m_exchange(proxy.pool, proxy.options, proxy.clock), m_was_permitted(is_permitted()) {}
 
 asio::awaitable<exchange_status> owner_call::start() {
     if (const local_upstream* known = m_proxy.find_local_upstream(m_upstream.id);
@@ -126,6 +126,9 @@
     if (!m_semaphore->limiter().may_send(m_proxy.clock.now())) {
         co_return exchange_status{result_code::upstream_leaving, execution::not_run};
     }
+    if (is_permission_withdrawn()) {
+        co_return exchange_status{result_code::unknown_key, execution::not_run};
+    }
     const http::request_header<> head = make_request_header();
     const exchange::request outgoing{m_upstream.address,
                                      head,
@@ -250,7 +253,11 @@
 http::request_header<> owner_call::make_request_header() const {
     http::request_header<> head(m_request.head);
     remove_hop_by_hop_headers(head);
+    if (m_proxy.tenants.is_in_use() || !m_request.info.tenant.empty()) {
+        remove_identity_headers(head, m_proxy.options.headers);
+    }
     forwarding_info info;
+    info.tenant = m_request.info.tenant;
     info.request_id = m_request.info.request_id;
     info.route = m_route;
     info.hop = m_request.info.hop;
@@ -261,9 +268,25 @@
     return head;
 }
 
+bool owner_call::is_permission_withdrawn() {
+    // What was not permitted on arrival is left to the entry, which may have a newer configuration.
+    if (!m_was_permitted || is_permitted()) {
+        return false;
+    }
+    ++m_proxy.counters.refusals_withdrawn_key;
+    m_proxy.log.info(fmt::format("key-withdrawn request={} upstream={} route={} tenant={} waited_ms={}",
+                                 m_request.info.request_id, m_upstream.id, m_route, m_request.info.tenant,
+                                 absl::ToInt64Milliseconds(m_proxy.clock.now() - m_request.received_at)));
+    return true;
+}
+
+bool owner_call::is_permitted() const {
+    return m_proxy.tenants.permits(m_route, m_request.info.tenant, m_request.info.key.digest);
+}
+
 bool owner_call::may_resend() {
     return m_exchange.has_idle_connection_timed_out() && m_is_idempotent && !m_is_cancelled &&
-           m_request.body.is_replayable() && m_semaphore->try_repeat() &&
+           m_request.body.is_replayable() && !is_permission_withdrawn() && m_semaphore->try_repeat() &&
            m_proxy.budget.try_spend(m_upstream.service, m_proxy.clock.now());
 }
 
--- a/src/http/private/owner_call.h
+++ b/src/http/private/owner_call.h
@@ -75,6 +75,9 @@
     bool is_own_response();
     /// @return true if the response says that the request did not run.
     bool says_not_run();
+    /// @return true if the newest configuration refuses the request's key or its lack, and that on arrival did not.
+    bool is_permission_withdrawn();
+    bool is_permitted() const;
     /// @return true if the request may be sent again on a new connection. Spends a retry.
     bool may_resend();
     absl::Duration first_byte_timeout() const;
@@ -92,6 +95,7 @@
     request_id m_id;
     std::optional<slot_permit> m_permit;
     exchange m_exchange;
+    bool m_was_permitted; ///< By the configuration at the time of arrival.
     absl::Time m_started_at;
     absl::Duration m_latency;
     bool m_is_cancelled = false;
--- a/src/http/private/proxy_state.h
+++ b/src/http/private/proxy_state.h
@@ -13,6 +13,7 @@
 #include "routing/retry_budget.h"
 #include "routing/retry_policy.h"
 #include "routing/router.h"
+#include "routing/tenant_directory.h"
 #include "routing/weighted_round_robin.h"
 
 #include <absl/container/flat_hash_map.h>
@@ -91,6 +92,7 @@
     std::map<std::string, local_upstream> local_upstreams;
     std::map<std::string, first_byte_latency> latency_by_route; ///< Of calls to local upstreams.
     std::shared_ptr<const intended_state> configuration = std::make_shared<intended_state>();
+    tenant_directory tenants;           ///< Of the configuration.
     bool has_configuration = false;     ///< A configuration has been applied since the start.
     std::set<entry_call*> remote_calls; ///< Idempotent requests that wait for another owner.
     caller_timeout_estimator caller_timeouts;
--- a/src/http/private/served_request.cpp
+++ b/src/http/private/served_request.cpp
@@ -46,6 +46,9 @@
     if (request.retry_after) {
         response.set(http::field::retry_after, fmt::format("{:.3f}", absl::ToDoubleSeconds(*request.retry_after)));
     }
+    if (!request.challenge.empty()) {
+        response.set(http::field::www_authenticate, request.challenge);
+    }
     std::string body = refusal_body(request, code, request_execution, detail);
     response.content_length(body.size());
     if (!request.is_head_only()) {
--- a/src/http/private/served_request.h
+++ b/src/http/private/served_request.h
@@ -29,6 +29,7 @@
     std::optional<absl::Duration> backlog = {};     ///< For refusals to another daemon: expected wait for a slot.
     std::optional<owner_report> report = {};        ///< For refusals to another daemon.
     std::optional<absl::Duration> retry_after = {}; ///< For refusals: time after which the caller may retry.
+    std::string challenge = {};     ///< For refusals with status 401: the scheme of the key that is asked for.
     one_shot_event* turn = nullptr; ///< Set once the responses to earlier requests on the connection have been sent.
     std::function<bool()> must_close = {}; ///< Asked before a response: the connection ends with it. Null: no.
 
--- a/src/http/proxy_statistics.h
+++ b/src/http/proxy_statistics.h
@@ -46,9 +46,12 @@
     std::uint64_t retries = 0;
     std::uint64_t refusals_not_run = 0;
     std::uint64_t refusals_may_have_run = 0;
-    std::uint64_t rate_limit_changes = 0;    ///< Of local upstreams, as named in their responses.
-    std::uint64_t malformed_rate_limits = 0; ///< Responses with a rate limit that is not a number.
-    std::uint64_t surplus_responses = 0;     ///< Responses of upstreams to requests that had been answered before.
+    std::uint64_t rate_limit_changes = 0;     ///< Of local upstreams, as named in their responses.
+    std::uint64_t malformed_rate_limits = 0;  ///< Responses with a rate limit that is not a number.
+    std::uint64_t surplus_responses = 0;      ///< Responses of upstreams to requests that had been answered before.
+    std::uint64_t refusals_missing_key = 0;   ///< Callers' requests without a key for a route that needs one.
+    std::uint64_t refusals_unknown_key = 0;   ///< Callers' requests with a key that no tenant holds.
+    std::uint64_t refusals_withdrawn_key = 0; ///< Requests whose key or route was changed while they waited.
     std::uint64_t requests_in_flight = 0;
     std::uint64_t idle_upstream_connections = 0;
 };
--- a/src/http/request_proxy.cpp
+++ b/src/http/request_proxy.cpp
@@ -305,8 +305,10 @@
 }
 
 void request_proxy::set_configuration(std::shared_ptr<const intended_state> state) {
-    m_implementation->post([this, state = std::move(state)] {
+    // Built here, since 10,000 keys would delay the event loop.
+    m_implementation->post([this, state, directory = tenant_directory(state)]() mutable {
         m_implementation->state().configuration = state;
+        m_implementation->state().tenants = std::move(directory);
         m_implementation->state().has_configuration = true;
         std::erase_if(m_implementation->state().latency_by_route,
                       [&](const auto& entry) { return !state->routes.contains(entry.first); });
