Ask for the body of an upload only when the owner can take it

Cause: entries sent bodies at once, and a larger body held a slot while it arrived. On links of 13 Mbit/s the bodies delay the responses of nested calls, and the body of a refused upload has moved in vain.

The owner admits bodies by the link's capacity and its memory (body_admission) and acquires the slot when the body is complete. An upload that cannot end in time is refused before its body is sent.

--- a/src/daemon/status_text.cpp
+++ b/src/daemon/status_text.cpp
@@ -193,6 +193,10 @@
                static_cast<double>(status.requests.rate_limit_changes));
     add_metric(text, "upstream_rate_limits_malformed_total", "counter", "",
                static_cast<double>(status.requests.malformed_rate_limits));
+    add_metric(text, "request_bodies_received_total", "counter", "",
+               static_cast<double>(status.requests.bodies_received));
+    add_metric(text, "request_bodies_refused_total", "counter", "",
+               static_cast<double>(status.requests.bodies_refused));
     add_metric(text, "upstream_surplus_responses_total", "counter", "",
                static_cast<double>(status.requests.surplus_responses));
     add_metric(text, "connections", "gauge", "", static_cast<double>(status.requests.connections_open));
--- a/src/http/private/entry_call.cpp
+++ b/src/http/private/entry_call.cpp
@@ -21,6 +21,9 @@
 constexpr int max_upstream_choices = 5;
 /// Time after the deadline in which the owner can still deliver its refusal, which states whether the request ran.
 constexpr absl::Duration owner_response_grace = absl::Milliseconds(30);
+/// Bodies of uploads from this size on are sent only after the owner has asked for them. Smaller ones take less time on
+/// the link than the question.
+constexpr std::size_t min_announced_body_bytes = std::size_t{8} * 1024;
 /// Lowest status that counts as a failure of the upstream.
 constexpr unsigned min_failure_status = 500;
 /// With less time left, a failed response is relayed instead of replaced by another attempt.
@@ -235,7 +238,7 @@
                                     head,
                                     m_request.body,
                                     is_idempotent(matched_route),
-                                    !m_request.body.is_whole(),
+                                    must_ask_before_body(matched_route),
                                     m_deadline + owner_response_grace,
                                     m_proxy.options.first_byte_timeout + m_proxy.options.connect_timeout};
     const exchange_status started = co_await owner_exchange.start(request);
@@ -268,6 +271,11 @@
     co_return ended;
 }
 
+bool entry_call::must_ask_before_body(const route& matched_route) const {
+    return !m_request.body.is_whole() ||
+           (matched_route.kind == route_kind::upload && m_request.body.prefix().size() >= min_announced_body_bytes);
+}
+
 asio::awaitable<entry_call::attempt_result> entry_call::handle_owner_refusal(exchange& owner_exchange) {
     const http::fields& fields = owner_exchange.response().get();
     attempt_result ended;
--- a/src/http/private/entry_call.h
+++ b/src/http/private/entry_call.h
@@ -43,6 +43,8 @@
     asio::awaitable<attempt_result> attempt(const route& matched_route, const routing_decision& decision);
     asio::awaitable<attempt_result> attempt_locally(const route& matched_route, const routing_decision& decision);
     asio::awaitable<attempt_result> attempt_at_owner(const route& matched_route, const routing_decision& decision);
+    /// @return true if the owner must have agreed to take the body before it is sent.
+    bool must_ask_before_body(const route& matched_route) const;
     asio::awaitable<attempt_result> handle_owner_refusal(class exchange& owner_exchange);
     const std::string& choose_service(const route& matched_route);
     void observe_leaving(const std::string& upstream_id, const std::optional<owner_report>& report);
--- a/src/http/private/exchange.cpp
+++ b/src/http/private/exchange.cpp
@@ -75,7 +75,7 @@
 }
 
 asio::awaitable<exchange_status> exchange::send(const request& outgoing) {
-    if (outgoing.body.is_whole()) {
+    if (outgoing.body.is_whole() && !outgoing.waits_for_continue) {
         return send_whole(outgoing);
     }
     return send_streamed(outgoing);
@@ -93,7 +93,9 @@
 
 asio::awaitable<exchange_status> exchange::send_streamed(const request& outgoing) {
     http::request<http::buffer_body> message(outgoing.head);
-    if (!message.has_content_length()) {
+    if (outgoing.body.is_whole()) {
+        message.content_length(outgoing.body.prefix().size());
+    } else if (!message.has_content_length()) {
         message.chunked(true);
     }
     if (outgoing.waits_for_continue) {
@@ -108,7 +110,9 @@
     if (outgoing.waits_for_continue) {
         const exchange_status answered = co_await receive_header(outgoing, true);
         if (!m_has_received_continue) {
-            co_return answered;
+            // Without its body the request cannot run, unless the target has answered it all the same.
+            co_return exchange_status{answered.code, answered.code == result_code::ok ? answered.request_execution
+                                                                                      : execution::not_run};
         }
     }
     std::vector<char> chunk(outgoing.body.prefix().begin(), outgoing.body.prefix().end());
@@ -128,6 +132,10 @@
         if (is_last) {
             break;
         }
+        if (outgoing.body.is_whole()) {
+            size = 0;
+            continue;
+        }
         const absl::Duration left = outgoing.deadline - m_clock.now();
         if (const error_code read_failure = co_await outgoing.body.read_more(chunk, size, left)) {
             co_return exchange_status{is_timeout(read_failure) && m_clock.now() >= outgoing.deadline
--- a/src/http/private/exchange.h
+++ b/src/http/private/exchange.h
@@ -35,7 +35,7 @@
         const http::request_header<>& head;
         request_body& body;
         bool is_idempotent = false;
-        /// A streamed body is sent only after the target has responded with 100 (Continue).
+        /// The body is sent only after the target has responded with 100 (Continue).
         bool waits_for_continue = false;
         absl::Time deadline;
         absl::Duration first_byte_timeout;
--- a/src/http/private/inbound_session.cpp
+++ b/src/http/private/inbound_session.cpp
@@ -410,11 +410,14 @@
         co_return co_await write_refusal(request, result_code::request_malformed, execution::not_run,
                                          "the request belongs to another mesh");
     }
-    if (!request.expects_continue) {
-        if (const error_code failure = co_await request.body.read_prefix(time_left(request))) {
-            request.keeps_connection = false;
-            co_return serve_result{result_code::caller_disconnected, 0};
+    std::optional<body_permit> permit;
+    if (request.expects_continue) {
+        if (const std::optional<serve_result> ended = co_await receive_requested_body(request, permit)) {
+            co_return *ended;
         }
+    } else if (const error_code failure = co_await request.body.read_prefix(time_left(request))) {
+        request.keeps_connection = false;
+        co_return serve_result{result_code::caller_disconnected, 0};
     }
     // Must follow the read of the body: the upstream may be removed while this coroutine is suspended.
     const local_upstream* upstream = m_proxy.find_local_upstream(request.info.upstream);
@@ -432,6 +435,66 @@
     co_return co_await respond_as_owner(request, call);
 }
 
+body_offer inbound_session::make_body_offer(const served_request& request, const local_upstream& upstream) const {
+    const slot_limiter& limiter = upstream.semaphore->limiter();
+    const absl::Time now = m_proxy.clock.now();
+    const absl::Duration known = limiter.service_time(request.info.route);
+    const absl::Duration service_time = known == absl::ZeroDuration() ? limiter.service_time() : known;
+    const absl::Duration work = service_time + limiter.backlog(now);
+    body_offer offered;
+    offered.id = m_proxy.next_request_id++;
+    offered.bytes = request.body.declared_size().value_or(m_proxy.options.requested_body_buffer_bytes);
+    offered.latest_arrival = now + time_left(request) - work;
+    if (request.info.target_time_left) {
+        const absl::Time target = request.received_at + *request.info.target_time_left - work;
+        // A late request must not delay those that can still meet their targets.
+        offered.may_wait = target > now;
+        offered.latest_arrival = offered.may_wait ? std::min(target, offered.latest_arrival) : offered.latest_arrival;
+    }
+    return offered;
+}
+
+asio::awaitable<std::optional<serve_result>>
+inbound_session::receive_requested_body(served_request& request, std::optional<body_permit>& permit) {
+    const absl::Time started_at = m_proxy.clock.now();
+    const local_upstream* const upstream = m_proxy.find_local_upstream(request.info.upstream);
+    const body_offer offered = upstream == nullptr ? body_offer{} : make_body_offer(request, *upstream);
+    const result_code admitted =
+        upstream == nullptr ? result_code::no_upstream : co_await m_proxy.bodies.acquire(offered);
+    const absl::Duration waited = m_proxy.clock.now() - started_at;
+    if (m_proxy.log.is_enabled(log_level::info)) {
+        const body_admission& admission = m_proxy.bodies.admission();
+        m_proxy.log.info(fmt::format("body-admission request={} upstream={} result={} bytes={} waited_ms={} "
+                                     "transfers={} waiting={}",
+                                     request.info.request_id, request.info.upstream, name(admitted), offered.bytes,
+                                     absl::ToInt64Milliseconds(waited), admission.transfers(), admission.waiting()));
+    }
+    if (admitted != result_code::ok) {
+        ++m_proxy.counters.bodies_refused;
+        // The rest of the connection would be taken for the body.
+        request.keeps_connection = false;
+        if (const local_upstream* const known = m_proxy.find_local_upstream(request.info.upstream)) {
+            request.backlog = known->semaphore->limiter().backlog(m_proxy.clock.now());
+        }
+        co_return co_await write_refusal(request, admitted, execution::not_run, request.info.upstream);
+    }
+    ++m_proxy.counters.bodies_received;
+    permit.emplace(m_proxy.bodies, offered.id);
+    if (offered.bytes <= m_proxy.options.requested_body_buffer_bytes) {
+        request.body.raise_prefix_limit(offered.bytes);
+    }
+    if (!(co_await write_continue(request, m_proxy.options.body_idle_timeout)) ||
+        co_await request.body.read_prefix(time_left(request))) {
+        request.keeps_connection = false;
+        co_return serve_result{result_code::caller_disconnected, 0};
+    }
+    request.expects_continue = false;
+    if (request.body.is_whole()) {
+        m_proxy.bodies.on_transferred(offered.id);
+    }
+    co_return std::nullopt;
+}
+
 asio::awaitable<serve_result> inbound_session::respond_as_owner(served_request& request, owner_call& call) {
     const exchange_status started = co_await call.start();
     relay_result relayed{started.code, false};
--- a/src/http/private/inbound_session.h
+++ b/src/http/private/inbound_session.h
@@ -82,6 +82,12 @@
     absl::Duration time_left(const served_request& request) const;
     asio::awaitable<serve_result> serve_as_entry(pending_request& next);
     asio::awaitable<serve_result> serve_as_owner(pending_request& next);
+    /// Asks an entry for the body of a request, once the host's link and memory can take it.
+    /// @param permit set if the body has been asked for.
+    /// @return nothing, or the result if the request has been refused or its sender has left.
+    asio::awaitable<std::optional<serve_result>> receive_requested_body(served_request& request,
+                                                                        std::optional<body_permit>& permit);
+    body_offer make_body_offer(const served_request& request, const local_upstream& upstream) const;
     asio::awaitable<serve_result> respond_as_owner(served_request& request, owner_call& call);
     bool may_read_ahead();
     void start_reading_ahead();
--- a/src/http/private/proxy_state.h
+++ b/src/http/private/proxy_state.h
@@ -3,6 +3,7 @@
 #include "common/asio_types.h"
 #include "common/event_log.h"
 #include "common/steady_clock.h"
+#include "http/private/body_gate.h"
 #include "http/private/connection_pool.h"
 #include "http/private/drain_schedule.h"
 #include "http/private/local_upstream.h"
@@ -99,6 +100,7 @@
     absl::BitGen random;
     proxy_counters counters;
     request_id next_request_id = 1;
+    body_gate bodies{context, clock, {.link_bytes_per_second = options.link_bytes_per_second}};
     std::size_t requests_ahead = 0; ///< Requests on all connections that were read behind others.
     drain_schedule drain;           ///< Of this daemon; not started unless it has been asked to stop.
 
--- a/src/http/private/request_body.cpp
+++ b/src/http/private/request_body.cpp
@@ -41,6 +41,11 @@
     co_return failure;
 }
 
+std::optional<std::size_t> request_body::declared_size() const {
+    const auto length = m_parser.content_length();
+    return length ? std::optional<std::size_t>(static_cast<std::size_t>(*length)) : std::nullopt;
+}
+
 bool request_body::is_whole() const {
     return m_parser.is_done() && !m_has_streamed;
 }
--- a/src/http/private/request_body.h
+++ b/src/http/private/request_body.h
@@ -4,7 +4,9 @@
 
 #include <absl/time/time.h>
 
+#include <algorithm>
 #include <cstddef>
+#include <optional>
 #include <span>
 #include <string>
 
@@ -27,6 +29,14 @@
     /// @param limit longest time for all of it; a sender may keep the connection busy with a byte now and then.
     asio::awaitable<error_code> read_prefix(absl::Duration limit);
 
+    /// Raises the maximum number of buffered bytes; to be called before read_prefix().
+    void raise_prefix_limit(std::size_t limit) {
+        m_prefix_limit = std::max(m_prefix_limit, limit);
+    }
+
+    /// @return the size that the sender has declared; nothing for a chunked body.
+    std::optional<std::size_t> declared_size() const;
+
     /// @return the buffered bytes.
     const std::string& prefix() const {
         return m_prefix;
--- a/src/http/proxy_options.h
+++ b/src/http/proxy_options.h
@@ -25,6 +25,9 @@
     std::size_t max_header_bytes = std::size_t{64} * 1024;
     /// Request bodies up to this size are buffered and can be sent again; larger ones are streamed.
     std::size_t body_buffer_bytes = std::size_t{64} * 1024;
+    /// Bodies that an owner asks an entry for are buffered up to this size, so that a slow sender holds no slot.
+    std::size_t requested_body_buffer_bytes = std::size_t{512} * 1024;
+    double link_bytes_per_second = 0; ///< Capacity of the host's link; 0: unknown.
     /// The entry buffers responses up to this size, so that a truncated one can be replaced by another attempt.
     std::size_t response_buffer_bytes = std::size_t{1024} * 1024;
     /// The same for all responses together; those that do not fit are streamed sooner.
--- a/src/http/proxy_statistics.h
+++ b/src/http/proxy_statistics.h
@@ -49,6 +49,8 @@
     std::uint64_t rate_limit_changes = 0;    ///< Of local upstreams, as named in their responses.
     std::uint64_t malformed_rate_limits = 0; ///< Responses with a rate limit that is not a number.
     std::uint64_t surplus_responses = 0;     ///< Responses of upstreams to requests that had been answered before.
+    std::uint64_t bodies_received = 0;       ///< Bodies that this owner has asked entries for.
+    std::uint64_t bodies_refused = 0;        ///< Requests refused before their bodies were sent.
     std::uint64_t requests_in_flight = 0;
     std::uint64_t idle_upstream_connections = 0;
 };
--- a/src/tests/fakes/two_daemons.cpp
+++ b/src/tests/fakes/two_daemons.cpp
@@ -69,6 +69,7 @@
     state->services["tienda"] = {"tienda", absl::Seconds(5), m_queue_limit, {}};
     state->routes["orders"] = {"orders", "tienda", "/", {}, route_kind::by_method, route_timeout, {}};
     state->routes["reads"] = {"reads", "tienda", "/only-get", {"GET"}, route_kind::by_method, route_timeout, {}};
+    state->routes["uploads"] = {"uploads", "tienda", "/upload", {}, route_kind::upload, route_timeout, {}};
     for (auto* proxy : {entry.get(), owner.get()}) {
         proxy->set_configuration(state);
     }
