--- a/src/http/proxy_statistics.h
+++ b/src/http/proxy_statistics.h
@@ -52,6 +52,8 @@
     std::uint64_t refusals_missing_key = 0;   ///< Callers' requests without a key for a route that needs one.
     std::uint64_t refusals_unknown_key = 0;   ///< Callers' requests with a key that no tenant holds.
     std::uint64_t refusals_withdrawn_key = 0; ///< Requests whose key or route was changed while they waited.
+    std::uint64_t bodies_received = 0;        ///< Bodies that this owner has asked entries for.
+    std::uint64_t bodies_refused = 0;         ///< Requests refused before their bodies were sent.
     std::uint64_t requests_in_flight = 0;
     std::uint64_t idle_upstream_connections = 0;
 };
