Balance priorities and tenants in the slot queue

Within one priority, the queue of an upstream now starts the request of the tenant with the least recent use relative to its allowance (fair_order); nested calls go before new work among requests in time. Requests without a tenant are ordered as before.

A full queue displaces its last request for one that is more urgent, nested or of a tenant with less use. A late request is no longer refused for less urgent ones while its priority was refused within the last second and more often than theirs (priority_balance).

--- a/src/http/private/owner_call.cpp
+++ b/src/http/private/owner_call.cpp
@@ -54,6 +54,12 @@
     wanted.deadline = m_deadline;
     wanted.kind = m_route;
     wanted.priority = m_request.info.priority;
+    wanted.tenant = m_request.info.tenant;
+    if (const auto known = m_proxy.configuration->tenants.find(wanted.tenant);
+        known != m_proxy.configuration->tenants.end()) {
+        wanted.tenant_weight = known->second.rate_per_second;
+    }
+    wanted.is_nested = m_request.info.is_nested;
     if (m_request.info.target_time_left) {
         wanted.target_time = m_request.received_at + *m_request.info.target_time_left;
     }
--- a/src/routing/slot_limiter.cpp
+++ b/src/routing/slot_limiter.cpp
@@ -25,18 +25,21 @@
     if (deadline <= now) {
         return {admission::verdict::refused, result_code::deadline_expired};
     }
-    const waiting_request offered{request.id, deadline, kind_index(request.kind),
-                                  std::min(request.target_time, deadline), request.priority};
+    const waiting_request offered{.id = request.id,
+                                  .deadline = deadline,
+                                  .kind = kind_index(request.kind),
+                                  .target_time = std::min(request.target_time, deadline),
+                                  .priority = request.priority,
+                                  .tenant = m_tenants.index_of(request.tenant, request.tenant_weight),
+                                  .is_nested = request.is_nested};
+    m_balance.on_offered(offered.priority, now);
+    m_tenants.on_offered(offered.tenant, now);
     if (running() < m_slots && m_queue.empty() && m_start_rate.may_start(now)) {
         start(offered, now);
         return {admission::verdict::run, result_code::ok};
     }
     if (m_policy.order == queue_order::target_first) {
-        if (queued() >= m_queue_limit || admit_by_target(offered, now) == admission::verdict::refused) {
-            return {admission::verdict::refused, result_code::queue_full};
-        }
-        m_queue.push_back(offered);
-        return {admission::verdict::queued, result_code::ok};
+        return offer_by_target(offered, now);
     }
     if (m_policy.drops_unmeetable && now + expected_wait(deadline, now) >= latest_start(offered)) {
         return {admission::verdict::refused, result_code::queue_deadline};
@@ -63,14 +66,17 @@
 
 std::vector<request_id> slot_limiter::expire(absl::Time now) {
     std::vector<request_id> dropped;
-    const bool are_late_dropped = m_policy.order == queue_order::target_first && is_any_in_time(now);
-    std::erase_if(m_queue, [&](const waiting_request& waiting) {
+    for (waiting_request& waiting : m_queue) {
+        const bool is_late = m_policy.order == queue_order::target_first && !is_in_time(waiting, now);
+        waiting.is_favoured = waiting.is_favoured || (is_late && m_balance.is_disadvantaged(waiting.priority, now));
         // While requests in time keep arriving, late ones would wait behind them; another upstream may have free slots.
-        if (now < latest_start(waiting) && !(are_late_dropped && !is_in_time(waiting, now))) {
-            return false;
+        if (now >= latest_start(waiting) || (is_late && is_any_in_time_ahead(waiting, now))) {
+            dropped.push_back(waiting.id);
+            m_balance.on_refused(waiting.priority, now);
         }
-        dropped.push_back(waiting.id);
-        return true;
+    }
+    std::erase_if(m_queue, [&](const waiting_request& waiting) {
+        return std::ranges::find(dropped, waiting.id) != dropped.end();
     });
     report_displaced(dropped);
     return dropped;
@@ -191,37 +197,69 @@
     return start + m_policy.target_margin * service_time_of(waiting.kind) <= waiting.target_time;
 }
 
-bool slot_limiter::is_any_in_time(absl::Time now) const {
-    return std::ranges::any_of(m_queue, [&](const waiting_request& waiting) { return is_in_time(waiting, now); });
+bool slot_limiter::is_any_in_time_ahead(const waiting_request& waiting, absl::Time now) const {
+    return std::ranges::any_of(m_queue, [&](const waiting_request& other) {
+        return is_in_time(other, now) && is_before(other, waiting, now);
+    });
 }
 
 bool slot_limiter::is_before(const waiting_request& left, const waiting_request& right, absl::Time now) const {
     const bool is_left_in_time = is_in_time(left, now);
-    if (is_left_in_time != is_in_time(right, now)) {
-        return is_left_in_time;
+    const bool is_right_in_time = is_in_time(right, now);
+    if ((is_left_in_time || left.is_favoured) != (is_right_in_time || right.is_favoured)) {
+        return is_left_in_time || left.is_favoured;
+    }
+    if (left.is_nested != right.is_nested) {
+        return left.is_nested;
     }
     if (left.priority != right.priority) {
         return left.priority < right.priority;
     }
+    if (is_left_in_time != is_right_in_time) {
+        return is_left_in_time;
+    }
+    if (m_tenants.is_before(left.tenant, right.tenant) || m_tenants.is_before(right.tenant, left.tenant)) {
+        return m_tenants.is_before(left.tenant, right.tenant);
+    }
     return is_left_in_time ? left.target_time < right.target_time : left.deadline < right.deadline;
 }
 
+std::ptrdiff_t slot_limiter::count_ahead(const waiting_request& waiting, absl::Time now) const {
+    return std::ranges::count_if(m_queue, [&](const waiting_request& other) { return is_before(other, waiting, now); });
+}
+
 std::ptrdiff_t slot_limiter::count_in_time_ahead(const waiting_request& offered, absl::Time now) const {
     return std::ranges::count_if(m_queue, [&](const waiting_request& waiting) {
-        return is_in_time(waiting, now) && is_before(waiting, offered, now);
+        return (is_in_time(waiting, now) || waiting.is_favoured) && is_before(waiting, offered, now);
     });
 }
 
-admission::verdict slot_limiter::admit_by_target(const waiting_request& offered, absl::Time now) const {
+admission slot_limiter::offer_by_target(waiting_request offered, absl::Time now) {
+    bool is_accepted = is_admitted(offered, now);
+    if (!is_accepted && m_balance.is_disadvantaged(offered.priority, now)) {
+        offered.is_favoured = true;
+        is_accepted = is_admitted(offered, now);
+    }
+    if (!is_accepted || (queued() >= m_queue_limit && !displace_last_for(offered, now))) {
+        m_balance.on_refused(offered.priority, now);
+        return {admission::verdict::refused, result_code::queue_full};
+    }
+    m_queue.push_back(offered);
+    return {admission::verdict::queued, result_code::ok};
+}
+
+bool slot_limiter::is_admitted(const waiting_request& offered, absl::Time now) const {
     const absl::Duration wait = wait_behind(count_in_time_ahead(offered, now), now);
     if (is_in_time(offered, now + wait)) {
-        return admission::verdict::queued;
+        return true;
     }
     // Late requests get only spare capacity: at most one per slot is queued, and none while another one is in time.
-    const absl::Duration late_wait = std::max(wait, m_start_rate.wait(queued(), now));
-    const bool is_worth_waiting = !is_any_in_time(now) && queued() < m_slots &&
-                                  now + late_wait + service_time_of(offered.kind) <= offered.deadline;
-    return is_worth_waiting ? admission::verdict::queued : admission::verdict::refused;
+    // Less urgent requests do not count against a favoured one.
+    const std::ptrdiff_t ahead = offered.is_favoured ? count_ahead(offered, now) : queued();
+    const absl::Duration late_wait =
+        offered.is_favoured ? wait_behind(ahead, now) : std::max(wait, m_start_rate.wait(ahead, now));
+    return !is_any_in_time_ahead(offered, now) && ahead < m_slots &&
+           now + late_wait + service_time_of(offered.kind) <= offered.deadline;
 }
 
 std::size_t slot_limiter::kind_index(const std::string& kind) {
@@ -249,6 +287,7 @@
 }
 
 void slot_limiter::start(const waiting_request& started, absl::Time now) {
+    m_tenants.on_started(started.tenant, now);
     m_running.push_back({started.id, now, started.kind});
     m_start_rate.on_start(now);
 }
@@ -261,6 +300,7 @@
         m_queue.erase(position);
         if (now >= latest_start(next)) {
             change.dropped.push_back(next.id);
+            m_balance.on_refused(next.priority, now);
         } else {
             start(next, now);
             change.run.push_back(next.id);
@@ -302,6 +342,24 @@
     return true;
 }
 
+bool slot_limiter::displace_last_for(const waiting_request& offered, absl::Time now) {
+    if (m_queue.empty()) {
+        return false;
+    }
+    const auto last = std::ranges::max_element(m_queue, [&](const waiting_request& left, const waiting_request& right) {
+        return is_before(left, right, now);
+    });
+    const bool is_of_higher_rank = offered.is_nested != last->is_nested || offered.priority != last->priority ||
+                                   m_tenants.is_before(offered.tenant, last->tenant);
+    if (!is_of_higher_rank || !is_before(offered, *last, now)) {
+        return false;
+    }
+    m_balance.on_refused(last->priority, now);
+    m_displaced.push_back(last->id);
+    m_queue.erase(last);
+    return true;
+}
+
 void slot_limiter::report_displaced(std::vector<request_id>& dropped) {
     dropped.insert(dropped.end(), m_displaced.begin(), m_displaced.end());
     m_displaced.clear();
--- a/src/routing/slot_limiter.h
+++ b/src/routing/slot_limiter.h
@@ -1,6 +1,8 @@
 #pragma once
 
 #include "common/result_code.h"
+#include "routing/fair_order.h"
+#include "routing/priority_balance.h"
 #include "routing/start_rate.h"
 
 #include <absl/container/flat_hash_map.h>
@@ -22,8 +24,10 @@
     fifo,              ///< Oldest first.
     lifo,              ///< Newest first.
     earliest_deadline, ///< Earliest deadline first (EDF).
-    /// Requests that can still meet their targets first, by priority and target; then late ones, by priority and
-    /// deadline. While others can meet their targets, a request that cannot is refused, since it would delay those.
+    /// Requests that can still meet their targets first: nested calls before others, then by priority, tenant
+    /// (fair_order) and target. Then late ones, in the same way, by deadline instead of target. While others can meet
+    /// their targets, a request that cannot is refused, since it would delay those; but it is not refused for less
+    /// urgent ones while its priority is refused more often than theirs (priority_balance).
     target_first,
 };
 
@@ -34,6 +38,9 @@
     std::string kind;    ///< Requests of one kind, such as a route, have similar service times.
     absl::Time target_time = absl::InfiniteFuture(); ///< When the target latency ends; for target_first.
     int priority = 0;                                ///< 0 is the most urgent; for target_first.
+    std::string tenant = {};                         ///< Tenant that the request is for; empty: none. For target_first.
+    double tenant_weight = 0;                        ///< Requests per second that the tenant is allowed; 0: not stated.
+    bool is_nested = false;                          ///< Sent by an upstream while it runs a request; for target_first.
 };
 
 /// Parameters of slot_limiter; docs/routing.md gives the reasons.
@@ -101,6 +108,11 @@
     /// @return expected wait until a new request that is queued last can start.
     absl::Duration backlog(absl::Time now) const;
 
+    /// @return part of the recent offers of a priority that did not run; 0 without any.
+    double refused_share(int priority) const {
+        return m_balance.refused_share(priority);
+    }
+
     /// Frees the slot of a request and starts queued requests. Does nothing if @p id is not running.
     slot_change finish(request_id id, absl::Time now);
 
@@ -193,6 +205,9 @@
         std::size_t kind;
         absl::Time target_time;
         int priority = 0;
+        fair_order::tenant_index tenant = 0;
+        bool is_nested = false;
+        bool is_favoured = false; ///< Is not refused for less urgent requests, although it is late.
     };
     struct running_request {
         request_id id;
@@ -203,10 +218,16 @@
     absl::Time latest_start(const waiting_request& waiting) const;
     absl::Duration service_time_of(std::size_t kind) const;
     bool is_in_time(const waiting_request& waiting, absl::Time start) const;
-    bool is_any_in_time(absl::Time now) const;
     bool is_before(const waiting_request& left, const waiting_request& right, absl::Time now) const;
-    admission::verdict admit_by_target(const waiting_request& offered, absl::Time now) const;
+    /// @return true if a queued request that can meet its target goes before @p waiting.
+    bool is_any_in_time_ahead(const waiting_request& waiting, absl::Time now) const;
+    std::ptrdiff_t count_ahead(const waiting_request& waiting, absl::Time now) const;
     std::ptrdiff_t count_in_time_ahead(const waiting_request& offered, absl::Time now) const;
+    /// Queues or refuses a request by its target.
+    admission offer_by_target(waiting_request offered, absl::Time now);
+    bool is_admitted(const waiting_request& offered, absl::Time now) const;
+    /// Displaces the queued request that would start last, if @p offered is more urgent or its tenant has used less.
+    bool displace_last_for(const waiting_request& offered, absl::Time now);
     std::size_t kind_index(const std::string& kind);
     absl::Duration expected_wait(absl::Time deadline, absl::Time now) const;
     absl::Duration wait_behind(std::ptrdiff_t ahead, absl::Time now) const;
@@ -224,6 +245,8 @@
     bool m_is_leaving = false;
     absl::Time m_serves_until = absl::InfiniteFuture(); ///< Nothing is sent to a leaving upstream after this time.
     start_rate m_start_rate;
+    fair_order m_tenants;
+    priority_balance m_balance;
     std::vector<running_request> m_running; // Small, so a scan is faster than a tree.
     std::vector<waiting_request> m_queue;   // In order of arrival.
     std::vector<request_id> m_displaced;    // Not reported yet.
--- a/src/tests/target_queue_test.cpp
+++ b/src/tests/target_queue_test.cpp
@@ -97,6 +97,67 @@
     return outcome;
 }
 
+/// Requests by priority.
+struct priority_outcome {
+    int offered[2] = {};
+    int served[2] = {};
+    double busy_share = 0; ///< Mean part of the slots in use.
+
+    double served_share(int priority) const {
+        return static_cast<double>(served[priority]) / offered[priority];
+    }
+};
+
+/// Offers 1.5 times the capacity of one upstream for a minute: priority 0 with a target of 1 s, and priority 1 with 580
+/// ms of work and a target of 1.5 s.
+priority_outcome simulate_priorities(double urgent_work_ms) {
+    constexpr int slots = 18;
+    constexpr double seconds = 60;
+    const double work_ms[] = {urgent_work_ms, 580};
+    const double target_ms[] = {1000, 1500};
+    const double deadline_ms[] = {3000, 4000};
+    constexpr double urgent_fraction = 0.7;
+    const double mean_ms = urgent_fraction * work_ms[0] + (1 - urgent_fraction) * work_ms[1];
+    slot_limiter limiter(slots, 64, {.order = queue_order::target_first});
+    std::mt19937 random(7);
+    std::exponential_distribution<double> gap(1.5 * slots / mean_ms);
+    std::lognormal_distribution<double> spread(-0.125, 0.5);
+    std::bernoulli_distribution is_urgent(urgent_fraction);
+    std::priority_queue<completion, std::vector<completion>, std::greater<>> running;
+    std::vector<int> priorities(1);
+    priority_outcome outcome;
+    double busy_ms = 0;
+    absl::Time now = start;
+    const auto run = [&](request_id id) {
+        const double work = work_ms[priorities[id]] * spread(random);
+        busy_ms += work;
+        ++outcome.served[priorities[id]];
+        running.push({now + absl::Milliseconds(work), id});
+    };
+    for (double time_ms = gap(random); time_ms < seconds * 1000; time_ms += gap(random)) {
+        while (!running.empty() && running.top().time <= at(time_ms)) {
+            const completion ended = running.top();
+            running.pop();
+            now = ended.time;
+            limiter.expire(now);
+            std::ranges::for_each(limiter.finish(ended.id, now).run, run);
+        }
+        now = at(time_ms);
+        limiter.expire(now);
+        const request_id id = priorities.size();
+        const int priority = is_urgent(random) ? 0 : 1;
+        priorities.push_back(priority);
+        ++outcome.offered[priority];
+        slot_request offered = request(id, time_ms + deadline_ms[priority], time_ms + target_ms[priority], priority);
+        offered.kind = priority == 0 ? "lookup" : "redemption";
+        if (limiter.offer(offered, now).result == admission::verdict::run) {
+            run(id);
+        }
+    }
+    outcome.busy_share = busy_ms / (slots * seconds * 1000);
+    return outcome;
+}
+
 } // namespace
 
 // Guards against sustained overload in which every request waits and most are answered late: at a third more load than
@@ -137,6 +198,65 @@
     BOOST_TEST(limiter.finish(1, at(50)).run == std::vector<request_id>{3});
 }
 
+// Guards against the loss of a caller's work in progress: a nested call must not wait behind new work.
+BOOST_AUTO_TEST_CASE(nested_calls_start_before_new_work_in_time) {
+    slot_limiter limiter = busy_limiter();
+    slot_request nested = request(3, 1e5, 2000, 2);
+    nested.is_nested = true;
+    BOOST_TEST((limiter.offer(request(2, 1e5, 1000, 0), at(1)).result == admission::verdict::queued));
+    BOOST_TEST((limiter.offer(nested, at(2)).result == admission::verdict::queued));
+    BOOST_TEST(limiter.finish(1, at(50)).run == std::vector<request_id>{3});
+    BOOST_TEST(limiter.finish(3, at(150)).run == std::vector<request_id>{2});
+}
+
+// Guards against a tenant that fills the queue: another one with the same allowance and less use goes first, but not
+// before a more urgent request.
+BOOST_AUTO_TEST_CASE(tenants_with_less_use_start_first) {
+    slot_limiter limiter(1, 3, {.order = queue_order::target_first});
+    const auto offer = [&](request_id id, const char* tenant, int priority) {
+        slot_request offered = request(id, 1e5, 5000 + static_cast<double>(id), priority);
+        offered.tenant = tenant;
+        offered.tenant_weight = 10;
+        return limiter.offer(offered, at(static_cast<double>(id))).result;
+    };
+    BOOST_TEST((offer(1, "hot", 0) == admission::verdict::run));
+    for (request_id id = 2; id <= 4; ++id) {
+        BOOST_TEST((offer(id, "hot", id == 2 ? 0 : 1) == admission::verdict::queued));
+    }
+    BOOST_TEST((offer(5, "hot", 1) == admission::verdict::refused));
+    BOOST_TEST((offer(6, "other", 1) == admission::verdict::queued));
+    BOOST_TEST(limiter.expire(at(10)) == std::vector<request_id>{4});
+    BOOST_TEST(limiter.finish(1, at(100)).run == std::vector<request_id>{2});
+    BOOST_TEST(limiter.finish(2, at(200)).run == std::vector<request_id>{6});
+}
+
+// Guards against a full queue of less urgent requests that refuses an urgent one (R-FAIR).
+BOOST_AUTO_TEST_CASE(full_queue_displaces_less_urgent_requests) {
+    slot_limiter limiter(1, 2, {.order = queue_order::target_first});
+    limiter.offer(request(1, 1e5, 5000), at(0));
+    limiter.offer(request(2, 1e5, 5000, 1), at(0));
+    limiter.offer(request(3, 1e5, 5000, 2), at(0));
+    BOOST_TEST((limiter.offer(request(4, 1e5, 5000, 2), at(1)).result == admission::verdict::refused));
+    BOOST_TEST((limiter.offer(request(5, 1e5, 5000, 0), at(2)).result == admission::verdict::queued));
+    BOOST_TEST(limiter.next_expiry().value() <= at(2));
+    BOOST_TEST(limiter.expire(at(2)) == std::vector<request_id>{3});
+    BOOST_TEST(limiter.queued() == 2);
+    BOOST_TEST(limiter.finish(1, at(100)).run == std::vector<request_id>{5});
+}
+
+// Guards against less urgent requests with longer targets that keep the urgent ones out of the queue: wallet upstreams
+// of P, 18 slots, whose urgent requests take as long as their target while their nested calls are slow.
+BOOST_AUTO_TEST_CASE(urgent_requests_with_the_largest_work_are_not_served_less_often) {
+    for (const double urgent_work_ms : {440.0, 700.0, 900.0}) {
+        const priority_outcome outcome = simulate_priorities(urgent_work_ms);
+        BOOST_TEST_MESSAGE("seed 7, work " << urgent_work_ms << " ms, served " << outcome.served_share(0) << " and "
+                                           << outcome.served_share(1) << ", in all " << outcome.served[0] << " and "
+                                           << outcome.served[1]);
+        BOOST_TEST(outcome.served_share(0) >= outcome.served_share(1) - 0.05);
+        BOOST_TEST(outcome.busy_share >= 0.95);
+    }
+}
+
 // Guards against counting the target latency anew when a caller retries after a refusal.
 BOOST_AUTO_TEST_CASE(estimates_the_time_already_waited) {
     caller_timeout_estimator estimator;
