--- a/src/http/header_names.h
+++ b/src/http/header_names.h
@@ -17,6 +17,8 @@
     std::string not_executed; ///< In a response of an upstream: the request was not executed.
     /// In a response of an upstream: requests per second that it takes from all callers together, a decimal number.
     std::string rate_limit = "x-amaranthladder-rate-limit";
+    /// In a response of an upstream: `running,waiting,slots[,speed]`, see parse_server_load.
+    std::string server_load = "x-amaranthladder-server-load";
     std::string leaving = "x-amaranthladder-leaving"; ///< In a response of an upstream: `1` if it ends soon.
     bool passes_mesh_headers = true;                  ///< Upstreams also receive the route, hop and attempt headers.
 };
--- a/src/http/proxy_options.h
+++ b/src/http/proxy_options.h
@@ -21,6 +21,7 @@
     queue_order waiting_order = queue_order::earliest_deadline; ///< Order of the requests that wait for a slot.
     std::string caller_service; ///< Service of the local upstream, sent to the upstreams that it calls.
     header_names headers;
+    double link_mbps = 0; ///< Speed of the host's link in megabits per second; 0: unknown.
     std::size_t max_connections = 2000;
     std::size_t max_header_bytes = std::size_t{64} * 1024;
     /// Request bodies up to this size are buffered and can be sent again; larger ones are streamed.
--- a/src/settings/daemon_settings.cpp
+++ b/src/settings/daemon_settings.cpp
@@ -34,6 +34,7 @@
     result.daemon = {values.text("daemon", "mesh"), values.text("daemon", "region"),
                      values.text("daemon", "data_center"), values.text("daemon", "worker"),
                      values.text("daemon", "service")};
+    result.host = {values.decimal("host", "link_mbps")};
     result.listen = {values.address("listen", "requests"),  optional_address(values, "owner"),
                      optional_address(values, "readiness"), optional_address(values, "announcements"),
                      values.address("listen", "control"),   values.address("listen", "peers")};
--- a/src/settings/daemon_settings.h
+++ b/src/settings/daemon_settings.h
@@ -25,6 +25,11 @@
 
         friend bool operator==(const daemon_section&, const daemon_section&) = default;
     };
+    struct host_section {
+        double link_mbps = 0; ///< Speed of the host's link in megabits per second; 0: unknown.
+
+        friend bool operator==(const host_section&, const host_section&) = default;
+    };
     struct listen_section {
         endpoint requests;
         endpoint owner;         ///< Without an address: same as requests.
@@ -87,6 +92,7 @@
     };
 
     daemon_section daemon;
+    host_section host;
     listen_section listen;
     store_section store;
     peers_section peers;
--- a/src/settings/quantities.cpp
+++ b/src/settings/quantities.cpp
@@ -1,12 +1,15 @@
 #include "settings/quantities.h"
 
 #include "common/error.h"
+#include "common/parse_number.h"
 
 #include <fmt/format.h>
 
 #include <array>
 #include <charconv>
+#include <cmath>
 #include <limits>
+#include <optional>
 #include <span>
 
 namespace amaranthladder {
@@ -86,6 +89,14 @@
     return format_quantity(bytes, size_units);
 }
 
+double parse_decimal(std::string_view text) {
+    const std::optional<double> number = parse_number<double>(text);
+    if (!number || !std::isfinite(*number)) {
+        throw error(result_code::setting_bad_value, fmt::format("'{}' is not a number", text));
+    }
+    return *number;
+}
+
 std::int64_t parse_integer(std::string_view text) {
     std::string_view rest = text;
     const std::int64_t result = consume_number(rest);
--- a/src/settings/quantities.h
+++ b/src/settings/quantities.h
@@ -32,4 +32,8 @@
 /// @throws error with setting_bad_value or setting_out_of_range (over 2^63).
 std::int64_t parse_integer(std::string_view text);
 
+/// Parses a finite number, which may have a fraction.
+/// @throws error with result_code::setting_bad_value.
+double parse_decimal(std::string_view text);
+
 } // namespace amaranthladder
--- a/src/settings/settings_reader.cpp
+++ b/src/settings/settings_reader.cpp
@@ -38,6 +38,16 @@
     }
 }
 
+void check_decimal(const setting_row& row, const std::string& text) {
+    if (text.empty()) {
+        return;
+    }
+    const double value = parse_decimal(text);
+    if (value < static_cast<double>(row.min_value) || value > static_cast<double>(row.max_value)) {
+        throw error(result_code::setting_out_of_range, "outside the range");
+    }
+}
+
 void check_listen_endpoint(const std::string& text, bool must_be_reachable) {
     const endpoint value = parse_endpoint(text);
     // An address of only zeros, dots and colons is the wildcard address in any notation.
@@ -89,6 +99,9 @@
     case setting_type::integer:
         check_range(row, parse_integer(text));
         break;
+    case setting_type::decimal:
+        check_decimal(row, text);
+        break;
     }
 }
 
@@ -152,6 +165,11 @@
     return find_setting(m_table, section, key)->type == setting_type::size ? parse_size(value) : parse_integer(value);
 }
 
+double settings_values::decimal(std::string_view section, std::string_view key) const {
+    const std::string value = text(section, key);
+    return parse_decimal(value.empty() ? find_setting(m_table, section, key)->default_text : value);
+}
+
 std::string settings_values::format() const {
     return format_table(m_table,
                         [&](const setting_row& row) { return format_row(row, text(row.section, row.key), true); });
--- a/src/settings/settings_reader.h
+++ b/src/settings/settings_reader.h
@@ -28,6 +28,9 @@
     endpoint address(std::string_view section, std::string_view key) const;
     std::vector<endpoint> addresses(std::string_view section, std::string_view key) const;
     absl::Duration duration(std::string_view section, std::string_view key) const;
+    /// @return a number that may have a fraction.
+    double decimal(std::string_view section, std::string_view key) const;
+
     /// @return an integer, or a size in bytes.
     std::int64_t integer(std::string_view section, std::string_view key) const;
 
--- a/src/settings/settings_table.cpp
+++ b/src/settings/settings_table.cpp
@@ -27,6 +27,7 @@
     {"daemon", "data_center", setting_type::name, true, "", 0, 0, "Data centre of the host."},
     {"daemon", "worker", setting_type::name, true, "", 0, 0, "Name of the host, unique in the mesh."},
     {"daemon", "service", setting_type::text, false, "", 0, 0, "Service of the upstream beside the daemon, passed to other upstreams if the platform requires it."},
+    {"host", "link_mbps", setting_type::decimal, false, "0", 0, 1'000'000, "Speed of the host's link in megabits per second. 0: unknown, the link is not taken into account."},
     {"listen", "requests", setting_type::reachable_endpoint, true, "", 0, 0, "Address for callers and for other daemons' requests."},
     {"listen", "owner", setting_type::endpoint_list, false, "", 0, 0, "At most one address, for other daemons' requests. Empty: [listen] requests."},
     {"listen", "readiness", setting_type::endpoint_list, false, "", 0, 0, "At most one address, for a platform's readiness checks of the daemon. Empty: none."},
@@ -114,6 +115,8 @@
         return fmt::format("size (B, KiB, MiB), {}", format_range(row));
     case setting_type::integer:
         return fmt::format("integer, {}", format_range(row));
+    case setting_type::decimal:
+        return fmt::format("number, {}; may be empty", format_range(row));
     }
     return "";
 }
--- a/src/settings/settings_table.h
+++ b/src/settings/settings_table.h
@@ -19,6 +19,7 @@
     duration,           ///< With a unit; range in milliseconds.
     size,               ///< With a unit; range in bytes.
     integer,
+    decimal, ///< A number that may have a fraction; empty: the default.
 };
 
 /// Definition of a setting, used by the reader, `--print-settings` and docs/settings.md.
--- a/src/tests/settings_reader_test.cpp
+++ b/src/tests/settings_reader_test.cpp
@@ -143,6 +143,8 @@
         return format_size(parse_size(row.default_text) + 1);
     case setting_type::integer:
         return fmt::format("{}", parse_integer(row.default_text) - 1);
+    case setting_type::decimal:
+        return fmt::format("{}", parse_decimal(row.default_text) + 0.5);
     case setting_type::log_level:
         return "warning";
     case setting_type::name:
