Choose upstreams by expected completion in the router

Entries now weigh work at the speed of the moment, queue, transfer at the remaining speed of the link, and the time by which responses came later than expected, given-up attempts included. A cost that rises with the load spreads requests before an upstream is full. Loads that are no longer reported decay to their mean, not to zero, which made each upstream look idle. The owner counts the bytes of all streams that leave its host.

--- a/src/common/idle_connection.cpp
+++ b/src/common/idle_connection.cpp
@@ -6,12 +6,12 @@
 
 namespace amaranthladder {
 
-idle_state check_idle(beast::tcp_stream& stream, const beast::flat_buffer& buffer) {
+idle_state check_idle(asio::ip::tcp::socket& socket, const beast::flat_buffer& buffer) {
     if (buffer.size() > 0) {
         return idle_state::surplus;
     }
     char byte = 0;
-    const auto received = ::recv(stream.socket().native_handle(), &byte, sizeof(byte), MSG_PEEK | MSG_DONTWAIT);
+    const auto received = ::recv(socket.native_handle(), &byte, sizeof(byte), MSG_PEEK | MSG_DONTWAIT);
     if (received > 0) {
         return idle_state::surplus;
     }
--- a/src/common/idle_connection.h
+++ b/src/common/idle_connection.h
@@ -13,6 +13,6 @@
 
 /// @param buffer bytes that were received on the connection and not parsed yet.
 /// @return the state of an open connection, without waiting and without reading from it.
-idle_state check_idle(beast::tcp_stream& stream, const beast::flat_buffer& buffer);
+idle_state check_idle(asio::ip::tcp::socket& socket, const beast::flat_buffer& buffer);
 
 } // namespace amaranthladder
--- a/src/daemon/status_text.cpp
+++ b/src/daemon/status_text.cpp
@@ -195,6 +195,11 @@
                static_cast<double>(status.requests.malformed_rate_limits));
     add_metric(text, "upstream_surplus_responses_total", "counter", "",
                static_cast<double>(status.requests.surplus_responses));
+    add_metric(text, "upstream_load_reports_malformed_total", "counter", "",
+               static_cast<double>(status.requests.malformed_server_loads));
+    add_metric(text, "upstream_work_factor", "gauge", "", status.requests.work_factor);
+    add_metric(text, "link_bytes_total", "counter", "", static_cast<double>(status.requests.link_bytes));
+    add_metric(text, "link_utilisation", "gauge", "", status.requests.link_utilisation);
     add_metric(text, "connections", "gauge", "", static_cast<double>(status.requests.connections_open));
     add_metric(text, "log_lines_dropped_total", "counter", "", static_cast<double>(status.dropped_log_lines));
     return text;
--- a/src/http/private/connection_pool.cpp
+++ b/src/http/private/connection_pool.cpp
@@ -15,9 +15,9 @@
 } // namespace
 
 connection_pool::connection_pool(asio::io_context& context, std::size_t max_idle_per_target,
-                                 std::size_t max_buffer_bytes, connection_limits limits)
+                                 std::size_t max_buffer_bytes, connection_limits limits, std::uint64_t& link_bytes)
     : m_context(context), m_max_idle_per_target(max_idle_per_target), m_max_buffer_bytes(max_buffer_bytes),
-      m_health(limits) {}
+      m_health(limits), m_link_bytes(link_bytes) {}
 
 std::unique_ptr<pooled_connection> connection_pool::take(const endpoint& target, bool is_idempotent, absl::Time now) {
     const auto found = m_idle.find(target);
@@ -33,7 +33,7 @@
         }
         auto connection = std::move(idle.back());
         idle.pop_back();
-        const idle_state state = check_idle(connection->stream, connection->buffer);
+        const idle_state state = check_idle(connection->stream.socket(), connection->buffer);
         if (state == idle_state::surplus) {
             suspend_reuse(target, now);
             return nullptr;
@@ -52,7 +52,7 @@
 }
 
 void connection_pool::put(std::unique_ptr<pooled_connection> connection, absl::Time now) {
-    if (check_idle(connection->stream, connection->buffer) == idle_state::surplus) {
+    if (check_idle(connection->stream.socket(), connection->buffer) == idle_state::surplus) {
         suspend_reuse(connection->target, now);
     }
     if (const auto suspended = m_suspended_until.find(connection->target); suspended != m_suspended_until.end()) {
--- a/src/http/private/connection_pool.h
+++ b/src/http/private/connection_pool.h
@@ -2,6 +2,7 @@
 
 #include "common/asio_types.h"
 #include "common/endpoint.h"
+#include "http/private/metered_stream.h"
 #include "routing/connection_health.h"
 
 #include <absl/time/time.h>
@@ -19,7 +20,7 @@
     pooled_connection(asio::io_context& context, endpoint target_address, std::size_t max_buffer_bytes)
         : stream(context), buffer(max_buffer_bytes), target(std::move(target_address)) {}
 
-    beast::tcp_stream stream;
+    metered_stream stream;
     beast::flat_buffer buffer;
     endpoint target;
     /// @return the data that connection_health decides on.
@@ -41,8 +42,9 @@
     /// @param max_idle_per_target maximum number of idle connections to one target.
     /// @param max_buffer_bytes maximum number of bytes that are read from a connection but not parsed yet.
     /// @param limits limits of connection_health.
+    /// @param link_bytes counter of the bytes moved over the host's link.
     connection_pool(asio::io_context& context, std::size_t max_idle_per_target, std::size_t max_buffer_bytes,
-                    connection_limits limits);
+                    connection_limits limits, std::uint64_t& link_bytes);
 
     /// @param target address of the upstream or daemon.
     /// @param is_idempotent true if the request may be sent again after the connection fails.
@@ -52,6 +54,11 @@
     /// @return a new connection that is not open yet.
     std::unique_ptr<pooled_connection> create(const endpoint& target);
 
+    /// Counts the bytes of an open connection from now on, unless its target is on the same host.
+    void count_link_bytes(pooled_connection& connection) {
+        amaranthladder::count_link_bytes(connection.stream, m_link_bytes);
+    }
+
     /// Returns @p connection to the pool. Its last response must have been read completely.
     void put(std::unique_ptr<pooled_connection> connection, absl::Time now);
 
@@ -82,6 +89,7 @@
     std::size_t m_max_idle_per_target;
     std::size_t m_max_buffer_bytes;
     connection_health m_health;
+    std::uint64_t& m_link_bytes;
     std::uint64_t m_next_id = 1;
     std::map<endpoint, idle_list> m_idle;
     std::map<endpoint, absl::Time> m_suspended_until; ///< Targets whose connections are not used again.
--- a/src/http/private/disconnect_watch.cpp
+++ b/src/http/private/disconnect_watch.cpp
@@ -6,7 +6,7 @@
 
 namespace amaranthladder {
 
-disconnect_watch::disconnect_watch(beast::tcp_stream& stream, std::function<void()> on_disconnect,
+disconnect_watch::disconnect_watch(metered_stream& stream, std::function<void()> on_disconnect,
                                    std::function<void()> on_data)
     : m_state(std::make_shared<state>()) {
     m_state->stream = &stream;
--- a/src/http/private/disconnect_watch.h
+++ b/src/http/private/disconnect_watch.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "common/asio_types.h"
+#include "http/private/metered_stream.h"
 
 #include <functional>
 #include <memory>
@@ -17,7 +18,7 @@
     /// @param on_data called at most once, if the caller sends data; afterwards a disconnect is not detected and the
     ///        connection may be read from.
     disconnect_watch(
-        beast::tcp_stream& stream, std::function<void()> on_disconnect, std::function<void()> on_data = [] {});
+        metered_stream& stream, std::function<void()> on_disconnect, std::function<void()> on_data = [] {});
     ~disconnect_watch();
     disconnect_watch(const disconnect_watch&) = delete;
     disconnect_watch& operator=(const disconnect_watch&) = delete;
@@ -29,7 +30,7 @@
 
 private:
     struct state {
-        beast::tcp_stream* stream = nullptr;
+        metered_stream* stream = nullptr;
         std::function<void()> on_disconnect;
         std::function<void()> on_data;
         bool is_stopped = false;
--- a/src/http/private/entry_call.cpp
+++ b/src/http/private/entry_call.cpp
@@ -1,5 +1,6 @@
 #include "http/private/entry_call.h"
 
+#include "common/parse_number.h"
 #include "http/private/exchange.h"
 #include "http/private/owner_call.h"
 
@@ -9,6 +10,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <cstdint>
 #include <utility>
 
 namespace amaranthladder {
@@ -36,6 +38,12 @@
     return decision.chosen ? decision.chosen->latency : absl::ZeroDuration();
 }
 
+/// @return the declared size of a request's body; a chunked one, whose size is not declared, counts as none.
+double body_bytes(const http::request_header<>& head) {
+    const auto text = head[http::field::content_length];
+    return static_cast<double>(parse_number<std::uint64_t>({text.data(), text.size()}).value_or(0));
+}
+
 attempt_outcome refusal_outcome(result_code code) {
     switch (code) {
     case result_code::upstream_leaving:
@@ -126,11 +134,15 @@
         m_proxy.request_router.on_started(decision.upstream_id, m_proxy.clock.now());
         last = co_await attempt(matched_route, decision);
         m_proxy.request_router.on_finished(decision.upstream_id, last.outcome, last.latency, std::nullopt,
-                                           m_proxy.clock.now());
+                                           m_proxy.clock.now(), decision.chosen->expected());
         if (last.report) {
             m_proxy.request_router.on_report(decision.upstream_id, matched_route.name, *last.report,
                                              m_proxy.clock.now());
         }
+        if (last.response_bytes) {
+            m_proxy.request_router.on_transfer(matched_route.name, body_bytes(m_request.head),
+                                               static_cast<double>(*last.response_bytes));
+        }
         m_attempts_sent += last.may_have_reached_upstream ? 1 : 0;
         if (last.outcome == attempt_outcome::refused_load) {
             m_shortest_backlog = std::min(m_shortest_backlog, last.backlog);
@@ -201,6 +213,7 @@
     }
     const relay_result relayed = co_await call.relay_response();
     attempt_result ended = make_attempt_result(relayed, status);
+    ended.response_bytes = call.response_bytes();
     ended.latency = call.latency();
     ended.report = call.report();
     co_return ended;
@@ -252,6 +265,7 @@
     const unsigned status = owner_exchange.response().get().result_int();
     const std::optional<owner_report> report = read_report(fields);
     observe_leaving(decision.upstream_id, report);
+    const auto response_bytes = owner_exchange.response().content_length();
     if (may_replace_response(matched_route, status)) {
         owner_exchange.abort();
         co_return make_replaced_result(latency, report);
@@ -263,6 +277,9 @@
     const relay_result relayed =
         co_await m_proxy.relay.relay(owner_exchange, m_request, m_proxy.options.response_buffer_bytes, set_headers);
     attempt_result ended = make_attempt_result(relayed, status);
+    if (response_bytes) {
+        ended.response_bytes = *response_bytes;
+    }
     ended.latency = latency;
     ended.report = report;
     co_return ended;
--- a/src/http/private/entry_call.h
+++ b/src/http/private/entry_call.h
@@ -7,6 +7,7 @@
 
 #include <absl/time/time.h>
 
+#include <cstdint>
 #include <functional>
 #include <optional>
 
@@ -34,8 +35,9 @@
         execution request_execution = execution::not_run;
         absl::Duration latency;
         std::optional<owner_report> report;
-        absl::Duration backlog;                ///< Expected wait for a slot, as reported with the refusal.
-        bool may_have_reached_upstream = true; ///< False if the upstream cannot have received anything.
+        absl::Duration backlog;                      ///< Expected wait for a slot, as reported with the refusal.
+        bool may_have_reached_upstream = true;       ///< False if the upstream cannot have received anything.
+        std::optional<std::uint64_t> response_bytes; ///< Declared size of the body of a relayed response.
         std::optional<serve_result> result;
     };
 
--- a/src/http/private/exchange.cpp
+++ b/src/http/private/exchange.cpp
@@ -51,6 +51,7 @@
     }
     m_connection->stream.socket().set_option(asio::ip::tcp::no_delay(true), failure);
     enable_tcp_keepalive(m_connection->stream.socket().native_handle());
+    m_pool.count_link_bytes(*m_connection);
     m_connection->opened_at = m_clock.now();
     m_connection->last_received_at = m_connection->opened_at;
     co_return exchange_status{};
--- a/src/http/private/forwarding_headers.cpp
+++ b/src/http/private/forwarding_headers.cpp
@@ -38,6 +38,14 @@
     return number;
 }
 
+constexpr double percent = 100;
+
+/// @return the finite number above 0 in header @p name of another daemon's response; nothing if there is none.
+std::optional<double> positive_number(const http::fields& fields, std::string_view name) {
+    const std::optional<double> number = parse_number<double>(field_value(fields, name));
+    return number && std::isfinite(*number) && *number > 0 ? number : std::nullopt;
+}
+
 std::string milliseconds_text(absl::Duration value) {
     return std::to_string(std::max<std::int64_t>(0, absl::ToInt64Milliseconds(value)));
 }
@@ -132,6 +140,10 @@
         signals.rate_limit = parse_rate_limit(field_value(fields, names.rate_limit));
         signals.is_rate_limit_malformed = !signals.rate_limit;
     }
+    if (!names.server_load.empty() && fields.count(beast_view(names.server_load)) > 0) {
+        signals.server_load = parse_server_load(field_value(fields, names.server_load));
+        signals.is_server_load_malformed = !signals.server_load;
+    }
     signals.is_leaving = !names.leaving.empty() && field_value(fields, names.leaving) == "1";
     return signals;
 }
@@ -143,6 +155,13 @@
     if (report.rate_limit) {
         fields.set(beast_view(header::rate_limit), fmt::format("{:g}", *report.rate_limit));
     }
+    if (report.work_factor != 1) {
+        fields.set(beast_view(header::speed), fmt::format("{:.0f}", report.work_factor * percent));
+    }
+    if (report.link_utilisation) {
+        fields.set(beast_view(header::link), fmt::format("{:.0f}", *report.link_utilisation * percent));
+        fields.set(beast_view(header::link_mbps), fmt::format("{:g}", report.link_mbps));
+    }
     if (report.is_leaving) {
         fields.set(beast_view(header::leaving), "1");
     }
@@ -161,6 +180,14 @@
     report.service_time = microseconds(header::service_us);
     report.route_service_time = microseconds(header::route_us);
     report.rate_limit = parse_rate_limit(field_value(fields, header::rate_limit));
+    report.work_factor = positive_number(fields, header::speed).value_or(percent) / percent;
+    // A link of unknown speed is not taken into account.
+    const auto utilisation = parse_number<double>(field_value(fields, header::link));
+    const auto link_mbps = positive_number(fields, header::link_mbps);
+    if (utilisation && std::isfinite(*utilisation) && *utilisation >= 0 && link_mbps) {
+        report.link_utilisation = *utilisation / percent;
+        report.link_mbps = *link_mbps;
+    }
     report.is_leaving = field_value(fields, header::leaving) == "1";
     return report;
 }
--- a/src/http/private/forwarding_headers.h
+++ b/src/http/private/forwarding_headers.h
@@ -38,6 +38,9 @@
 inline constexpr std::string_view leaving = "x-amaranthladder-leaving";
 inline constexpr std::string_view tenant = "x-amaranthladder-tenant";
 inline constexpr std::string_view nested = "x-amaranthladder-nested";
+inline constexpr std::string_view speed = "x-amaranthladder-speed";
+inline constexpr std::string_view link = "x-amaranthladder-link";
+inline constexpr std::string_view link_mbps = "x-amaranthladder-link-mbps";
 inline constexpr std::string_view backlog_ms = "x-amaranthladder-backlog-ms";
 } // namespace header
 
--- a/src/http/private/inbound_session.cpp
+++ b/src/http/private/inbound_session.cpp
@@ -38,7 +38,9 @@
 inbound_session::inbound_session(proxy_state& proxy, asio::ip::tcp::socket socket, peer_type peer)
     : m_proxy(proxy), m_peer_type(peer), m_stream(std::move(socket)),
       m_buffer(proxy.options.max_header_bytes + proxy.options.body_buffer_bytes),
-      m_pipeline(1 + proxy.options.max_requests_ahead) {}
+      m_pipeline(1 + proxy.options.max_requests_ahead) {
+    count_link_bytes(m_stream, proxy.link_bytes);
+}
 
 asio::awaitable<void> inbound_session::run() {
     try {
--- a/src/http/private/inbound_session.h
+++ b/src/http/private/inbound_session.h
@@ -103,7 +103,7 @@
 
     proxy_state& m_proxy;
     peer_type m_peer_type;
-    beast::tcp_stream m_stream;
+    metered_stream m_stream;
     beast::flat_buffer m_buffer;
     request_pipeline<request_pointer> m_pipeline;
     std::vector<request_pointer> m_cancelled;   ///< Started and then removed from the pipeline; they may still run.
--- a/src/http/private/owner_call.cpp
+++ b/src/http/private/owner_call.cpp
@@ -218,6 +218,7 @@
                                          rate_limit_text(previous)));
         }
     }
+    observe_server_load(*known, signals, is_complete);
     if (signals.is_leaving && !std::exchange(known->has_said_leaving, true)) {
         m_proxy.set_leaving(*known, "response");
         m_proxy.upstreams.on_leaving(m_upstream.id);
@@ -226,6 +227,21 @@
     }
 }
 
+void owner_call::observe_server_load(local_upstream& known, const upstream_signals& signals, bool is_complete) {
+    if (signals.is_server_load_malformed) {
+        ++m_proxy.counters.malformed_server_loads;
+    }
+    const absl::Time now = m_proxy.clock.now();
+    const bool was_reported = known.load.uses_reported_speed(now);
+    known.load.observe(signals.server_load, m_route, is_complete ? now - m_started_at : absl::ZeroDuration(),
+                       m_semaphore->limiter().running(), now);
+    if (known.load.uses_reported_speed(now) != was_reported) {
+        m_proxy.log.info(fmt::format("upstream-speed upstream={} request={} source={} speed={:.2f} load_false={}",
+                                     m_upstream.id, m_request.info.request_id, was_reported ? "measured" : "reported",
+                                     known.load.work_factor(now), known.load.is_load_false()));
+    }
+}
+
 asio::awaitable<exchange_status> owner_call::handle_upstream_refusal() {
     const bool is_other_upstream = status() == misdirected_status;
     const bool is_unnamed = field_value(m_exchange.response().get(), m_proxy.options.headers.request_id).empty();
@@ -302,11 +318,25 @@
 owner_report owner_call::report() const {
     const slot_limiter& limiter = m_semaphore->limiter();
     const local_upstream* const known = m_proxy.find_local_upstream(m_upstream.id);
-    return {.load = limiter.load(m_proxy.clock.now()),
-            .service_time = limiter.service_time(),
-            .route_service_time = limiter.service_time(m_route),
-            .rate_limit = limiter.rate_limit(),
-            .is_leaving = known != nullptr && known->has_said_leaving};
+    const absl::Time now = m_proxy.clock.now();
+    owner_report result{.load = limiter.load(now),
+                        .service_time = limiter.service_time(),
+                        .route_service_time = limiter.service_time(m_route),
+                        .rate_limit = limiter.rate_limit(),
+                        .is_leaving = known != nullptr && known->has_said_leaving};
+    if (known != nullptr) {
+        result.load = known->load.load(result.load, now);
+        result.service_time = known->load.usual_service_time(result.service_time);
+        result.route_service_time = known->load.usual_service_time(result.route_service_time, m_route);
+        result.work_factor = known->load.work_factor(now);
+    }
+    // The owner's own requests to its upstream do not use the link.
+    if (m_request.info.is_from_entry()) {
+        m_proxy.measure_link();
+        result.link_utilisation = m_proxy.link.utilisation();
+        result.link_mbps = m_proxy.link.megabits_per_second();
+    }
+    return result;
 }
 
 void owner_call::cancel() {
--- a/src/http/private/owner_call.h
+++ b/src/http/private/owner_call.h
@@ -6,6 +6,7 @@
 
 #include <absl/time/time.h>
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -37,6 +38,12 @@
         return m_exchange.response().get().result_int();
     }
 
+    /// @return the declared size of the response's body, after start() returned ok; nothing if it declares none.
+    std::optional<std::uint64_t> response_bytes() {
+        const auto declared = m_exchange.response().content_length();
+        return declared ? std::optional<std::uint64_t>(*declared) : std::nullopt;
+    }
+
     /// @return time from the acquisition of the slot to the header of the response.
     absl::Duration latency() const {
         return m_latency;
@@ -69,6 +76,7 @@
     /// Records what the upstream says of itself in its response.
     /// @param is_complete false if the response may lack what other responses of the upstream contain.
     void observe_signals(bool is_complete);
+    void observe_server_load(local_upstream& known, const upstream_signals& signals, bool is_complete);
     void log_admission(result_code granted, const slot_request& wanted);
     bool has_field(const std::string& name);
     /// @return true if the response is one to this request, as far as its id tells.
--- a/src/http/private/proxy_state.h
+++ b/src/http/private/proxy_state.h
@@ -10,6 +10,7 @@
 #include "http/proxy_options.h"
 #include "http/proxy_statistics.h"
 #include "routing/caller_timeout_estimator.h"
+#include "routing/link_meter.h"
 #include "routing/retry_budget.h"
 #include "routing/retry_policy.h"
 #include "routing/router.h"
@@ -36,9 +37,9 @@
     proxy_state(const proxy_options& proxy_settings, router_settings routing, retry_budget_policy budget_policy,
                 const steady_clock& time_source, event_log& logger, upstream_observer observer)
         : options(proxy_settings), clock(time_source), log(logger), upstreams(std::move(observer)),
-          request_router(std::move(routing)), budget(budget_policy), relay(options),
+          request_router(std::move(routing)), budget(budget_policy), link(proxy_settings.link_mbps), relay(options),
           pool(context, max_idle_connections_per_target, proxy_settings.max_header_bytes + stream_chunk_bytes,
-               pool_limits(proxy_settings)) {}
+               pool_limits(proxy_settings), link_bytes) {}
 
     /// Covers the number of requests that a daemon commonly has in flight to one target.
     static constexpr std::size_t max_idle_connections_per_target = 128;
@@ -79,6 +80,11 @@
         set_leaving(leaving, reason, options.upstream_drain_time);
     }
 
+    /// Brings the link's utilisation up to date.
+    void measure_link() {
+        link.observe(link_bytes, clock.now());
+    }
+
     const proxy_options& options;
     const steady_clock& clock;
     event_log& log;
@@ -87,6 +93,8 @@
     router request_router;
     retry_policy retries;
     retry_budget budget;
+    std::uint64_t link_bytes = 0; ///< Moved over the host's link; counted by the streams.
+    link_meter link;
     response_relay relay;
     std::map<std::string, local_upstream> local_upstreams;
     std::map<std::string, first_byte_latency> latency_by_route; ///< Of calls to local upstreams.
--- a/src/http/private/request_body.cpp
+++ b/src/http/private/request_body.cpp
@@ -12,7 +12,7 @@
 
 } // namespace
 
-request_body::request_body(beast::tcp_stream& stream, beast::flat_buffer& buffer, request_parser& parser,
+request_body::request_body(metered_stream& stream, beast::flat_buffer& buffer, request_parser& parser,
                            std::size_t prefix_limit, absl::Duration idle_timeout)
     : m_stream(stream), m_buffer(buffer), m_parser(parser), m_prefix_limit(prefix_limit), m_idle_timeout(idle_timeout) {
 }
--- a/src/http/private/request_body.h
+++ b/src/http/private/request_body.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "common/asio_types.h"
+#include "http/private/metered_stream.h"
 
 #include <absl/time/time.h>
 
@@ -20,8 +21,8 @@
     /// @param parser the request's parser; its header has been read.
     /// @param prefix_limit maximum number of buffered bytes.
     /// @param idle_timeout time without progress after which reading fails.
-    request_body(beast::tcp_stream& stream, beast::flat_buffer& buffer, request_parser& parser,
-                 std::size_t prefix_limit, absl::Duration idle_timeout);
+    request_body(metered_stream& stream, beast::flat_buffer& buffer, request_parser& parser, std::size_t prefix_limit,
+                 absl::Duration idle_timeout);
 
     /// Reads and buffers the body up to the prefix limit. Further calls do nothing.
     /// @param limit longest time for all of it; a sender may keep the connection busy with a byte now and then.
@@ -54,7 +55,7 @@
 private:
     asio::awaitable<error_code> read_into(std::span<char> chunk, std::size_t& size, absl::Duration limit);
 
-    beast::tcp_stream& m_stream;
+    metered_stream& m_stream;
     beast::flat_buffer& m_buffer;
     request_parser& m_parser;
     std::size_t m_prefix_limit;
--- a/src/http/private/served_request.cpp
+++ b/src/http/private/served_request.cpp
@@ -71,7 +71,7 @@
     co_return !failure;
 }
 
-void reset_connection(beast::tcp_stream& stream) {
+void reset_connection(metered_stream& stream) {
     error_code ignored;
     stream.socket().set_option(asio::socket_base::linger(true, 0), ignored);
     stream.close();
--- a/src/http/private/served_request.h
+++ b/src/http/private/served_request.h
@@ -3,6 +3,7 @@
 #include "common/asio_types.h"
 #include "common/result_code.h"
 #include "http/private/forwarding_headers.h"
+#include "http/private/metered_stream.h"
 #include "http/private/one_shot_event.h"
 #include "http/private/request_body.h"
 #include "routing/router.h"
@@ -18,7 +19,7 @@
 
 /// A request that is being served.
 struct served_request {
-    beast::tcp_stream& stream; ///< The caller's connection.
+    metered_stream& stream; ///< The caller's connection.
     const http::request_header<>& head;
     request_body& body;
     forwarding_info info;
@@ -71,6 +72,6 @@
 asio::awaitable<bool> write_continue(served_request& request, absl::Duration limit);
 
 /// Resets a connection, so that the peer does not take a truncated response for a complete one.
-void reset_connection(beast::tcp_stream& stream);
+void reset_connection(metered_stream& stream);
 
 } // namespace amaranthladder
--- a/src/http/proxy_statistics.h
+++ b/src/http/proxy_statistics.h
@@ -46,9 +46,13 @@
     std::uint64_t retries = 0;
     std::uint64_t refusals_not_run = 0;
     std::uint64_t refusals_may_have_run = 0;
-    std::uint64_t rate_limit_changes = 0;    ///< Of local upstreams, as named in their responses.
-    std::uint64_t malformed_rate_limits = 0; ///< Responses with a rate limit that is not a number.
-    std::uint64_t surplus_responses = 0;     ///< Responses of upstreams to requests that had been answered before.
+    std::uint64_t rate_limit_changes = 0;     ///< Of local upstreams, as named in their responses.
+    std::uint64_t malformed_rate_limits = 0;  ///< Responses with a rate limit that is not a number.
+    std::uint64_t malformed_server_loads = 0; ///< Responses with a load report that cannot be read.
+    std::uint64_t link_bytes = 0;             ///< Moved over the host's link, in both directions.
+    double link_utilisation = 0;              ///< Of the host's link over the last tenths of a second; 0 if unknown.
+    double work_factor = 1; ///< Of the slowest local upstream: time that its work takes now, relative to the usual one.
+    std::uint64_t surplus_responses = 0; ///< Responses of upstreams to requests that had been answered before.
     std::uint64_t requests_in_flight = 0;
     std::uint64_t idle_upstream_connections = 0;
 };
--- a/src/http/request_proxy.cpp
+++ b/src/http/request_proxy.cpp
@@ -130,6 +130,7 @@
             known->has_said_leaving = false;
             known->echoes_request_ids = false;
             known->rate_limit = {};
+            known->load = server_load();
             known->semaphore->set_rate_limit(std::nullopt);
         }
         known->record = std::move(record);
@@ -210,6 +211,7 @@
         while (true) {
             timer.expires_after(owner_check_interval);
             co_await timer.async_wait(as_result);
+            m_state.measure_link();
             const absl::Time now = m_state.clock.now();
             const std::vector<entry_call*> waiting(m_state.remote_calls.begin(), m_state.remote_calls.end());
             for (entry_call* call : waiting) {
@@ -227,11 +229,22 @@
             m_state.pool.close_expired(m_state.clock.now());
             m_state.counters.connections_open = m_sessions.size();
             m_state.counters.idle_upstream_connections = m_state.pool.idle_count();
+            update_load_gauges();
             const absl::MutexLock lock(&m_mutex);
             m_published_counters = m_state.counters;
         }
     }
 
+    void update_load_gauges() {
+        m_state.counters.link_bytes = m_state.link_bytes;
+        m_state.counters.link_utilisation = m_state.link.utilisation().value_or(0);
+        m_state.counters.work_factor = m_state.local_upstreams.empty() ? 1 : 0;
+        for (const auto& [id, upstream] : m_state.local_upstreams) {
+            m_state.counters.work_factor =
+                std::max(m_state.counters.work_factor, upstream.load.work_factor(m_state.clock.now()));
+        }
+    }
+
     /// Waits for the requests in flight and stops the event loop.
     /// @param notice time during which connections are still accepted.
     asio::awaitable<void> drain_connections(absl::Duration notice) {
--- a/src/routing/picker.h
+++ b/src/routing/picker.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "routing/completion_estimate.h"
 #include "routing/routing_decision.h"
 
 #include <absl/random/bit_gen_ref.h>
@@ -25,6 +26,7 @@
     bool is_local = true; ///< The upstream is in the data centre of the entry.
     /// Expected time to the response, estimated from reports of owners; zero if unknown.
     absl::Duration expected_latency = absl::ZeroDuration();
+    completion_estimate parts = {}; ///< Parts of that time, without what earlier responses took longer than expected.
 };
 
 /// Indexes into the list of candidates.
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -11,8 +11,6 @@
 
 namespace {
 
-/// Latency added per unit of load, in service times: a tie-break, as busier upstreams are slower even with free slots.
-constexpr double load_tie_break = 0.1;
 /// Time for which upstreams that have said that they leave are remembered: longer than they serve after that, and than
 /// their delayed announcements are under way.
 constexpr absl::Duration leaving_retention = absl::Minutes(2);
@@ -21,6 +19,8 @@
 constexpr double min_usable_slots = 0.1;
 /// Cap on the load in an owner_report, in requests per slot; longer queues are not distinguished.
 constexpr double owner_report_load_cap = 10;
+/// Cap on the work factor in an owner_report and on its inverse.
+constexpr double max_reported_work_factor = 8;
 
 bool can_serve(const upstream_record& record, const route& matched_route, const routing_request& request) {
     const bool serves_route =
@@ -49,6 +49,11 @@
 
 } // namespace
 
+router::upstream_state::upstream_state(const router_policy& policy)
+    : latency(policy.latency), load(policy.reported_load_decay, policy.report_memory),
+      log_work_factor(policy.speed_decay, policy.report_memory),
+      link_utilisation(policy.link_decay, policy.report_memory), excess(policy.excess) {}
+
 router::router(router_settings settings)
     : m_settings(std::move(settings)), m_warm_up(m_settings.policy.warm_up), m_picker(m_settings.policy.picker),
       m_state(std::make_shared<const intended_state>()) {}
@@ -56,6 +61,7 @@
 void router::set_configuration(std::shared_ptr<const intended_state> state) {
     m_state = std::move(state);
     m_routes = route_table(m_state);
+    absl::erase_if(m_transfer_sizes, [this](const auto& entry) { return !m_state->routes.contains(entry.first); });
 }
 
 void router::set_upstreams(const std::vector<upstream_record>& records, absl::Time now) {
@@ -136,7 +142,7 @@
 }
 
 void router::on_finished(const std::string& upstream_id, attempt_outcome outcome, absl::Duration latency,
-                         std::optional<double> load, absl::Time now) {
+                         std::optional<double> load, absl::Time now, absl::Duration expected) {
     const auto found = m_upstreams.find(upstream_id);
     if (found == m_upstreams.end()) {
         return;
@@ -155,6 +161,7 @@
         upstream.reported_at = now;
     }
     record_outcome(upstream, outcome, latency, now);
+    record_excess(upstream, outcome, latency, expected, now);
     if (!upstream.is_listed && upstream.in_flight == 0) {
         m_upstreams.erase(found);
     }
@@ -190,7 +197,7 @@
     auto& upstream = m_upstreams[record.id];
     const bool is_new = upstream == nullptr;
     if (is_new) {
-        upstream = std::make_unique<upstream_state>();
+        upstream = std::make_unique<upstream_state>(m_settings.policy);
     } else if (upstream->was_listed && upstream->record == record) {
         upstream->is_listed = true;
         return;
@@ -204,9 +211,8 @@
             ejector->reset(record.id);
         }
         const int in_flight = upstream->in_flight;
-        *upstream = upstream_state();
+        *upstream = upstream_state(m_settings.policy);
         upstream->in_flight = in_flight;
-        upstream->latency = latency_average(m_settings.policy.latency);
         upstream->warm_up_started = m_services.contains(record.service) ? now : absl::InfinitePast();
         upstream->listed_since = now;
     }
@@ -357,13 +363,15 @@
         const double reported_load = decayed_load(*upstream, now);
         const absl::Duration latency = std::max(
             upstream->latency.value(now), upstream->latency.has_samples() ? absl::Microseconds(1) : lowest_latency);
-        const absl::Duration expected = expected_latency(*upstream, route_name, averages, now);
-        if (expected > absl::ZeroDuration()) {
+        const completion_estimate parts = expected_completion(*upstream, route_name, averages, now);
+        if (parts.total() > absl::ZeroDuration()) {
+            const absl::Duration expected = parts.total() + upstream->excess.value(now);
             pick_candidates.push_back({.weight = slots * m_warm_up.weight(upstream->warm_up_started, now),
-                                       .cost = absl::ToDoubleSeconds(expected),
-                                       .load = std::max(own_load, reported_load),
+                                       .cost = absl::ToDoubleSeconds(expected + parts.spread),
+                                       .load = expected_load(*upstream, averages, now),
                                        .is_local = is_local(*upstream),
-                                       .expected_latency = expected});
+                                       .expected_latency = expected,
+                                       .parts = parts});
             continue;
         }
         pick_candidates.push_back(
@@ -388,12 +396,16 @@
             reported_local += upstream_is_local ? 1 : 0;
             averages.service_time += upstream->service_time;
             averages.route_service_time += service_time_of(*upstream, route_name);
-            (upstream_is_local ? averages.local_load : averages.remote_load) += decayed_load(*upstream, now);
+            averages.link_utilisation += upstream->link_utilisation.value(now);
+            averages.link_mbps += upstream->link_mbps;
+            (upstream_is_local ? averages.local_load : averages.remote_load) += upstream->load.value(now);
         }
     }
     if (reported > 0) {
         averages.service_time /= reported;
         averages.route_service_time /= reported;
+        averages.link_utilisation /= reported;
+        averages.link_mbps /= reported;
         averages.local_load /= std::max(reported_local, 1);
         averages.remote_load /= std::max(reported - reported_local, 1);
     }
@@ -417,21 +429,39 @@
     return known == upstream.route_service_times.end() ? upstream.service_time : known->second;
 }
 
-absl::Duration router::expected_latency(const upstream_state& upstream, const std::string& route_name,
-                                        const report_averages& averages, absl::Time now) const {
-    const bool is_reported = upstream.service_time > absl::ZeroDuration();
-    const absl::Duration service_time = is_reported ? upstream.service_time : averages.service_time;
-    if (service_time == absl::ZeroDuration()) {
-        return absl::ZeroDuration();
-    }
+double router::expected_load(const upstream_state& upstream, const report_averages& averages, absl::Time now) const {
     const double slots = usable_slots(upstream);
     // The report is out of date by the requests that were sent since. Only those of this entry are known.
     const double since = (upstream.in_flight - upstream.in_flight_at_report) / slots;
-    const double average_load = is_local(upstream) ? averages.local_load : averages.remote_load;
-    const double known_load = is_reported ? decayed_load(upstream, now) : average_load;
-    const double load = std::max(upstream.in_flight / slots, known_load + since);
-    const absl::Duration route_time = is_reported ? service_time_of(upstream, route_name) : averages.route_service_time;
-    return route_time + service_time * std::max(0.0, load + 1 / slots - 1) + service_time * load * load_tie_break;
+    const double average = is_local(upstream) ? averages.local_load : averages.remote_load;
+    return std::max(upstream.in_flight / slots, upstream.load.value(now, average) + since);
+}
+
+completion_estimate router::expected_completion(const upstream_state& upstream, const std::string& route_name,
+                                                const report_averages& averages, absl::Time now) const {
+    const bool is_reported = upstream.service_time > absl::ZeroDuration();
+    if (!is_reported && averages.service_time == absl::ZeroDuration()) {
+        return {};
+    }
+    return estimate_completion(
+        {.route_time = is_reported ? service_time_of(upstream, route_name) : averages.route_service_time,
+         .service_time = is_reported ? upstream.service_time : averages.service_time,
+         .work_factor = std::exp(upstream.log_work_factor.value(now)),
+         .slots = usable_slots(upstream),
+         .load = expected_load(upstream, averages, now),
+         .link_utilisation = is_reported ? upstream.link_utilisation.value(now) : averages.link_utilisation,
+         .link_mbps = is_reported ? upstream.link_mbps : averages.link_mbps,
+         .bytes = mean_transfer_bytes(route_name)},
+        m_settings.policy.completion);
+}
+
+double router::mean_transfer_bytes(const std::string& route_name) const {
+    const auto known = m_transfer_sizes.find(route_name);
+    return known == m_transfer_sizes.end() ? 0 : known->second.total();
+}
+
+void router::on_transfer(const std::string& route, double request_bytes, double response_bytes) {
+    m_transfer_sizes[route].observe(request_bytes, response_bytes);
 }
 
 absl::Duration router::max_local_latency(const route& matched_route, const routing_request& request,
@@ -474,8 +504,13 @@
         return;
     }
     upstream_state& upstream = *found->second;
-    upstream.reported_load = std::clamp(report.load, 0.0, owner_report_load_cap);
-    upstream.reported_at = now;
+    upstream.load.observe(std::clamp(report.load, 0.0, owner_report_load_cap), now);
+    upstream.log_work_factor.observe(
+        std::log(std::clamp(report.work_factor, 1 / max_reported_work_factor, max_reported_work_factor)), now);
+    if (report.link_utilisation) {
+        upstream.link_utilisation.observe(std::clamp(*report.link_utilisation, 0.0, 1.0), now);
+        upstream.link_mbps = report.link_mbps;
+    }
     upstream.in_flight_at_report = upstream.in_flight;
     upstream.rate_limit = report.rate_limit;
     if (report.service_time > absl::ZeroDuration()) {
@@ -493,7 +528,29 @@
 
 candidate_info router::candidate_info_of(const upstream_state& upstream, const pick_candidate& candidate,
                                          absl::Time now) const {
-    return {upstream.record.id, candidate.cost, upstream.in_flight, upstream.latency.value(now)};
+    return {.id = upstream.record.id,
+            .cost = candidate.cost,
+            .in_flight = upstream.in_flight,
+            .latency = upstream.latency.value(now),
+            .parts = candidate.parts,
+            .excess = upstream.excess.value(now),
+            .work_factor = std::exp(upstream.log_work_factor.value(now)),
+            .link_utilisation = upstream.link_utilisation.value(now)};
+}
+
+void router::record_excess(upstream_state& upstream, attempt_outcome outcome, absl::Duration latency,
+                           absl::Duration expected, absl::Time now) const {
+    if (expected <= absl::ZeroDuration()) {
+        return;
+    }
+    const absl::Duration excess = std::min(latency - expected, expected * m_settings.policy.max_excess);
+    const bool is_given_up = outcome == attempt_outcome::cancelled || outcome == attempt_outcome::sent_no_answer;
+    if (outcome == attempt_outcome::answered) {
+        upstream.excess.observe(std::max(excess, absl::ZeroDuration()), now);
+    } else if (is_given_up && excess > upstream.excess.value(now)) {
+        // The response would have come later still; a caller that leaves early says nothing.
+        upstream.excess.observe(excess, now);
+    }
 }
 
 void router::record_outcome(upstream_state& upstream, attempt_outcome outcome, absl::Duration latency, absl::Time now) {
--- a/src/routing/router.h
+++ b/src/routing/router.h
@@ -3,11 +3,14 @@
 #include "config/intended_state.h"
 #include "peers/upstream_record.h"
 #include "routing/attempt_outcome.h"
+#include "routing/completion_estimate.h"
 #include "routing/latency_average.h"
 #include "routing/outlier_ejector.h"
 #include "routing/picker.h"
+#include "routing/recent_value.h"
 #include "routing/route_table.h"
 #include "routing/routing_decision.h"
+#include "routing/transfer_size.h"
 #include "routing/warm_up.h"
 
 #include <absl/container/flat_hash_map.h>
@@ -34,6 +37,15 @@
     outlier_ejector_policy ejection;
     warm_up_policy warm_up;
     latency_average_policy latency;
+    completion_policy completion;
+    /// Of the time by which responses came later than expected. It follows faults that no report shows, such as a full
+    /// link or an owner that lies, and is forgotten soon, since most of it is noise of single requests.
+    latency_average_policy excess = {.weight_up = 0.2, .weight_down = 0.1, .idle_decay = absl::Seconds(1.5)};
+    double max_excess =
+        4; ///< Cap on one sample of it, in expected times: 0.03 of the requests take seven times the work.
+    absl::Duration report_memory = absl::Seconds(5);      ///< Time over which means of reported figures are formed.
+    absl::Duration speed_decay = absl::Milliseconds(600); ///< Age at which a reported speed has decayed to 1/e.
+    absl::Duration link_decay = absl::Milliseconds(500);  ///< The same for the utilisation of a link.
     /// Cost added at a load of one request of this entry per slot, as a multiple of the latency.
     double own_load_weight = 3;
     /// Cost added at a reported load of one request per slot, as a multiple of the latency.
@@ -72,11 +84,14 @@
 
 /// Load and service times of an upstream, which its owner reports with each response and refusal.
 struct owner_report {
-    double load = 0;                       ///< Running and queued requests per slot.
-    absl::Duration service_time;           ///< Mean over all requests; zero if unknown.
-    absl::Duration route_service_time;     ///< Mean over the requests of one route; zero if unknown.
-    std::optional<double> rate_limit = {}; ///< Requests per second that the upstream has asked for.
-    bool is_leaving = false;               ///< The upstream has said in a response that it leaves.
+    double load = 0;                             ///< Running and queued requests per slot.
+    absl::Duration service_time;                 ///< Mean over all requests at the usual speed; zero if unknown.
+    absl::Duration route_service_time;           ///< Mean over the requests of one route; zero if unknown.
+    std::optional<double> rate_limit = {};       ///< Requests per second that the upstream has asked for.
+    bool is_leaving = false;                     ///< The upstream has said in a response that it leaves.
+    double work_factor = 1;                      ///< Time that work takes now, relative to the service times above.
+    std::optional<double> link_utilisation = {}; ///< Of the link of the upstream's host; nothing: unknown or not used.
+    double link_mbps = 0;                        ///< Speed of that link, if link_utilisation is known.
 };
 
 /// Chooses the version and the upstream for each request of an entry.
@@ -117,8 +132,13 @@
     /// @param latency time from on_started to the first byte of the response, or to the failure.
     /// @param load load that the owner reported with the response, in requests per slot.
     /// @param now current time.
+    /// @param expected latency that the decision expected, candidate_info::expected; zero if unknown.
     void on_finished(const std::string& upstream_id, attempt_outcome outcome, absl::Duration latency,
-                     std::optional<double> load, absl::Time now);
+                     std::optional<double> load, absl::Time now, absl::Duration expected = absl::ZeroDuration());
+
+    /// Records the sizes of the bodies of a request and its response.
+    /// @param route name of the route.
+    void on_transfer(const std::string& route, double request_bytes, double response_bytes);
 
     /// Replaces the addresses of owners that peers suspect to have failed. Their upstreams are used only if there is no
     /// other.
@@ -149,13 +169,20 @@
 
 private:
     struct upstream_state {
+        explicit upstream_state(const router_policy& policy);
+
         upstream_record record;
         bool is_listed = false;
         bool was_listed = false; ///< Listed before; valid only during set_upstreams.
         int in_flight = 0;
         latency_average latency;
-        double reported_load = 0;
+        double reported_load = 0; ///< From on_finished, in use until an owner has reported service times.
         absl::Time reported_at = absl::InfinitePast();
+        recent_value load;             ///< From the owner.
+        recent_value log_work_factor;  ///< The same, as a logarithm.
+        recent_value link_utilisation; ///< The same.
+        double link_mbps = 0;          ///< The same; 0: unknown or not used.
+        latency_average excess;        ///< Time by which responses came later than expected.
         int in_flight_at_report = 0;
         absl::Duration service_time;      ///< From the owner; zero if unknown.
         std::optional<double> rate_limit; ///< From the owner, in requests per second.
@@ -187,6 +214,8 @@
     struct report_averages {
         absl::Duration service_time;
         absl::Duration route_service_time;
+        double link_utilisation = 0;
+        double link_mbps = 0;
         double local_load = 0; ///< Of upstreams in the entry's data centre.
         /// Of the other upstreams. Kept apart, since overload in one data centre says nothing about the others.
         double remote_load = 0;
@@ -215,13 +244,18 @@
     /// @return the number of slots that an upstream can keep busy, which its rate limit may reduce.
     static double usable_slots(const upstream_state& upstream);
     static absl::Duration service_time_of(const upstream_state& upstream, const std::string& route_name);
-    absl::Duration expected_latency(const upstream_state& upstream, const std::string& route_name,
-                                    const report_averages& averages, absl::Time now) const;
+    /// @return the expected completion at an upstream; all parts are zero if no owner has reported service times.
+    completion_estimate expected_completion(const upstream_state& upstream, const std::string& route_name,
+                                            const report_averages& averages, absl::Time now) const;
+    double expected_load(const upstream_state& upstream, const report_averages& averages, absl::Time now) const;
     absl::Duration max_local_latency(const route& matched_route, const routing_request& request, absl::Time now) const;
     double decayed_load(const upstream_state& upstream, absl::Time now) const;
     candidate_info candidate_info_of(const upstream_state& upstream, const pick_candidate& candidate,
                                      absl::Time now) const;
+    double mean_transfer_bytes(const std::string& route_name) const;
     void record_outcome(upstream_state& upstream, attempt_outcome outcome, absl::Duration latency, absl::Time now);
+    void record_excess(upstream_state& upstream, attempt_outcome outcome, absl::Duration latency,
+                       absl::Duration expected, absl::Time now) const;
     bool is_unresponsive(const upstream_state& upstream, absl::Time now) const;
     bool is_suspected(const upstream_state& upstream) const;
     bool may_be_unreachable(const upstream_state& upstream, absl::Time now) const;
@@ -236,7 +270,8 @@
     std::vector<endpoint> m_suspected_owners; ///< Small, so a linear search is enough.
     absl::flat_hash_map<std::string, std::unique_ptr<upstream_state>> m_upstreams;
     absl::flat_hash_map<std::string, version_groups> m_services;
-    absl::flat_hash_map<std::string, leaving_upstream> m_leaving; ///< By id.
+    absl::flat_hash_map<std::string, leaving_upstream> m_leaving;     ///< By id.
+    absl::flat_hash_map<std::string, transfer_size> m_transfer_sizes; ///< By route.
 };
 
 } // namespace amaranthladder
--- a/src/routing/routing_decision.cpp
+++ b/src/routing/routing_decision.cpp
@@ -2,6 +2,8 @@
 
 #include <fmt/format.h>
 
+#include <iterator>
+
 namespace amaranthladder {
 
 std::string_view name(choice_reason value) {
@@ -28,8 +30,20 @@
     if (!candidate) {
         return {};
     }
-    return fmt::format(" {}={} {}_cost={:.6f} {}_in_flight={} {}_latency_ms={:.3f}", key, candidate->id, key,
-                       candidate->cost, key, candidate->in_flight, key, absl::ToDoubleMilliseconds(candidate->latency));
+    std::string text =
+        fmt::format(" {}={} {}_cost={:.6f} {}_in_flight={} {}_latency_ms={:.3f}", key, candidate->id, key,
+                    candidate->cost, key, candidate->in_flight, key, absl::ToDoubleMilliseconds(candidate->latency));
+    if (candidate->expected() > absl::ZeroDuration()) {
+        fmt::format_to(
+            std::back_inserter(text),
+            " {}_work_ms={:.1f} {}_queue_ms={:.1f} {}_transfer_ms={:.1f} {}_excess_ms={:.1f} {}_speed={:.2f} "
+            "{}_link={:.2f}",
+            key, absl::ToDoubleMilliseconds(candidate->parts.work), key,
+            absl::ToDoubleMilliseconds(candidate->parts.queue), key,
+            absl::ToDoubleMilliseconds(candidate->parts.transfer), key, absl::ToDoubleMilliseconds(candidate->excess),
+            key, candidate->work_factor, key, candidate->link_utilisation);
+    }
+    return text;
 }
 
 } // namespace
--- a/src/routing/routing_decision.h
+++ b/src/routing/routing_decision.h
@@ -2,6 +2,7 @@
 
 #include "common/endpoint.h"
 #include "common/result_code.h"
+#include "routing/completion_estimate.h"
 
 #include <absl/time/time.h>
 
@@ -27,9 +28,18 @@
 /// What the router knew of a candidate when it compared it.
 struct candidate_info {
     std::string id;
-    double cost = 0;        ///< Expected latency in seconds, weighted with the load; lower is better.
-    int in_flight = 0;      ///< Requests of this entry at the upstream.
-    absl::Duration latency; ///< Value of latency_average.
+    double cost = 0;                ///< Expected latency in seconds, weighted with the load; lower is better.
+    int in_flight = 0;              ///< Requests of this entry at the upstream.
+    absl::Duration latency;         ///< Value of latency_average.
+    completion_estimate parts = {}; ///< Expected latency by its parts; zero without reports of owners.
+    absl::Duration excess = {};     ///< Time by which recent responses came later than expected.
+    double work_factor = 1;         ///< Time that work takes there now, relative to the usual one.
+    double link_utilisation = 0;    ///< Of the link of the upstream's host.
+
+    /// @return the latency that the reports of the owner let expect; zero without any.
+    absl::Duration expected() const {
+        return parts.total();
+    }
 };
 
 /// Result of router::choose, with the reasons for the log.
--- a/src/routing/upstream_signals.h
+++ b/src/routing/upstream_signals.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "routing/server_load.h"
+
 #include <absl/time/time.h>
 
 #include <optional>
@@ -11,6 +13,8 @@
 struct upstream_signals {
     std::optional<double> rate_limit; ///< Requests per second that it takes from all callers together.
     bool is_rate_limit_malformed = false;
+    std::optional<server_load_report> server_load;
+    bool is_server_load_malformed = false;
     bool is_leaving = false; ///< It accepts no new requests and ends soon.
 };
 
--- a/src/store/store_connection_pool.cpp
+++ b/src/store/store_connection_pool.cpp
@@ -157,7 +157,7 @@
         }
         const auto oldest = std::chrono::steady_clock::now() - absl::ToChronoNanoseconds(max_idle_time);
         std::erase_if(m_idle, [oldest](const auto& idle) {
-            return idle->idle_since < oldest || check_idle(idle->stream, idle->buffer) != idle_state::quiet;
+            return idle->idle_since < oldest || check_idle(idle->stream.socket(), idle->buffer) != idle_state::quiet;
         });
         std::unique_ptr<connection> acquired;
         if (m_idle.empty()) {
