--- a/src/http/header_names.h
+++ b/src/http/header_names.h
@@ -17,6 +17,8 @@
     std::string not_executed; ///< In a response of an upstream: the request was not executed.
     /// In a response of an upstream: requests per second that it takes from all callers together, a decimal number.
     std::string rate_limit = "x-amaranthladder-rate-limit";
+    /// In a response of an upstream: `running,waiting,slots[,speed]`, see parse_server_load.
+    std::string server_load = "x-amaranthladder-server-load";
     std::string leaving = "x-amaranthladder-leaving"; ///< In a response of an upstream: `1` if it ends soon.
     std::string authorization = "Authorization"; ///< In a request of a caller: the scheme, a space and a tenant's key.
     std::string authorization_scheme = "Bearer"; ///< Precedes the key; case-sensitive.
--- a/src/http/proxy_statistics.h
+++ b/src/http/proxy_statistics.h
@@ -54,6 +54,10 @@
     std::uint64_t refusals_withdrawn_key = 0; ///< Requests whose key or route was changed while they waited.
     std::uint64_t bodies_received = 0;        ///< Bodies that this owner has asked entries for.
     std::uint64_t bodies_refused = 0;         ///< Requests refused before their bodies were sent.
+    std::uint64_t malformed_server_loads = 0; ///< Responses with a load report that cannot be read.
+    std::uint64_t link_bytes = 0;             ///< Moved over the host's link, in both directions.
+    double link_utilisation = 0;              ///< Of the host's link over the last tenths of a second; 0 if unknown.
+    double work_factor = 1; ///< Of the slowest local upstream: time that its work takes now, relative to the usual one.
     std::uint64_t requests_in_flight = 0;
     std::uint64_t idle_upstream_connections = 0;
 };
