--- a/src/daemon/mesh_daemon.cpp
+++ b/src/daemon/mesh_daemon.cpp
@@ -2,7 +2,6 @@
 
 #include "common/error.h"
 #include "common/event_log.h"
-#include "common/parse_number.h"
 #include "common/steady_clock.h"
 #include "daemon/active_configuration.h"
 #include "daemon/announced_upstreams.h"
@@ -11,6 +10,7 @@
 #include "daemon/control_server.h"
 #include "daemon/follower_selector.h"
 #include "daemon/move_service.h"
+#include "daemon/opaque_record_rules.h"
 #include "daemon/order_service.h"
 #include "daemon/report_collector.h"
 #include "daemon/status_text.h"
@@ -50,44 +50,6 @@
 
 /// Time before an order's deadline that is reserved for the last requests of the old version and for the report.
 constexpr absl::Duration order_deadline_margin = absl::Milliseconds(2500);
-/// Key prefix of the records in which an owner states that its upstream of an old version is idle.
-constexpr std::string_view idle_record_prefix = "idle/";
-
-/// Key of the record with the newest era of the store, a decimal number.
-constexpr std::string_view store_era_key = "store-era";
-
-std::uint64_t parse_era(const std::string& bytes) {
-    const std::optional<std::uint64_t> era = parse_number<std::uint64_t>(bytes);
-    if (!era) {
-        throw error(result_code::message_malformed, "the era of the store is not a number");
-    }
-    return *era;
-}
-
-/// @return the record with the newer era; @p held if @p heard cannot be read.
-std::string merge_eras(const std::string& held, const std::string& heard) {
-    try {
-        const std::uint64_t heard_era = parse_era(heard);
-        return held.empty() || heard_era > parse_era(held) ? heard : held;
-    } catch (const error&) {
-        return held;
-    }
-}
-
-std::string idle_record_key(const move_order& order, const std::string& upstream_id) {
-    return fmt::format("{}{}/{}/{}", idle_record_prefix, order.service, order.introduced_in, upstream_id);
-}
-
-/// Merges two encoded records; @p held is returned if either cannot be decoded.
-template <typename Record> std::string merge_encoded(const std::string& held, const std::string& heard) {
-    try {
-        const Record heard_record = Record::decode(heard);
-        return held.empty() ? heard : merge(Record::decode(held), heard_record).encode();
-    } catch (const error&) {
-        return held;
-    }
-}
-
 /// Time from the start of a drain until the platform has redirected the callers: it checks readiness once a second and
 /// redirects after two failed checks.
 constexpr absl::Duration readiness_propagation_time = absl::Milliseconds(2200);
@@ -95,43 +57,6 @@
 /// be unused until the callers have been redirected. The rest of readiness_propagation_time is for the last requests.
 constexpr absl::Duration owner_drain_delay = absl::Milliseconds(1700);
 
-std::string merge_records(const std::string& key, const std::string& held, const std::string& heard) {
-    if (key.starts_with(order_key_prefix)) {
-        return merge_encoded<move_order>(held, heard);
-    }
-    if (key.starts_with(idle_record_prefix)) {
-        return held.empty() ? heard : held;
-    }
-    if (key == store_era_key) {
-        return merge_eras(held, heard);
-    }
-    if (key.starts_with(watcher_lease_record_prefix)) {
-        return merge_watcher_lease_records(held, heard);
-    }
-    if (key.starts_with(departure_key_prefix)) {
-        return merge_departure_records(held, heard);
-    }
-    return merge_encoded<move_record>(held, heard);
-}
-
-/// @return true if the daemons need not keep @p record any more.
-bool is_obsolete_record(const opaque_record& record, absl::Time now) {
-    if (!record.key.starts_with(departure_key_prefix)) {
-        return false;
-    }
-    try {
-        return is_obsolete(upstream_departure::decode(record.bytes), now);
-    } catch (const error&) {
-        return true;
-    }
-}
-
-/// Gossip sends urgent records first: progress of moves, orders, idle upstreams and departures. Watcher lease records
-/// are not urgent.
-bool is_urgent_record(const opaque_record& record) {
-    return !record.key.starts_with(watcher_lease_record_prefix);
-}
-
 } // namespace
 
 class mesh_daemon::implementation {
@@ -149,10 +74,7 @@
           m_proxy(make_proxy_options(settings, m_platform ? &*m_platform : nullptr),
                   make_router_settings(settings, m_platform.has_value()), make_retry_budget(settings), m_clock, m_log,
                   make_upstream_observer()),
-          m_peers(make_peer_settings(settings, m_proxy.owner_address()),
-                  {merge_records,
-                   [this](const opaque_record& record) { return is_obsolete_record(record, m_clock.now()); },
-                   is_urgent_record},
+          m_peers(make_peer_settings(settings, m_proxy.owner_address()), make_opaque_rules(m_clock),
                   make_peer_callbacks()) {
         m_peers.start();
         if (m_platform) {
