Report the revision of removed keys and complete lists of the store

Records that daemons exchange are ordered by revision, so the removal of a key needs one as well. A key that was removed while nobody of this process watched is found only by its absence from a list; the follower therefore reports each complete list with its revision.

--- a/src/store/prefix_follower.h
+++ b/src/store/prefix_follower.h
@@ -28,12 +28,17 @@
 struct prefix_listener {
     /// Reports the current state of a key. @p is_change: the key was written while the follower was watching.
     std::function<void(const stored_item& item, bool is_change)> on_item;
-    std::function<void(const std::string& key)> on_removed;
+    /// Reports the removal of a key. @p removed_in: revision of the removal; if the key is missing from a list, that of
+    /// the list.
+    std::function<void(const std::string& key, revision removed_in)> on_removed;
     /// Reports that the store became reachable or unreachable, with the outcome of the call that showed it.
     std::function<void(bool is_reachable, store_outcome outcome)> on_reachable;
     /// Optional. Returns the delay between a watch that returned changes and the next one, so that changes in quick
     /// succession cost a single call.
     std::function<absl::Duration()> watch_delay = {};
+    /// Optional. Reports all keys of a complete list, after their items and removals. Keys that this follower never
+    /// reported, such as those that were removed while another process watched, are found by their absence.
+    std::function<void(const std::set<std::string>& keys, revision as_of)> on_listed = {};
 };
 
 /// Follows the keys with a common prefix: lists them, then watches them, and lists them again when the store has lost
@@ -109,12 +114,15 @@
         }
         for (const std::string& key : m_keys) {
             if (!found.contains(key)) {
-                m_listener.on_removed(key);
+                m_listener.on_removed(key, as_of);
             }
         }
         m_keys = std::move(found);
         m_as_of = as_of;
         m_is_listed = true;
+        if (m_listener.on_listed) {
+            m_listener.on_listed(m_keys, as_of);
+        }
         return store_outcome::ok;
     }
 
@@ -131,7 +139,7 @@
         for (const stored_change& change : changed.value->changes) {
             if (change.is_removed) {
                 m_keys.erase(change.item.key);
-                m_listener.on_removed(change.item.key);
+                m_listener.on_removed(change.item.key, change.item.key_revision);
             } else {
                 m_keys.insert(change.item.key);
                 m_listener.on_item(change.item, true);
--- a/src/tests/prefix_follower_test.cpp
+++ b/src/tests/prefix_follower_test.cpp
@@ -35,7 +35,7 @@
 private:
     prefix_listener listener() {
         return {[this](const stored_item& item, bool /*is_change*/) { values[item.key] = item.value; },
-                [this](const std::string& key) { values.erase(key); },
+                [this](const std::string& key, revision /*removed_in*/) { values.erase(key); },
                 [this](bool is_reachable, store_outcome outcome) {
                     reachable.push_back(is_reachable ? "yes" : std::string(name(outcome)));
                 }};
@@ -113,7 +113,7 @@
     scripted_store store;
     std::map<std::string, std::string> values;
     prefix_listener listener{[&](const stored_item& item, bool /*is_change*/) { values[item.key] = item.value; },
-                             [](const std::string& /*key*/) {}, [](bool /*is_reachable*/, store_outcome /*outcome*/) {},
+                             [](const std::string& /*key*/, revision /*removed_in*/) {}, [](bool /*is_reachable*/, store_outcome /*outcome*/) {},
                              [] { return absl::Seconds(1); }};
     absl::BitGen random;
     prefix_follower<scripted_store> follower(store, "op/", std::move(listener));
--- a/src/tests/restored_store_test.cpp
+++ b/src/tests/restored_store_test.cpp
@@ -24,7 +24,8 @@
         : store(served.address(), counter),
           follower(store, "op/",
                    {[this](const stored_item& item, bool /*is_change*/) { values[item.key] = item.value; },
-                    [this](const std::string& key) { values.erase(key); }, [](bool, store_outcome) {}}) {}
+                    [this](const std::string& key, revision /*removed_in*/) { values.erase(key); },
+                    [](bool, store_outcome) {}}) {}
 
     call_counter counter;
     platform::kv_store store;
