Keep the orders to evacuate data centres as exchanged records

Few daemons watch the store, and messages between daemons may be late. The record of an order therefore carries the store's era and revision: the higher one wins, so that a late message can neither restore an ended order nor end a newer one. Nothing reads such orders yet.

--- a/src/daemon/opaque_record_rules.cpp
+++ b/src/daemon/opaque_record_rules.cpp
@@ -2,6 +2,7 @@
 
 #include "common/error.h"
 #include "common/parse_number.h"
+#include "daemon/evacuation_record.h"
 #include "daemon/upstream_departure.h"
 #include "daemon/watcher_lease_record.h"
 #include "moves/move_record.h"
@@ -52,6 +53,9 @@
     if (key.starts_with(departure_key_prefix)) {
         return merge_departure_records(held, heard);
     }
+    if (key.starts_with(evacuation_key_prefix)) {
+        return merge_encoded<evacuation_record>(held, heard);
+    }
     return merge_encoded<move_record>(held, heard);
 }
 
@@ -67,7 +71,8 @@
     }
 }
 
-/// Gossip sends urgent records first: progress of moves, orders, idle upstreams and departures. Watcher lease records
+/// Gossip sends urgent records first: progress of moves, orders, idle upstreams, departures and
+/// evacuations. Watcher lease records
 /// are not urgent.
 bool is_urgent_record(const opaque_record& record) {
     return !record.key.starts_with(watcher_lease_record_prefix);
