Keep requests from evacuated data centres and from cold upstreams

Evacuation: the store's keys op/evacuate/ZONE become records of all daemons. The router leaves the upstreams of such data centres out of every choice, probes and the only candidate included, and ramps them up after the order. The owner refuses new and queued requests, and checks once more before a send, since entries learn of the order at different times. Its code counts as leaving at the entry, which then takes another upstream.

Cold upstreams: the owner's limiter asks cold_start_limit before each start and each repeated send. Heartbeats, health checks, failed connections, new starts and the end of an evacuation feed it. A saved upstream that is recalled after a restart no longer counts as warm unless its health check says so, and copies of a heartbeat are ignored, since both may be older than the present state. Refusals of a cold upstream do not count against its version: those of a new version are all cold at first.

Services without a cold rate are not affected.

--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -29,7 +29,7 @@
 export -f lint_one
 printf '%s\n' "${files[@]}" | xargs -P "$(nproc)" -I{} bash -c 'lint_one {}'
 # Only the platform adapter may contain the platform's wire names.
-if git grep -nE 'kv-(key|range|watch|txn|lease|keep)|X-(Not-Executed|Response-Signature|Expected-Instance|Caller-Service|Deadline)|op/(config|rollout)|status/rollout|heartbeat_address' \
+if git grep -nE 'kv-(key|range|watch|txn|lease|keep)|X-(Cold-Start-Ms|Not-Executed|Response-Signature|Expected-Instance|Caller-Service|Deadline)|op/(config|evacuate|rollout)|status/rollout|heartbeat_address' \
   -- src bench charts thrift ':!src/tests'; then
   echo "lint: the platform's wire names belong in platform/" >&2
   exit 1
--- a/src/daemon/announced_upstreams.cpp
+++ b/src/daemon/announced_upstreams.cpp
@@ -35,6 +35,9 @@
     if (is_new) {
         known.state = m_chart.initial();
     }
+    result.is_repeated = !is_new && announcement.sequence != 0 &&
+                         announcement.started_at == known.announcement.started_at &&
+                         announcement.sequence == known.announcement.sequence;
     const std::string state_before = known.state;
     if (is_new || announcement.started_at != known.announcement.started_at) {
         const std::optional<upstream_departure> said = departure(announcement.id);
--- a/src/daemon/announced_upstreams.h
+++ b/src/daemon/announced_upstreams.h
@@ -35,6 +35,7 @@
     /// Effect of an announcement.
     struct change {
         bool is_ignored = false;               ///< It was sent before something that is known already.
+        bool is_repeated = false;              ///< It is another copy of the last known one.
         bool is_record_changed = false;        ///< The upstream's record must be sent to the other daemons again.
         std::vector<std::string> replaced_ids; ///< Ids of removed upstreams that had the same address.
     };
--- a/src/daemon/component_settings.cpp
+++ b/src/daemon/component_settings.cpp
@@ -66,6 +66,9 @@
         options.drain_timeout = drain_timeout(settings, platform->limits);
         options.upstream_drain_time = upstream_drain_time(settings, platform->limits);
         options.waiting_order = queue_order::target_first;
+        if (platform->limits.cold_overage > 0) {
+            options.cold = {platform->limits.cold_overage, platform->limits.cold_slack};
+        }
     }
     return options;
 }
--- a/src/daemon/intent_store_client.h
+++ b/src/daemon/intent_store_client.h
@@ -5,6 +5,7 @@
 #include "common/event_log.h"
 #include "common/steady_clock.h"
 #include "common/stop_signal.h"
+#include "daemon/evacuation_record.h"
 #include "daemon/intent_format.h"
 #include "daemon/store_client.h"
 #include "store/call_counter.h"
@@ -23,6 +24,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <thread>
 #include <utility>
@@ -37,6 +39,10 @@
     std::function<void(const std::shared_ptr<const snapshot>&)> apply;
     /// Merges an order that was read from the store, or whose report was written.
     std::function<void(const move_order&)> accept_order;
+    /// Applies the state of the order to evacuate a data centre that was read from the store.
+    std::function<void(const std::string& data_center, const evacuation_record&)> accept_evacuation;
+    /// Ends the orders to evacuate other data centres than those that a list of the store's keys contains.
+    std::function<void(const std::set<std::string>& data_centers, revision as_of)> accept_evacuation_list;
     /// @return orders whose report this daemon must write to the store now.
     std::function<std::vector<move_order>()> due_reports;
     /// Called when the store holds the report on an order in the state that the order has.
@@ -119,7 +125,8 @@
     prefix_listener make_listener() {
         prefix_listener listener;
         listener.on_item = [this](const stored_item& item, bool is_change) { handle_item(item, is_change); };
-        listener.on_removed = [this](const std::string& key) { m_log.info(fmt::format("intent-removed key={}", key)); };
+        listener.on_removed = [this](const std::string& key, revision removed_in) { handle_removal(key, removed_in); };
+        listener.on_listed = [this](const std::set<std::string>& keys, revision as_of) { handle_list(keys, as_of); };
         listener.watch_delay = [this] { return m_callbacks.may_delay_watch() ? m_watch_delay : absl::ZeroDuration(); };
         listener.on_reachable = [this](bool is_reachable, store_outcome outcome) {
             set_reachable(is_reachable, outcome);
@@ -192,6 +199,8 @@
                 m_callbacks.apply(*configuration);
             } else if (const auto* order = std::get_if<order_request>(&decoded)) {
                 m_callbacks.accept_order(is_change ? make_order(*order) : restore_order(*order));
+            } else if (const auto* evacuation = std::get_if<evacuation_request>(&decoded)) {
+                m_callbacks.accept_evacuation(evacuation->data_center, {evacuation->introduced_in, true});
             }
         } catch (const error& problem) {
             m_log.warning(fmt::format("intent-refused key={} revision={} code={} reason=\"{}\"", item.key,
@@ -199,6 +208,23 @@
         }
     }
 
+    void handle_removal(const std::string& key, revision removed_in) {
+        m_log.info(fmt::format("intent-removed key={} revision={}", key, revision_text(removed_in)));
+        if (const std::optional<std::string> data_center = m_format.evacuated_data_center(key)) {
+            m_callbacks.accept_evacuation(*data_center, {removed_in, false});
+        }
+    }
+
+    void handle_list(const std::set<std::string>& keys, revision as_of) {
+        std::set<std::string> data_centers;
+        for (const std::string& key : keys) {
+            if (const std::optional<std::string> data_center = m_format.evacuated_data_center(key)) {
+                data_centers.insert(*data_center);
+            }
+        }
+        m_callbacks.accept_evacuation_list(data_centers, as_of);
+    }
+
     move_order make_order(const order_request& request) const {
         return {request.service, request.to_version, request.introduced_in, m_clock.now() + request.time_limit,
                 order_report::none};
--- a/src/daemon/mesh_daemon.cpp
+++ b/src/daemon/mesh_daemon.cpp
@@ -5,9 +5,11 @@
 #include "common/steady_clock.h"
 #include "daemon/active_configuration.h"
 #include "daemon/announced_upstreams.h"
+#include "daemon/cold_state_checks.h"
 #include "daemon/collector_selector.h"
 #include "daemon/component_settings.h"
 #include "daemon/control_server.h"
+#include "daemon/evacuation_service.h"
 #include "daemon/follower_selector.h"
 #include "daemon/move_service.h"
 #include "daemon/opaque_record_rules.h"
@@ -75,11 +77,18 @@
                   make_router_settings(settings, m_platform.has_value()), make_retry_budget(settings), m_clock, m_log,
                   make_upstream_observer()),
           m_peers(make_peer_settings(settings, m_proxy.owner_address()), make_opaque_rules(m_clock),
-                  make_peer_callbacks()) {
+                  make_peer_callbacks()),
+          m_evacuations(make_evacuation_callbacks(), m_log) {
         m_peers.start();
         if (m_platform) {
             m_peers.add_contacts(m_platform->seeds);
             serve_platform();
+            m_cold_checks.emplace(
+                m_platform->query_upstream_id,
+                [this](const std::string& id, absl::Duration remaining, absl::Time asked_at) {
+                    m_proxy.report_cold(id, remaining, asked_at);
+                },
+                m_clock, m_log);
             m_store_client = m_platform->connect_store(make_intent_store_callbacks(), m_clock, m_log);
         } else {
             const std::string holder = fmt::format("{}-{}", settings.daemon.worker, absl::ToUnixMillis(m_started_at));
@@ -149,7 +158,12 @@
 
     upstream_observer make_upstream_observer() {
         return {[this](const upstream_call_result& call) { m_moves.observe(call); },
-                [this](const std::string& id) { handle_leaving(id); }};
+                [this](const std::string& id) { handle_leaving(id); },
+                [this](const std::string& id, const endpoint& address) {
+                    if (m_cold_checks) {
+                        m_cold_checks->start(id, address);
+                    }
+                }};
     }
 
     peer_callbacks make_peer_callbacks() {
@@ -165,6 +179,17 @@
         return callbacks;
     }
 
+    evacuation_callbacks make_evacuation_callbacks() {
+        evacuation_callbacks callbacks;
+        callbacks.send = [this](const opaque_record& record) { m_peers.put_opaque(record); };
+        callbacks.apply = [this](const std::set<std::string>& names) { m_proxy.set_evacuated_data_centers(names); };
+        callbacks.host_count = [this](const std::string& data_center) {
+            const std::vector<member> members = m_peers.members();
+            return static_cast<std::size_t>(std::ranges::count(members, data_center, &member::data_center));
+        };
+        return callbacks;
+    }
+
     control_handlers make_control_handlers() {
         control_handlers handlers;
         handlers.announce = [this](const upstream_announcement& announcement) { handle_announcement(announcement); };
@@ -208,6 +233,12 @@
             }
         };
         callbacks.accept_order = [this](const move_order& order) { accept_order(order); };
+        callbacks.accept_evacuation = [this](const std::string& data_center, const evacuation_record& read) {
+            m_evacuations.accept(data_center, read);
+        };
+        callbacks.accept_evacuation_list = [this](const std::set<std::string>& data_centers, revision as_of) {
+            m_evacuations.accept_list(data_centers, as_of);
+        };
         callbacks.due_reports = [this] { return m_orders.due_reports(m_clock.now()); };
         callbacks.on_report_written = [this](const move_order& order) { m_orders.on_report_written(order); };
         callbacks.on_store_restored = [this] { m_orders.on_reports_lost(address_rank(), m_clock.now()); };
@@ -316,7 +347,9 @@
                                saved_announcement.id, is_same, answered.id, answered.status, name(answered.failure),
                                absl::ToInt64Milliseconds(m_clock.now() - asked_at)));
         if (is_same) {
-            handle_announcement(saved_announcement);
+            if (process_announcement(saved_announcement) && answered.remaining_cold) {
+                m_proxy.report_cold(saved_announcement.id, *answered.remaining_cold, asked_at);
+            }
         }
     }
 
@@ -509,6 +542,10 @@
                 m_heard_era = parse_era(record.bytes);
                 return;
             }
+            if (record.key.starts_with(evacuation_key_prefix)) {
+                m_evacuations.merge_remote(record);
+                return;
+            }
             if (record.key.starts_with(departure_key_prefix)) {
                 handle_departure(record.key.substr(departure_key_prefix.size()),
                                  upstream_departure::decode(record.bytes));
@@ -530,6 +567,13 @@
     }
 
     void handle_announcement(const upstream_announcement& announcement) {
+        if (process_announcement(announcement)) {
+            m_proxy.report_cold(announcement.id, announcement.remaining_warm_up);
+        }
+    }
+
+    /// @return true if the announcement is newer than what was known.
+    bool process_announcement(const upstream_announcement& announcement) {
         const absl::MutexLock lock(&m_mutex);
         const announced_upstreams::change changed = m_announced_upstreams.announce(announcement, m_clock.now());
         if (changed.is_ignored) {
@@ -537,7 +581,7 @@
             m_log.info(fmt::format("announcement-ignored upstream={} sequence={} started_ms={} leaving={} departure={}",
                                    announcement.id, announcement.sequence, absl::ToUnixMillis(announcement.started_at),
                                    announcement.is_leaving, departure ? name(departure->kind) : "none"));
-            return;
+            return false;
         }
         for (const std::string& id : changed.replaced_ids) {
             remove_upstream(id, upstream_removal::replaced);
@@ -553,6 +597,7 @@
             }
             m_moves.set_upstream(announcement.service, announcement.version);
         }
+        return !changed.is_repeated;
     }
 
     /// Tells the other daemons that an upstream beside this one has said in a response that it leaves.
@@ -833,6 +878,7 @@
         result.upstreams_known = usable_upstreams().size();
         result.moves = m_moves.statuses();
         result.requests = m_proxy.counters();
+        result.evacuated_data_centers = m_evacuations.evacuated();
         result.dropped_log_lines = m_log.dropped_lines();
         const absl::MutexLock lock(&m_mutex);
         result.configuration_applied_at = m_applied_at;
@@ -895,6 +941,8 @@
     active_configuration m_configuration;
     request_proxy m_proxy;
     peer_server m_peers;
+    evacuation_service m_evacuations;
+    std::optional<cold_state_checks> m_cold_checks; ///< Only with a platform.
     std::unique_ptr<store_client> m_store_client;
     std::unique_ptr<control_server> m_control_server;
     std::thread m_control_thread;
--- a/src/daemon/platform_interface.h
+++ b/src/daemon/platform_interface.h
@@ -9,6 +9,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace amaranthladder {
@@ -32,6 +33,9 @@
     absl::Duration stop_grace;
     /// Time for which an upstream serves after its leaving has been acknowledged; no request may reach it later.
     absl::Duration upstream_drain;
+    /// A cold upstream may get its cold rate times this, plus cold_slack, in any second.
+    double cold_overage = 0;
+    double cold_slack = 0; ///< In requests.
 };
 
 /// Response of an upstream to the question for its id.
@@ -39,6 +43,8 @@
     std::string id; ///< Empty if the upstream does not answer, is unhealthy or is leaving.
     int status = 0; ///< HTTP status; 0 if there was no complete response.
     http_call_failure failure = http_call_failure::none; ///< Why there was none.
+    /// Time for which the upstream is still cold, zero if it is warm; empty if the response does not say so.
+    std::optional<absl::Duration> remaining_cold = {};
 };
 
 /// Everything that depends on the platform's interfaces. Created by the platform's adapter.
--- a/src/daemon/status_text.cpp
+++ b/src/daemon/status_text.cpp
@@ -171,6 +171,7 @@
                               {"upstreams_here", upstreams_json(status)},
                               {"upstreams_known", status.upstreams_known},
                               {"moves", moves},
+                              {"evacuated", json::value_from(status.evacuated_data_centers)},
                               {"requests", requests_json(status.requests)},
                               {"dropped_log_lines", status.dropped_log_lines}};
     return json::serialize(result) + "\n";
@@ -195,6 +196,13 @@
                static_cast<double>(status.requests.malformed_rate_limits));
     add_metric(text, "upstream_surplus_responses_total", "counter", "",
                static_cast<double>(status.requests.surplus_responses));
+    add_metric(text, "evacuated_data_centers", "gauge", "", static_cast<double>(status.evacuated_data_centers.size()));
+    add_metric(text, "refusals_evacuated_total", "counter", "",
+               static_cast<double>(status.requests.refusals_evacuated));
+    add_metric(text, "upstreams_cold", "gauge", "", static_cast<double>(status.requests.upstreams_cold));
+    add_metric(text, "upstream_cold_periods_total", "counter", "", static_cast<double>(status.requests.cold_periods));
+    add_metric(text, "upstream_cold_checks_total", "counter", "", static_cast<double>(status.requests.cold_checks));
+    add_metric(text, "refusals_cold_total", "counter", "", static_cast<double>(status.requests.refusals_cold));
     add_metric(text, "connections", "gauge", "", static_cast<double>(status.requests.connections_open));
     add_metric(text, "log_lines_dropped_total", "counter", "", static_cast<double>(status.dropped_log_lines));
     return text;
--- a/src/daemon/status_text.h
+++ b/src/daemon/status_text.h
@@ -18,6 +18,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -41,6 +42,7 @@
     std::size_t upstreams_known = 0;
     std::vector<move_status> moves;
     proxy_counters requests;
+    std::set<std::string> evacuated_data_centers;
     std::uint64_t dropped_log_lines = 0;
 };
 
--- a/src/daemon/upstream_announcement.cpp
+++ b/src/daemon/upstream_announcement.cpp
@@ -13,6 +13,7 @@
 namespace {
 
 constexpr int max_slots = 10'000;
+constexpr std::uint64_t max_cold_ms = 600'000;
 constexpr std::size_t max_routes = 1'000;
 constexpr std::size_t max_json_depth = 4;
 
@@ -152,6 +153,11 @@
     result.is_leaving = read_leaving(body);
     result.started_at = absl::FromUnixMillis(static_cast<std::int64_t>(read_count(body, "started_at_ms")));
     result.sequence = read_count(body, "sequence");
+    const std::uint64_t cold_ms = read_count(body, "cold_ms");
+    if (cold_ms > max_cold_ms) {
+        fail("cold_ms", fmt::format("must be at most {}", max_cold_ms));
+    }
+    result.remaining_warm_up = absl::Milliseconds(cold_ms);
     return result;
 }
 
--- a/src/daemon/upstream_announcement.h
+++ b/src/daemon/upstream_announcement.h
@@ -24,7 +24,7 @@
     bool is_leaving = false;
     absl::Time started_at = absl::UnixEpoch(); ///< Start of the upstream; decides between equal ids or addresses.
     std::uint64_t sequence = 0;                ///< Increases with each announcement since the start; 0: not stated.
-    absl::Duration remaining_warm_up;          ///< Remaining time for which the upstream is slow after its start.
+    absl::Duration remaining_warm_up;          ///< Time for which the upstream is still cold; zero: it is warm.
 
     friend bool operator==(const upstream_announcement&, const upstream_announcement&) = default;
 };
--- a/src/http/private/entry_call.cpp
+++ b/src/http/private/entry_call.cpp
@@ -39,6 +39,7 @@
 attempt_outcome refusal_outcome(result_code code) {
     switch (code) {
     case result_code::upstream_leaving:
+    case result_code::data_center_evacuated:
     case result_code::daemon_draining:
     case result_code::no_upstream:
         return attempt_outcome::refused_leaving;
--- a/src/http/private/local_upstream.h
+++ b/src/http/private/local_upstream.h
@@ -18,6 +18,7 @@
     bool is_version_refused = false; ///< Its version was rolled back; other versions serve the requests.
     absl::Time unreachable_until = absl::InfinitePast(); ///< Requests are refused until then after a failed connection.
     requested_rate_limit rate_limit;
+    bool is_cold = false;          ///< As last logged; only for services that limit cold upstreams.
     bool has_said_leaving = false; ///< A response of this upstream said so.
     /// A response of this upstream has carried the id of its request, so a refusal without one is to another request.
     bool echoes_request_ids = false;
--- a/src/http/private/owner_call.cpp
+++ b/src/http/private/owner_call.cpp
@@ -60,7 +60,7 @@
     const result_code granted = co_await m_semaphore->acquire(wanted);
     log_admission(granted, wanted);
     if (granted != result_code::ok) {
-        if (granted != result_code::upstream_leaving && granted != result_code::caller_disconnected) {
+        if (is_version_refusal(granted)) {
             report_call(upstream_call_result::outcome::refused);
         }
         co_return exchange_status{granted, execution::not_run};
@@ -68,6 +68,7 @@
     m_permit.emplace(*m_semaphore, m_id);
     m_started_at = m_proxy.clock.now();
     const exchange_status started = co_await send_request();
+    observe_connection(started.code);
     m_latency = m_proxy.clock.now() - m_started_at;
     if (m_is_cancelled) {
         co_return exchange_status{result_code::caller_disconnected, started.request_execution};
@@ -83,6 +84,28 @@
     co_return started;
 }
 
+bool owner_call::is_version_refusal(result_code refusal) {
+    if (refusal == result_code::data_center_evacuated) {
+        ++m_proxy.counters.refusals_evacuated;
+        return false;
+    }
+    if (refusal == result_code::upstream_leaving || refusal == result_code::caller_disconnected) {
+        return false;
+    }
+    // A cold upstream says nothing of its version, and those of a new version are all cold at first.
+    const bool is_cold = m_semaphore->limiter().cold_starts().is_limiting(m_proxy.clock.now());
+    m_proxy.counters.refusals_cold += is_cold ? 1 : 0;
+    return !is_cold;
+}
+
+void owner_call::observe_connection(result_code outcome) {
+    const bool is_failed = outcome == result_code::connect_failed || outcome == result_code::connection_lost;
+    if (is_failed && !m_is_cancelled) {
+        // The process may have been replaced by a cold one.
+        m_semaphore->cold_starts().on_connection_failed(m_proxy.clock.now());
+    }
+}
+
 void owner_call::log_admission(result_code granted, const slot_request& wanted) {
     if (!m_proxy.log.is_enabled(log_level::info)) {
         return;
@@ -93,11 +116,12 @@
     const std::optional<double> limit = known == nullptr ? std::nullopt : known->rate_limit.value();
     m_proxy.log.info(fmt::format(
         "admission request={} upstream={} route={} result={} attempt={} running={} queued={} limit_per_s={} "
-        "limit_age_ms={} priority={} nested={} waited_ms={} target_in_ms={} deadline_in_ms={} service_ms={}",
+        "limit_age_ms={} cold={} priority={} nested={} waited_ms={} target_in_ms={} deadline_in_ms={} service_ms={}",
         m_request.info.request_id, m_upstream.id, m_route, name(granted), m_request.info.attempt, limiter.running(),
         limiter.queued(), rate_limit_text(limit),
-        limit ? absl::ToInt64Milliseconds(now - known->rate_limit.named_at()) : 0, wanted.priority,
-        m_request.info.is_nested, absl::ToInt64Milliseconds(now - m_request.received_at),
+        limit ? absl::ToInt64Milliseconds(now - known->rate_limit.named_at()) : 0,
+        limiter.cold_starts().is_limiting(now), wanted.priority, m_request.info.is_nested,
+        absl::ToInt64Milliseconds(now - m_request.received_at),
         m_request.info.target_time_left ? absl::ToInt64Milliseconds(wanted.target_time - now) : 0,
         absl::ToInt64Milliseconds(m_deadline - now), absl::ToInt64Milliseconds(limiter.service_time(m_route))));
 }
@@ -124,7 +148,9 @@
     }
     // Both the connection and the body of a slow caller may take time.
     if (!m_semaphore->limiter().may_send(m_proxy.clock.now())) {
-        co_return exchange_status{result_code::upstream_leaving, execution::not_run};
+        const result_code reason = m_semaphore->limiter().drop_reason();
+        m_proxy.counters.refusals_evacuated += reason == result_code::data_center_evacuated ? 1 : 0;
+        co_return exchange_status{reason, execution::not_run};
     }
     const http::request_header<> head = make_request_header();
     const exchange::request outgoing{m_upstream.address,
@@ -305,7 +331,7 @@
     return {.load = limiter.load(m_proxy.clock.now()),
             .service_time = limiter.service_time(),
             .route_service_time = limiter.service_time(m_route),
-            .rate_limit = limiter.rate_limit(),
+            .rate_limit = limiter.rate_limit(m_proxy.clock.now()),
             .is_leaving = known != nullptr && known->has_said_leaving};
 }
 
--- a/src/http/private/owner_call.h
+++ b/src/http/private/owner_call.h
@@ -69,6 +69,11 @@
     /// Records what the upstream says of itself in its response.
     /// @param is_complete false if the response may lack what other responses of the upstream contain.
     void observe_signals(bool is_complete);
+    /// Counts a refusal.
+    /// @return true if it counts against the version of the upstream.
+    bool is_version_refusal(result_code refusal);
+    /// Records whether the connection to the upstream has failed.
+    void observe_connection(result_code outcome);
     void log_admission(result_code granted, const slot_request& wanted);
     bool has_field(const std::string& name);
     /// @return true if the response is one to this request, as far as its id tells.
--- a/src/http/private/proxy_state.h
+++ b/src/http/private/proxy_state.h
@@ -61,6 +61,33 @@
         return found == configuration->limits.end() ? nullptr : &found->second;
     }
 
+    /// @return requests per second that a cold upstream of the service tolerates; 0: all.
+    double cold_rate_of(const std::string& service) const {
+        const auto found = configuration->services.find(service);
+        return found == configuration->services.end() ? 0 : found->second.cold_rate;
+    }
+
+    /// Logs and counts whether a local upstream is cold, if that has changed.
+    /// @param reason what has changed it, for the log.
+    void observe_cold(local_upstream& observed, std::string_view reason) {
+        const cold_start_limit& cold = observed.semaphore->limiter().cold_starts();
+        const bool is_cold = cold.is_limiting(clock.now());
+        if (std::exchange(observed.is_cold, is_cold) == is_cold) {
+            return;
+        }
+        counters.cold_periods += is_cold ? 1 : 0;
+        log.info(fmt::format("cold-upstream upstream={} service={} cold={} unknown={} reason={} limit_per_s={:.1f} "
+                             "recent_starts={}",
+                             observed.record.id, observed.record.service, is_cold, cold.is_unknown(), reason,
+                             cold.limit(clock.now()).value_or(0), cold.recent_starts()));
+    }
+
+    /// Refuses the requests of a local upstream if its data centre is evacuated.
+    void apply_evacuation(local_upstream& affected) {
+        const bool is_evacuated = evacuated.contains(affected.record.data_center);
+        affected.semaphore->set_refusal(is_evacuated ? result_code::data_center_evacuated : result_code::ok);
+    }
+
     /// Refuses further requests for a local upstream, and waiting ones that it cannot serve in the time it has left.
     /// @param reason what showed that it leaves, for the log.
     /// @param serves_for time for which it still serves.
@@ -91,6 +118,7 @@
     std::map<std::string, local_upstream> local_upstreams;
     std::map<std::string, first_byte_latency> latency_by_route; ///< Of calls to local upstreams.
     std::shared_ptr<const intended_state> configuration = std::make_shared<intended_state>();
+    std::set<std::string> evacuated;    ///< Evacuated data centres.
     bool has_configuration = false;     ///< A configuration has been applied since the start.
     std::set<entry_call*> remote_calls; ///< Idempotent requests that wait for another owner.
     caller_timeout_estimator caller_timeouts;
--- a/src/http/private/slot_semaphore.cpp
+++ b/src/http/private/slot_semaphore.cpp
@@ -17,8 +17,8 @@
 } // namespace
 
 slot_semaphore::slot_semaphore(asio::io_context& context, const steady_clock& clock, int slots, int queue_limit,
-                               queue_order order)
-    : m_context(context), m_clock(clock), m_limiter(slots, queue_limit, {.order = order}) {}
+                               queue_order order, cold_start_policy cold)
+    : m_context(context), m_clock(clock), m_limiter(slots, queue_limit, {.order = order, .cold = cold}) {}
 
 asio::awaitable<result_code> slot_semaphore::acquire(const slot_request& request) {
     const request_id id = request.id;
@@ -83,6 +83,12 @@
     m_limiter.clear_leaving();
 }
 
+void slot_semaphore::set_refusal(result_code code) {
+    for (const request_id id : m_limiter.set_refusal(code)) {
+        wake(id, m_limiter.drop_reason());
+    }
+}
+
 bool slot_semaphore::try_repeat() {
     return m_limiter.try_repeat(m_clock.now());
 }
--- a/src/http/private/slot_semaphore.h
+++ b/src/http/private/slot_semaphore.h
@@ -22,7 +22,9 @@
     /// @param slots number of requests that may run at a time.
     /// @param queue_limit number of requests that may wait.
     /// @param order order in which waiting requests get slots.
-    slot_semaphore(asio::io_context& context, const steady_clock& clock, int slots, int queue_limit, queue_order order);
+    /// @param cold what the upstream may get while it is cold.
+    slot_semaphore(asio::io_context& context, const steady_clock& clock, int slots, int queue_limit, queue_order order,
+                   cold_start_policy cold = {});
 
     /// Waits for a slot.
     /// @return ok if the request holds a slot, which release() frees; otherwise the reason for its refusal.
@@ -48,6 +50,14 @@
     /// Accepts requests again.
     void clear_leaving();
 
+    /// Refuses all requests, also waiting ones; see slot_limiter::set_refusal.
+    void set_refusal(result_code code);
+
+    /// @copydoc slot_limiter::cold_starts
+    cold_start_limit& cold_starts() {
+        return m_limiter.cold_starts();
+    }
+
     const slot_limiter& limiter() const {
         return m_limiter;
     }
--- a/src/http/proxy_options.h
+++ b/src/http/proxy_options.h
@@ -19,6 +19,7 @@
     /// Address for requests of other daemons; if empty, they arrive at listen_address.
     endpoint owner_address;
     queue_order waiting_order = queue_order::earliest_deadline; ///< Order of the requests that wait for a slot.
+    cold_start_policy cold;                                     ///< What a cold upstream may get.
     std::string caller_service; ///< Service of the local upstream, sent to the upstreams that it calls.
     header_names headers;
     std::size_t max_connections = 2000;
--- a/src/http/proxy_statistics.h
+++ b/src/http/proxy_statistics.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "common/endpoint.h"
 #include "common/result_code.h"
 
 #include <absl/time/time.h>
@@ -32,6 +33,8 @@
     std::function<void(const upstream_call_result&)> on_call;
     /// Called once when a local upstream says in a response that it leaves.
     std::function<void(const std::string& id)> on_leaving;
+    /// Called when the state of a local upstream must be read with a health check. May be empty.
+    std::function<void(const std::string& id, const endpoint& address)> on_check_due = {};
 };
 
 /// Counters of the data path since the start of the daemon, and its current connections and requests.
@@ -48,6 +51,11 @@
     std::uint64_t refusals_may_have_run = 0;
     std::uint64_t rate_limit_changes = 0;    ///< Of local upstreams, as named in their responses.
     std::uint64_t malformed_rate_limits = 0; ///< Responses with a rate limit that is not a number.
+    std::uint64_t refusals_evacuated = 0;    ///< Of the owner, since its data centre is evacuated.
+    std::uint64_t refusals_cold = 0;         ///< Of the owner, while its upstream is cold.
+    std::uint64_t cold_periods = 0;          ///< Times at which a local upstream became cold or unknown.
+    std::uint64_t cold_checks = 0;           ///< Health checks to find out whether a local upstream is cold.
+    std::uint64_t upstreams_cold = 0;        ///< Local upstreams that are cold now.
     std::uint64_t surplus_responses = 0;     ///< Responses of upstreams to requests that had been answered before.
     std::uint64_t requests_in_flight = 0;
     std::uint64_t idle_upstream_connections = 0;
--- a/src/http/request_proxy.cpp
+++ b/src/http/request_proxy.cpp
@@ -122,7 +122,7 @@
         if (known == nullptr) {
             known = &m_state.local_upstreams[record.id];
             known->semaphore = std::make_shared<slot_semaphore>(m_state.context, m_state.clock, record.slots,
-                                                                queue_limit, m_options.waiting_order);
+                                                                queue_limit, m_options.waiting_order, m_options.cold);
         } else if (known->record.slots != record.slots) {
             known->semaphore->set_limits(record.slots, queue_limit);
         }
@@ -131,8 +131,12 @@
             known->echoes_request_ids = false;
             known->rate_limit = {};
             known->semaphore->set_rate_limit(std::nullopt);
+            known->semaphore->cold_starts().on_new_start(m_state.clock.now());
         }
         known->record = std::move(record);
+        m_state.apply_evacuation(*known);
+        known->semaphore->cold_starts().set_rate(m_state.cold_rate_of(known->record.service), m_state.clock.now());
+        m_state.observe_cold(*known, "start");
         // Announcements may be older than the response that said leaving.
         const bool is_leaving = known->record.is_leaving || known->has_said_leaving;
         const bool was_leaving = known->semaphore->limiter().is_leaving();
@@ -153,7 +157,54 @@
         }
     }
 
+    void set_evacuated_data_centers(std::set<std::string> names) {
+        m_state.request_router.set_evacuated_data_centers(names, m_state.clock.now());
+        const std::set<std::string> previous = std::exchange(m_state.evacuated, std::move(names));
+        for (auto& [id, known] : m_state.local_upstreams) {
+            const int queued = known.semaphore->limiter().queued();
+            m_state.apply_evacuation(known);
+            const bool is_evacuated = m_state.evacuated.contains(known.record.data_center);
+            if (is_evacuated == previous.contains(known.record.data_center)) {
+                continue;
+            }
+            m_state.log.info(fmt::format("upstream-evacuation upstream={} data_center={} evacuated={} running={} "
+                                         "refused={}",
+                                         id, known.record.data_center, is_evacuated,
+                                         known.semaphore->limiter().running(), is_evacuated ? queued : 0));
+            if (!is_evacuated) {
+                known.semaphore->cold_starts().on_event(m_state.clock.now());
+                m_state.observe_cold(known, "evacuation-ended");
+            }
+        }
+    }
+
+    void report_cold(const std::string& id, absl::Duration remaining, std::optional<absl::Time> asked_at) {
+        local_upstream* const known = m_state.find_local_upstream(id);
+        if (known == nullptr) {
+            return;
+        }
+        cold_start_limit& cold = known->semaphore->cold_starts();
+        if (asked_at) {
+            cold.on_health_check(remaining, *asked_at, m_state.clock.now());
+        } else {
+            cold.on_heartbeat(remaining, m_state.clock.now());
+        }
+        m_state.observe_cold(*known, asked_at ? "health-check" : "heartbeat");
+    }
+
 private:
+    /// Sends due health checks of local upstreams and notices those that are not cold any more.
+    void check_local_upstreams() {
+        for (auto& [id, known] : m_state.local_upstreams) {
+            const bool is_due = known.semaphore->cold_starts().take_due_check(m_state.clock.now());
+            m_state.observe_cold(known, "event");
+            if (is_due && m_state.upstreams.on_check_due) {
+                ++m_state.counters.cold_checks;
+                m_state.upstreams.on_check_due(id, known.record.address);
+            }
+        }
+    }
+
     /// Accepts a connection. After a failure, such as a lack of file descriptors, it waits so that the caller does not
     /// spin.
     asio::awaitable<std::optional<asio::ip::tcp::socket>> accept_connection(asio::ip::tcp::acceptor& acceptor) {
@@ -211,6 +262,7 @@
             timer.expires_after(owner_check_interval);
             co_await timer.async_wait(as_result);
             const absl::Time now = m_state.clock.now();
+            check_local_upstreams();
             const std::vector<entry_call*> waiting(m_state.remote_calls.begin(), m_state.remote_calls.end());
             for (entry_call* call : waiting) {
                 call->cancel_attempt_if_unreachable(now);
@@ -226,6 +278,8 @@
             co_await timer.async_wait(as_result);
             m_state.pool.close_expired(m_state.clock.now());
             m_state.counters.connections_open = m_sessions.size();
+            m_state.counters.upstreams_cold = static_cast<std::uint64_t>(
+                std::ranges::count_if(m_state.local_upstreams, [](const auto& entry) { return entry.second.is_cold; }));
             m_state.counters.idle_upstream_connections = m_state.pool.idle_count();
             const absl::MutexLock lock(&m_mutex);
             m_published_counters = m_state.counters;
@@ -310,7 +364,12 @@
         m_implementation->state().has_configuration = true;
         std::erase_if(m_implementation->state().latency_by_route,
                       [&](const auto& entry) { return !state->routes.contains(entry.first); });
-        m_implementation->state().request_router.set_configuration(state);
+        proxy_state& proxy = m_implementation->state();
+        proxy.request_router.set_configuration(state);
+        for (auto& [id, known] : proxy.local_upstreams) {
+            known.semaphore->cold_starts().set_rate(proxy.cold_rate_of(known.record.service), proxy.clock.now());
+            proxy.observe_cold(known, "configuration");
+        }
     });
 }
 
@@ -333,6 +392,15 @@
     });
 }
 
+void request_proxy::set_evacuated_data_centers(std::set<std::string> names) {
+    m_implementation->post(
+        [this, names = std::move(names)]() mutable { m_implementation->set_evacuated_data_centers(std::move(names)); });
+}
+
+void request_proxy::report_cold(const std::string& id, absl::Duration remaining, std::optional<absl::Time> asked_at) {
+    m_implementation->post([this, id, remaining, asked_at] { m_implementation->report_cold(id, remaining, asked_at); });
+}
+
 void request_proxy::set_local_upstream(upstream_record record, int queue_limit) {
     m_implementation->post([this, record = std::move(record), queue_limit]() mutable {
         m_implementation->set_local_upstream(std::move(record), queue_limit);
--- a/src/http/request_proxy.h
+++ b/src/http/request_proxy.h
@@ -12,6 +12,8 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -59,10 +61,18 @@
     void set_suspected_owners(std::vector<endpoint> owners);
     void set_share_overrides(share_overrides overrides);
 
+    /// Replaces the set of evacuated data centres. Their upstreams get no request, whoever sends it.
+    void set_evacuated_data_centers(std::set<std::string> names);
+
     /// Starts serving requests for a local upstream, or updates its record.
     /// @param queue_limit number of requests that may wait for a slot.
     void set_local_upstream(upstream_record record, int queue_limit);
 
+    /// Records what a local upstream has reported of its state.
+    /// @param remaining time for which it is still cold; zero: it is warm.
+    /// @param asked_at when the health check was sent; without a value it was a heartbeat.
+    void report_cold(const std::string& id, absl::Duration remaining, std::optional<absl::Time> asked_at = {});
+
     /// Sets whether requests of other daemons for a local upstream are refused because its version was rolled back. The
     /// refusals say that the request was not executed, so the entries retry at another upstream.
     void set_version_refused(const std::string& id, bool is_refused);
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -95,7 +95,10 @@
         total += version.weight;
     }
     if (total <= 0) {
-        return make_decision(matched_route, request, result_code::no_upstream);
+        return make_decision(matched_route, request,
+                             m_evacuated_services.contains(service_of(matched_route, request))
+                                 ? result_code::data_center_evacuated
+                                 : result_code::no_upstream);
     }
     double remaining = absl::uniform_real_distribution<double>(0, total)(rng);
     auto version = versions.begin();
@@ -172,18 +175,40 @@
     }
     absl::erase_if(m_leaving, [now](const auto& entry) { return now - entry.second.said_at > leaving_retention; });
     const upstream_record& record = found->second->record;
-    const bool was_usable = is_usable(record);
+    const bool was_staying = !is_leaving(record);
     m_leaving[upstream_id] = {record, now};
-    if (was_usable) {
+    if (was_staying) {
         rebuild_groups({record.service});
     }
-    return was_usable;
+    return was_staying;
 }
 
 bool router::is_usable(const upstream_record& record) const {
+    return !is_leaving(record) && !m_evacuated.contains(record.data_center);
+}
+
+bool router::is_leaving(const upstream_record& record) const {
     const auto leaving = m_leaving.find(record.id);
     const bool has_said_leaving = leaving != m_leaving.end() && is_same_start(leaving->second.record, record);
-    return !record.is_leaving && !record.is_withdrawn && !has_said_leaving;
+    return record.is_leaving || record.is_withdrawn || has_said_leaving;
+}
+
+void router::set_evacuated_data_centers(std::set<std::string> names, absl::Time now) {
+    service_names changed;
+    for (const auto& [id, upstream] : m_upstreams) {
+        const bool was_evacuated = m_evacuated.contains(upstream->record.data_center);
+        if (was_evacuated == names.contains(upstream->record.data_center)) {
+            continue;
+        }
+        changed.insert(upstream->record.service);
+        if (was_evacuated) {
+            // Its state is as unknown as that of an upstream that has just started.
+            upstream->warm_up_started = now;
+            upstream->penalised_until = absl::InfinitePast();
+        }
+    }
+    m_evacuated = std::move(names);
+    rebuild_groups(changed);
 }
 
 void router::apply_record(const upstream_record& record, service_names& changed, absl::Time now) {
@@ -219,11 +244,17 @@
         for (auto& [version, members] : m_services[service]) {
             members.upstreams.clear();
         }
+        m_evacuated_services.erase(service);
     }
     for (const auto& [id, upstream] : m_upstreams) {
         const upstream_record& record = upstream->record;
-        if (upstream->is_listed && is_usable(record) && changed.contains(record.service)) {
+        if (!upstream->is_listed || !changed.contains(record.service)) {
+            continue;
+        }
+        if (is_usable(record)) {
             m_services[record.service][record.version].upstreams.push_back(upstream.get());
+        } else if (!is_leaving(record)) {
+            m_evacuated_services.insert(record.service);
         }
     }
     for (const std::string& service : changed) {
--- a/src/routing/router.h
+++ b/src/routing/router.h
@@ -18,6 +18,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -96,6 +97,10 @@
     /// Replaces the shares set by moves, which take precedence over the configured ones.
     void set_share_overrides(share_overrides overrides);
 
+    /// Replaces the set of evacuated data centres, whose upstreams are never chosen. Those of data centres that are no
+    /// longer evacuated are ramped up.
+    void set_evacuated_data_centers(std::set<std::string> names, absl::Time now);
+
     /// @copydoc route_table::match
     route_match match(std::string_view host, std::string_view method, std::string_view target) const;
 
@@ -104,7 +109,9 @@
     /// @param request properties of the request.
     /// @param now current time.
     /// @param rng source of randomness.
-    /// @return the chosen upstream, or the refusal no_upstream or deadline_expired.
+    /// @return the chosen upstream, or the refusal no_upstream, deadline_expired, or data_center_evacuated if the
+    /// service
+    ///         has upstreams only in evacuated data centres.
     routing_decision choose(const route& matched_route, const routing_request& request, absl::Time now,
                             absl::BitGenRef rng) const;
 
@@ -199,6 +206,7 @@
     };
 
     bool is_usable(const upstream_record& record) const;
+    bool is_leaving(const upstream_record& record) const;
     void apply_record(const upstream_record& record, service_names& changed, absl::Time now);
     void rebuild_groups(const service_names& changed);
     void finalize_group(version_group& members) const;
@@ -233,6 +241,9 @@
     std::shared_ptr<const intended_state> m_state;
     route_table m_routes;
     share_overrides m_overrides;
+    std::set<std::string> m_evacuated; ///< Evacuated data centres.
+    /// Services with upstreams that serve requests except for an evacuation.
+    service_names m_evacuated_services;
     std::vector<endpoint> m_suspected_owners; ///< Small, so a linear search is enough.
     absl::flat_hash_map<std::string, std::unique_ptr<upstream_state>> m_upstreams;
     absl::flat_hash_map<std::string, version_groups> m_services;
--- a/src/routing/slot_limiter.cpp
+++ b/src/routing/slot_limiter.cpp
@@ -8,7 +8,8 @@
 namespace amaranthladder {
 
 slot_limiter::slot_limiter(int slots, int queue_limit, slot_limiter_policy policy)
-    : m_policy(policy), m_slots(std::max(slots, 1)), m_queue_limit(std::max(queue_limit, 0)) {}
+    : m_policy(policy), m_slots(std::max(slots, 1)), m_queue_limit(std::max(queue_limit, 0)),
+      m_cold_starts(policy.cold) {}
 
 admission slot_limiter::offer(request_id id, absl::Time deadline, absl::Time now, const std::string& kind) {
     return offer({id, deadline, kind}, now);
@@ -19,6 +20,9 @@
     if (is_known(request.id)) {
         throw error(result_code::internal_error, "a request was offered twice to a slot limiter");
     }
+    if (m_refusal != result_code::ok) {
+        return {admission::verdict::refused, m_refusal};
+    }
     if (m_is_leaving) {
         return {admission::verdict::refused, result_code::upstream_leaving};
     }
@@ -27,7 +31,7 @@
     }
     const waiting_request offered{request.id, deadline, kind_index(request.kind),
                                   std::min(request.target_time, deadline), request.priority};
-    if (running() < m_slots && m_queue.empty() && m_start_rate.may_start(now)) {
+    if (running() < m_slots && m_queue.empty() && may_start(now)) {
         start(offered, now);
         return {admission::verdict::run, result_code::ok};
     }
@@ -110,6 +114,19 @@
     return dropped;
 }
 
+std::vector<request_id> slot_limiter::set_refusal(result_code code) {
+    m_refusal = code;
+    std::vector<request_id> dropped;
+    if (code != result_code::ok) {
+        for (const waiting_request& waiting : m_queue) {
+            dropped.push_back(waiting.id);
+        }
+        m_queue.clear();
+        report_displaced(dropped);
+    }
+    return dropped;
+}
+
 void slot_limiter::clear_leaving() {
     m_is_leaving = false;
     m_serves_until = absl::InfiniteFuture();
@@ -131,10 +148,11 @@
 }
 
 bool slot_limiter::try_repeat(absl::Time now) {
-    if (!may_send(now) || !m_start_rate.may_start(now)) {
+    if (!may_send(now) || !may_start(now)) {
         return false;
     }
     m_start_rate.on_start(now);
+    m_cold_starts.on_start(now);
     return true;
 }
 
@@ -164,18 +182,32 @@
 absl::Duration slot_limiter::backlog(absl::Time now) const {
     const absl::Duration wait_for_slot =
         m_service_time * static_cast<double>(std::max(0, running() + queued() + 1 - m_slots)) / m_slots;
-    return std::max(wait_for_slot, m_start_rate.wait(queued(), now));
+    return std::max(wait_for_slot, wait_for_start(queued(), now));
 }
 
 double slot_limiter::load(absl::Time now) const {
     const double slot_load = static_cast<double>(running() + queued()) / m_slots;
-    const absl::Duration wait = m_start_rate.wait(queued(), now);
+    const absl::Duration wait = wait_for_start(queued(), now);
     if (wait == absl::ZeroDuration() || m_service_time == absl::ZeroDuration()) {
         return slot_load;
     }
     return std::max(slot_load, 1 + absl::FDivDuration(wait, m_service_time));
 }
 
+std::optional<double> slot_limiter::rate_limit(absl::Time now) const {
+    const std::optional<double> cold = m_cold_starts.limit(now);
+    const std::optional<double> requested = m_start_rate.limit();
+    return cold && requested ? std::min(cold, requested) : (cold ? cold : requested);
+}
+
+bool slot_limiter::may_start(absl::Time now) const {
+    return m_start_rate.may_start(now) && m_cold_starts.may_start(now);
+}
+
+absl::Duration slot_limiter::wait_for_start(std::ptrdiff_t ahead, absl::Time now) const {
+    return std::max(m_start_rate.wait(ahead, now), m_cold_starts.wait(ahead, now));
+}
+
 absl::Time slot_limiter::latest_start(const waiting_request& waiting) const {
     const absl::Time meetable =
         m_policy.drops_unmeetable ? waiting.deadline - m_service_time_by_kind[waiting.kind] : waiting.deadline;
@@ -218,7 +250,7 @@
         return admission::verdict::queued;
     }
     // Late requests get only spare capacity: at most one per slot is queued, and none while another one is in time.
-    const absl::Duration late_wait = std::max(wait, m_start_rate.wait(queued(), now));
+    const absl::Duration late_wait = std::max(wait, wait_for_start(queued(), now));
     const bool is_worth_waiting = !is_any_in_time(now) && queued() < m_slots &&
                                   now + late_wait + service_time_of(offered.kind) <= offered.deadline;
     return is_worth_waiting ? admission::verdict::queued : admission::verdict::refused;
@@ -245,17 +277,18 @@
 
 absl::Duration slot_limiter::wait_behind(std::ptrdiff_t ahead, absl::Time now) const {
     const absl::Duration wait_for_slot = m_service_time * static_cast<double>(ahead + 1) / m_slots;
-    return std::max(wait_for_slot, m_start_rate.wait(ahead, now));
+    return std::max(wait_for_slot, wait_for_start(ahead, now));
 }
 
 void slot_limiter::start(const waiting_request& started, absl::Time now) {
     m_running.push_back({started.id, now, started.kind});
     m_start_rate.on_start(now);
+    m_cold_starts.on_start(now);
 }
 
 slot_change slot_limiter::start_queued(absl::Time now) {
     slot_change change;
-    while (running() < m_slots && !m_queue.empty() && m_start_rate.may_start(now)) {
+    while (running() < m_slots && !m_queue.empty() && may_start(now)) {
         const auto position = m_queue.begin() + static_cast<std::ptrdiff_t>(next_position(now));
         const waiting_request next = *position;
         m_queue.erase(position);
--- a/src/routing/slot_limiter.h
+++ b/src/routing/slot_limiter.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "common/result_code.h"
+#include "routing/cold_start_limit.h"
 #include "routing/start_rate.h"
 
 #include <absl/container/flat_hash_map.h>
@@ -47,6 +48,7 @@
     double target_margin = 1.25;
     /// Requests that can no longer meet their deadlines are dropped. False: only expired ones; for comparisons.
     bool drops_unmeetable = true;
+    cold_start_policy cold = {}; ///< What a cold upstream may get.
 };
 
 /// Result of slot_limiter::offer.
@@ -54,7 +56,8 @@
     enum class verdict { run, queued, refused };
 
     verdict result = verdict::refused;
-    result_code refusal = result_code::ok; ///< queue_full, queue_deadline, deadline_expired or upstream_leaving.
+    result_code refusal = result_code::ok; ///< queue_full, queue_deadline, deadline_expired,
+    ///< upstream_leaving or the code of set_refusal.
 };
 
 /// What the user of the limiter must do after a change.
@@ -124,11 +127,19 @@
 
     /// @return true if a request that holds a slot may be sent to the upstream.
     bool may_send(absl::Time now) const {
-        return now < m_serves_until;
+        return m_refusal == result_code::ok && now < m_serves_until;
     }
 
+    /// Refuses all requests, also queued ones and those that hold a slot but have not been sent.
+    /// @param code code of the refusals; ok: requests are accepted again.
+    /// @return queued requests, to be refused now with drop_reason().
+    std::vector<request_id> set_refusal(result_code code);
+
     /// @return the code with which dropped requests are refused.
     result_code drop_reason() const {
+        if (m_refusal != result_code::ok) {
+            return m_refusal;
+        }
         return m_is_leaving ? result_code::upstream_leaving : result_code::queue_deadline;
     }
 
@@ -142,6 +153,16 @@
     /// @return requests to start or refuse now.
     slot_change set_rate_limit(std::optional<double> per_second, absl::Time now);
 
+    /// @return the limit of a cold upstream. Its changes take effect with the next start_permitted().
+    cold_start_limit& cold_starts() {
+        return m_cold_starts;
+    }
+
+    /// @copydoc cold_starts
+    const cold_start_limit& cold_starts() const {
+        return m_cold_starts;
+    }
+
     /// Starts queued requests that waited for the rate limit. Call it repeatedly while requests are queued.
     /// @return requests to start or refuse now.
     slot_change start_permitted(absl::Time now);
@@ -177,9 +198,7 @@
     double load(absl::Time now) const;
 
     /// @return requests per second that may start; nothing if only the slots limit them.
-    std::optional<double> rate_limit() const {
-        return m_start_rate.limit();
-    }
+    std::optional<double> rate_limit(absl::Time now) const;
 
     /// @return moving average of the service time of all requests; zero before the first sample.
     absl::Duration service_time() const {
@@ -200,6 +219,8 @@
         std::size_t kind;
     };
 
+    bool may_start(absl::Time now) const;
+    absl::Duration wait_for_start(std::ptrdiff_t ahead, absl::Time now) const;
     absl::Time latest_start(const waiting_request& waiting) const;
     absl::Duration service_time_of(std::size_t kind) const;
     bool is_in_time(const waiting_request& waiting, absl::Time start) const;
@@ -223,7 +244,9 @@
     int m_queue_limit;
     bool m_is_leaving = false;
     absl::Time m_serves_until = absl::InfiniteFuture(); ///< Nothing is sent to a leaving upstream after this time.
+    result_code m_refusal = result_code::ok;            ///< Unless ok, the code with which all requests are refused.
     start_rate m_start_rate;
+    cold_start_limit m_cold_starts;
     std::vector<running_request> m_running; // Small, so a scan is faster than a tree.
     std::vector<waiting_request> m_queue;   // In order of arrival.
     std::vector<request_id> m_displaced;    // Not reported yet.
--- a/src/tests/fakes/platform_store.cpp
+++ b/src/tests/fakes/platform_store.cpp
@@ -55,6 +55,12 @@
     return m_contents.revision;
 }
 
+void platform_store::remove(const std::string& key) {
+    const absl::MutexLock lock(&m_mutex);
+    m_contents.items.erase(key);
+    m_contents.removals[key] = ++m_contents.revision;
+}
+
 std::uint64_t platform_store::grant_lease() {
     const absl::MutexLock lock(&m_mutex);
     return m_contents.next_lease++;
@@ -125,6 +131,11 @@
             events.push_back(item_json(key, held.value, held.revision, held.lease));
         }
     }
+    for (const auto& [key, revision] : m_contents.removals) {
+        if (key.starts_with(request.get_param_value("prefix")) && revision > after && !m_contents.items.contains(key)) {
+            events.push_back(json::object{{"key", key}, {"revision", revision}, {"deleted", true}});
+        }
+    }
     return json::serialize(json::object{{"events", events}, {"as_of", m_contents.revision}});
 }
 
--- a/src/tests/fakes/platform_store.h
+++ b/src/tests/fakes/platform_store.h
@@ -29,6 +29,9 @@
     /// @return its revision.
     std::uint64_t put(const std::string& key, const std::string& value);
 
+    /// Removes a key as the operator would.
+    void remove(const std::string& key);
+
     /// Makes a lease as another daemon would.
     std::uint64_t grant_lease();
 
@@ -51,6 +54,7 @@
     };
     struct contents {
         std::map<std::string, item> items;
+        std::map<std::string, std::uint64_t> removals; ///< Revisions by key.
         std::uint64_t revision = 10;
         std::uint64_t next_lease = 1;
     };
