--- a/src/daemon/mesh_daemon.cpp
+++ b/src/daemon/mesh_daemon.cpp
@@ -2,15 +2,17 @@
 
 #include "common/error.h"
 #include "common/event_log.h"
-#include "common/parse_number.h"
 #include "common/steady_clock.h"
 #include "daemon/active_configuration.h"
 #include "daemon/announced_upstreams.h"
+#include "daemon/cold_state_checks.h"
 #include "daemon/collector_selector.h"
 #include "daemon/component_settings.h"
 #include "daemon/control_server.h"
+#include "daemon/evacuation_service.h"
 #include "daemon/follower_selector.h"
 #include "daemon/move_service.h"
+#include "daemon/opaque_record_rules.h"
 #include "daemon/order_service.h"
 #include "daemon/report_collector.h"
 #include "daemon/status_text.h"
@@ -50,44 +52,6 @@
 
 /// Time before an order's deadline that is reserved for the last requests of the old version and for the report.
 constexpr absl::Duration order_deadline_margin = absl::Milliseconds(2500);
-/// Key prefix of the records in which an owner states that its upstream of an old version is idle.
-constexpr std::string_view idle_record_prefix = "idle/";
-
-/// Key of the record with the newest era of the store, a decimal number.
-constexpr std::string_view store_era_key = "store-era";
-
-std::uint64_t parse_era(const std::string& bytes) {
-    const std::optional<std::uint64_t> era = parse_number<std::uint64_t>(bytes);
-    if (!era) {
-        throw error(result_code::message_malformed, "the era of the store is not a number");
-    }
-    return *era;
-}
-
-/// @return the record with the newer era; @p held if @p heard cannot be read.
-std::string merge_eras(const std::string& held, const std::string& heard) {
-    try {
-        const std::uint64_t heard_era = parse_era(heard);
-        return held.empty() || heard_era > parse_era(held) ? heard : held;
-    } catch (const error&) {
-        return held;
-    }
-}
-
-std::string idle_record_key(const move_order& order, const std::string& upstream_id) {
-    return fmt::format("{}{}/{}/{}", idle_record_prefix, order.service, order.introduced_in, upstream_id);
-}
-
-/// Merges two encoded records; @p held is returned if either cannot be decoded.
-template <typename Record> std::string merge_encoded(const std::string& held, const std::string& heard) {
-    try {
-        const Record heard_record = Record::decode(heard);
-        return held.empty() ? heard : merge(Record::decode(held), heard_record).encode();
-    } catch (const error&) {
-        return held;
-    }
-}
-
 /// Time from the start of a drain until the platform has redirected the callers: it checks readiness once a second and
 /// redirects after two failed checks.
 constexpr absl::Duration readiness_propagation_time = absl::Milliseconds(2200);
@@ -95,43 +59,6 @@
 /// be unused until the callers have been redirected. The rest of readiness_propagation_time is for the last requests.
 constexpr absl::Duration owner_drain_delay = absl::Milliseconds(1700);
 
-std::string merge_records(const std::string& key, const std::string& held, const std::string& heard) {
-    if (key.starts_with(order_key_prefix)) {
-        return merge_encoded<move_order>(held, heard);
-    }
-    if (key.starts_with(idle_record_prefix)) {
-        return held.empty() ? heard : held;
-    }
-    if (key == store_era_key) {
-        return merge_eras(held, heard);
-    }
-    if (key.starts_with(watcher_lease_record_prefix)) {
-        return merge_watcher_lease_records(held, heard);
-    }
-    if (key.starts_with(departure_key_prefix)) {
-        return merge_departure_records(held, heard);
-    }
-    return merge_encoded<move_record>(held, heard);
-}
-
-/// @return true if the daemons need not keep @p record any more.
-bool is_obsolete_record(const opaque_record& record, absl::Time now) {
-    if (!record.key.starts_with(departure_key_prefix)) {
-        return false;
-    }
-    try {
-        return is_obsolete(upstream_departure::decode(record.bytes), now);
-    } catch (const error&) {
-        return true;
-    }
-}
-
-/// Gossip sends urgent records first: progress of moves, orders, idle upstreams and departures. Watcher lease records
-/// are not urgent.
-bool is_urgent_record(const opaque_record& record) {
-    return !record.key.starts_with(watcher_lease_record_prefix);
-}
-
 } // namespace
 
 class mesh_daemon::implementation {
@@ -149,15 +76,19 @@
           m_proxy(make_proxy_options(settings, m_platform ? &*m_platform : nullptr),
                   make_router_settings(settings, m_platform.has_value()), make_retry_budget(settings), m_clock, m_log,
                   make_upstream_observer()),
-          m_peers(make_peer_settings(settings, m_proxy.owner_address()),
-                  {merge_records,
-                   [this](const opaque_record& record) { return is_obsolete_record(record, m_clock.now()); },
-                   is_urgent_record},
-                  make_peer_callbacks()) {
+          m_peers(make_peer_settings(settings, m_proxy.owner_address()), make_opaque_rules(m_clock),
+                  make_peer_callbacks()),
+          m_evacuations(make_evacuation_callbacks(), m_log) {
         m_peers.start();
         if (m_platform) {
             m_peers.add_contacts(m_platform->seeds);
             serve_platform();
+            m_cold_checks.emplace(
+                m_platform->query_upstream_id,
+                [this](const std::string& id, absl::Duration remaining, absl::Time asked_at) {
+                    m_proxy.report_cold(id, remaining, asked_at);
+                },
+                m_clock, m_log);
             m_store_client = m_platform->connect_store(make_intent_store_callbacks(), m_clock, m_log);
         } else {
             const std::string holder = fmt::format("{}-{}", settings.daemon.worker, absl::ToUnixMillis(m_started_at));
@@ -227,7 +158,12 @@
 
     upstream_observer make_upstream_observer() {
         return {[this](const upstream_call_result& call) { m_moves.observe(call); },
-                [this](const std::string& id) { handle_leaving(id); }};
+                [this](const std::string& id) { handle_leaving(id); },
+                [this](const std::string& id, const endpoint& address) {
+                    if (m_cold_checks) {
+                        m_cold_checks->start(id, address);
+                    }
+                }};
     }
 
     peer_callbacks make_peer_callbacks() {
@@ -243,6 +179,17 @@
         return callbacks;
     }
 
+    evacuation_callbacks make_evacuation_callbacks() {
+        evacuation_callbacks callbacks;
+        callbacks.send = [this](const opaque_record& record) { m_peers.put_opaque(record); };
+        callbacks.apply = [this](const std::set<std::string>& names) { m_proxy.set_evacuated_data_centers(names); };
+        callbacks.host_count = [this](const std::string& data_center) {
+            const std::vector<member> members = m_peers.members();
+            return static_cast<std::size_t>(std::ranges::count(members, data_center, &member::data_center));
+        };
+        return callbacks;
+    }
+
     control_handlers make_control_handlers() {
         control_handlers handlers;
         handlers.announce = [this](const upstream_announcement& announcement) { handle_announcement(announcement); };
@@ -286,6 +233,12 @@
             }
         };
         callbacks.accept_order = [this](const move_order& order) { accept_order(order); };
+        callbacks.accept_evacuation = [this](const std::string& data_center, const evacuation_record& read) {
+            m_evacuations.accept(data_center, read);
+        };
+        callbacks.accept_evacuation_list = [this](const std::set<std::string>& data_centers, revision as_of) {
+            m_evacuations.accept_list(data_centers, as_of);
+        };
         callbacks.due_reports = [this] { return m_orders.due_reports(m_clock.now()); };
         callbacks.on_report_written = [this](const move_order& order) { m_orders.on_report_written(order); };
         callbacks.on_store_restored = [this] { m_orders.on_reports_lost(address_rank(), m_clock.now()); };
@@ -394,7 +347,9 @@
                                saved_announcement.id, is_same, answered.id, answered.status, name(answered.failure),
                                absl::ToInt64Milliseconds(m_clock.now() - asked_at)));
         if (is_same) {
-            handle_announcement(saved_announcement);
+            if (process_announcement(saved_announcement) && answered.remaining_cold) {
+                m_proxy.report_cold(saved_announcement.id, *answered.remaining_cold, asked_at);
+            }
         }
     }
 
@@ -587,6 +542,10 @@
                 m_heard_era = parse_era(record.bytes);
                 return;
             }
+            if (record.key.starts_with(evacuation_key_prefix)) {
+                m_evacuations.merge_remote(record);
+                return;
+            }
             if (record.key.starts_with(departure_key_prefix)) {
                 handle_departure(record.key.substr(departure_key_prefix.size()),
                                  upstream_departure::decode(record.bytes));
@@ -608,6 +567,13 @@
     }
 
     void handle_announcement(const upstream_announcement& announcement) {
+        if (process_announcement(announcement)) {
+            m_proxy.report_cold(announcement.id, announcement.remaining_warm_up);
+        }
+    }
+
+    /// @return true if the announcement is newer than what was known.
+    bool process_announcement(const upstream_announcement& announcement) {
         const absl::MutexLock lock(&m_mutex);
         const announced_upstreams::change changed = m_announced_upstreams.announce(announcement, m_clock.now());
         if (changed.is_ignored) {
@@ -615,7 +581,7 @@
             m_log.info(fmt::format("announcement-ignored upstream={} sequence={} started_ms={} leaving={} departure={}",
                                    announcement.id, announcement.sequence, absl::ToUnixMillis(announcement.started_at),
                                    announcement.is_leaving, departure ? name(departure->kind) : "none"));
-            return;
+            return false;
         }
         for (const std::string& id : changed.replaced_ids) {
             remove_upstream(id, upstream_removal::replaced);
@@ -631,6 +597,7 @@
             }
             m_moves.set_upstream(announcement.service, announcement.version);
         }
+        return !changed.is_repeated;
     }
 
     /// Tells the other daemons that an upstream beside this one has said in a response that it leaves.
@@ -911,6 +878,7 @@
         result.upstreams_known = usable_upstreams().size();
         result.moves = m_moves.statuses();
         result.requests = m_proxy.counters();
+        result.evacuated_data_centers = m_evacuations.evacuated();
         result.dropped_log_lines = m_log.dropped_lines();
         const absl::MutexLock lock(&m_mutex);
         result.configuration_applied_at = m_applied_at;
@@ -973,6 +941,8 @@
     active_configuration m_configuration;
     request_proxy m_proxy;
     peer_server m_peers;
+    evacuation_service m_evacuations;
+    std::optional<cold_state_checks> m_cold_checks; ///< Only with a platform.
     std::unique_ptr<store_client> m_store_client;
     std::unique_ptr<control_server> m_control_server;
     std::thread m_control_thread;
--- a/src/http/private/entry_call.cpp
+++ b/src/http/private/entry_call.cpp
@@ -51,6 +51,7 @@
 attempt_outcome refusal_outcome(result_code code) {
     switch (code) {
     case result_code::upstream_leaving:
+    case result_code::data_center_evacuated:
     case result_code::daemon_draining:
     case result_code::no_upstream:
         return attempt_outcome::refused_leaving;
--- a/src/http/private/local_upstream.h
+++ b/src/http/private/local_upstream.h
@@ -20,6 +20,7 @@
     absl::Time unreachable_until = absl::InfinitePast(); ///< Requests are refused until then after a failed connection.
     requested_rate_limit rate_limit;
     server_load load;              ///< Its load and speed, as reported and as measured here.
+    bool is_cold = false;          ///< As last logged; only for services that limit cold upstreams.
     bool has_said_leaving = false; ///< A response of this upstream said so.
     /// A response of this upstream has carried the id of its request, so a refusal without one is to another request.
     bool echoes_request_ids = false;
