Quota: add the pure classes of distributed quotas

Tenants with a rate need one bound over all daemons (R-QUOTA). Each tenant has a coordinator by rendezvous hashing, whose bucket fills at the fraction of the fleet that it can see; entries ask it for tokens in batches.

--- /dev/null
+++ b/src/quota/quota_client.cpp
@@ -0,0 +1,251 @@
+#include "quota/quota_client.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace amaranthladder {
+
+namespace {
+
+/// Time in which a batch of tokens is used. Longer ones need fewer messages, but their last tokens expire unused.
+constexpr double batch_seconds = 0.5;
+/// Tokens in one ask at most; bounds what a lost answer takes from the quota.
+constexpr double max_batch = 1000;
+/// Time constant of the demand estimate.
+constexpr double demand_seconds = 1;
+/// Below this part of a batch, the next one is asked for, so that requests need not wait.
+constexpr double refill_share = 0.4;
+/// A host with a tenth of a core stalls for up to 0.1 s, most for less. Requests lose no value up to an eighth of their
+/// target latency, 125 ms for the shortest target of the deployment with quotas.
+constexpr absl::Duration coordinator_timeout = absl::Milliseconds(70);
+constexpr absl::Duration fallback_timeout = absl::Milliseconds(50);
+/// Time for which an entry stays with the second-ranked daemon. At least as long as that one counts the entry as its own,
+/// so that an entry is not counted by two daemons.
+constexpr absl::Duration avoid_time = absl::Seconds(1);
+/// After the answer "none" an entry refuses requests without asking for at most this time. Bounds the messages about a
+/// tenant far over its quota.
+constexpr absl::Duration min_refusal_time = absl::Milliseconds(50);
+constexpr absl::Duration max_refusal_time = absl::Milliseconds(300);
+
+} // namespace
+
+quota_client::quota_client(const quota_view& view, std::uint64_t first_id) : m_view(view), m_next_id(first_id) {}
+
+quota_verdict quota_client::acquire(const std::string& tenant, std::uint64_t waiter, absl::Time now) {
+    tenant_state& state = m_tenants[tenant];
+    update_demand(state, now);
+    if (usable_tokens(state, now) > 0) {
+        tokens& oldest = state.stock.front();
+        --oldest.count;
+        ++m_counters.granted;
+        const quota_verdict result{quota_verdict::kind::run, oldest.expires, absl::ZeroDuration()};
+        ask_if_needed(tenant, state, now);
+        return result;
+    }
+    if (now < state.refused_until) {
+        return make_refusal(state, quota_verdict::kind::refused_over, now);
+    }
+    state.waiters.push_back({waiter, now});
+    ++m_counters.waited;
+    ask_if_needed(tenant, state, now);
+    return {quota_verdict::kind::wait, now, absl::ZeroDuration()};
+}
+
+void quota_client::cancel(const std::string& tenant, std::uint64_t waiter) {
+    const auto found = m_tenants.find(tenant);
+    if (found != m_tenants.end()) {
+        std::erase_if(found->second.waiters, [waiter](const waiting& entry) { return entry.id == waiter; });
+    }
+}
+
+void quota_client::give_back(const std::string& tenant, absl::Time token_expires, absl::Time now) {
+    const auto found = m_tenants.find(tenant);
+    if (found == m_tenants.end() || token_expires <= now) {
+        return;
+    }
+    auto& stock = found->second.stock;
+    const auto position = std::ranges::lower_bound(stock, token_expires, {}, &tokens::expires);
+    stock.insert(position, {1, token_expires});
+    serve_waiters(found->second, now);
+}
+
+void quota_client::receive(const quota_answer& answer, absl::Time now) {
+    const auto found = m_asks.find(answer.id);
+    if (found == m_asks.end()) {
+        return;
+    }
+    open_ask ended = std::move(found->second);
+    m_asks.erase(found);
+    const auto known = m_tenants.find(ended.tenant);
+    if (known == m_tenants.end()) {
+        return;
+    }
+    tenant_state& state = known->second;
+    close(state, ended);
+    const absl::Time expires = ended.sent + token_lifetime;
+    if (answer.granted > 0 && expires > now) {
+        const auto position = std::ranges::lower_bound(state.stock, expires, {}, &tokens::expires);
+        state.stock.insert(position, {std::min(answer.granted, ended.wanted), expires});
+        serve_waiters(state, now);
+    }
+    if (answer.status == quota_status::none) {
+        const absl::Duration retry = absl::Milliseconds(answer.retry_ms);
+        state.retry_at = now + retry;
+        state.refused_until = now + std::clamp(retry, min_refusal_time, max_refusal_time);
+        refuse_waiters(state, quota_verdict::kind::refused_over, now);
+    } else if (answer.status == quota_status::unknown && !ended.is_overdue) {
+        handle_no_answer(ended, now);
+    } else if (!state.waiters.empty()) {
+        ask_if_needed(ended.tenant, state, now);
+    }
+}
+
+void quota_client::tick(absl::Time now) {
+    std::vector<std::uint64_t> overdue;
+    for (auto& [id, open] : m_asks) {
+        const absl::Duration limit = open.is_fallback ? fallback_timeout : coordinator_timeout;
+        if (now - open.sent > limit && !open.is_overdue) {
+            overdue.push_back(id);
+        }
+    }
+    for (const std::uint64_t id : overdue) {
+        const auto found = m_asks.find(id);
+        if (found != m_asks.end()) {
+            tenant_state& state = m_tenants.at(found->second.tenant);
+            close(state, found->second);
+            found->second.is_overdue = true;
+            handle_no_answer(open_ask(found->second), now);
+            refuse_overdue_waiters(state, now);
+        }
+    }
+    absl::erase_if(m_asks, [now](const auto& entry) { return now - entry.second.sent > token_lifetime; });
+}
+
+void quota_client::drop_tokens(const std::string& tenant, absl::Time now) {
+    const auto found = m_tenants.find(tenant);
+    if (found == m_tenants.end()) {
+        return;
+    }
+    found->second.stock.clear();
+    found->second.asked = 0;
+    absl::erase_if(m_asks, [&](const auto& entry) { return entry.second.tenant == tenant; });
+    if (!found->second.waiters.empty()) {
+        ask_if_needed(tenant, found->second, now);
+    }
+}
+
+void quota_client::update_demand(tenant_state& state, absl::Time now) {
+    const double seconds = std::max(0.0, absl::ToDoubleSeconds(now - state.demand_updated));
+    state.demand = state.demand * std::exp(-seconds / demand_seconds) + 1 / demand_seconds;
+    state.demand_updated = now;
+}
+
+std::uint32_t quota_client::batch(const tenant_state& state) {
+    return static_cast<std::uint32_t>(std::clamp(state.demand * batch_seconds, 1.0, max_batch));
+}
+
+std::uint32_t quota_client::usable_tokens(tenant_state& state, absl::Time now) {
+    std::uint32_t total = 0;
+    while (!state.stock.empty() && (state.stock.front().expires <= now || state.stock.front().count == 0)) {
+        m_counters.expired += state.stock.front().count;
+        state.stock.pop_front();
+    }
+    for (const tokens& held : state.stock) {
+        total += held.count;
+    }
+    return total;
+}
+
+void quota_client::ask_if_needed(const std::string& tenant, tenant_state& state, absl::Time now) {
+    const std::uint32_t held = usable_tokens(state, now);
+    const auto waiting_requests = static_cast<std::uint32_t>(state.waiters.size());
+    const std::uint32_t expected = held + state.asked;
+    const std::uint32_t wanted = batch(state);
+    if (expected >= waiting_requests && waiting_requests > 0) {
+        return;
+    }
+    const bool is_refill = waiting_requests == 0;
+    if (is_refill && (wanted < 2 || state.asked > 0 || held >= wanted * refill_share || now < state.refused_until)) {
+        return;
+    }
+    const bool is_avoided = now < state.avoids_coordinator_until;
+    ask(tenant, state, std::max(wanted, waiting_requests - std::min(expected, waiting_requests)), is_avoided, now);
+}
+
+void quota_client::ask(const std::string& tenant, tenant_state& state, std::uint32_t wanted, bool is_fallback,
+                       absl::Time now) {
+    const quota_candidates candidates = m_view.candidates(tenant);
+    if (is_fallback && !candidates.second) {
+        refuse_waiters(state, quota_verdict::kind::refused_unknown, now);
+        return;
+    }
+    const std::uint64_t id = m_next_id++;
+    m_asks[id] = {tenant, now, wanted, is_fallback, false};
+    state.asked += wanted;
+    ++m_counters.asks;
+    m_outgoing.push_back({is_fallback ? *candidates.second : *candidates.coordinator, {id, tenant, wanted}});
+    if (is_fallback) {
+        ++m_counters.fallback_asks;
+        m_outgoing.push_back({*candidates.coordinator, {m_next_id++, tenant, 0}});
+    }
+}
+
+void quota_client::handle_no_answer(const open_ask& overdue, absl::Time now) {
+    tenant_state& state = m_tenants.at(overdue.tenant);
+    if (state.waiters.empty()) {
+        return;
+    }
+    if (overdue.is_fallback) {
+        refuse_waiters(state, quota_verdict::kind::refused_unknown, now);
+        return;
+    }
+    // From now on the second-ranked daemon grants for this entry, so late answers of the coordinator are not used.
+    absl::erase_if(m_asks, [&](auto& entry) {
+        if (entry.second.tenant != overdue.tenant || entry.second.is_fallback) {
+            return false;
+        }
+        close(state, entry.second);
+        return true;
+    });
+    state.avoids_coordinator_until = now + avoid_time;
+    const std::string tenant = overdue.tenant;
+    ask(tenant, state, std::max(batch(state), static_cast<std::uint32_t>(state.waiters.size())), true, now);
+}
+
+void quota_client::serve_waiters(tenant_state& state, absl::Time now) {
+    while (!state.waiters.empty() && usable_tokens(state, now) > 0) {
+        tokens& oldest = state.stock.front();
+        --oldest.count;
+        ++m_counters.granted;
+        m_resolved.push_back({state.waiters.front().id, {quota_verdict::kind::run, oldest.expires, {}}});
+        state.waiters.pop_front();
+    }
+}
+
+void quota_client::refuse_waiters(tenant_state& state, quota_verdict::kind reason, absl::Time now) {
+    for (const waiting& entry : state.waiters) {
+        m_resolved.push_back({entry.id, make_refusal(state, reason, now)});
+    }
+    state.waiters.clear();
+}
+
+void quota_client::refuse_overdue_waiters(tenant_state& state, absl::Time now) {
+    while (!state.waiters.empty() && now - state.waiters.front().since > coordinator_timeout + fallback_timeout) {
+        m_resolved.push_back({state.waiters.front().id, make_refusal(state, quota_verdict::kind::refused_unknown, now)});
+        state.waiters.pop_front();
+    }
+}
+
+quota_verdict quota_client::make_refusal(const tenant_state& state, quota_verdict::kind reason, absl::Time now) {
+    const bool is_over = reason == quota_verdict::kind::refused_over;
+    ++(is_over ? m_counters.refused_over : m_counters.refused_unknown);
+    return {reason, now, is_over ? std::max(min_refusal_time, state.retry_at - now) : absl::ZeroDuration()};
+}
+
+void quota_client::close(tenant_state& state, const open_ask& ended) {
+    if (ended.wanted > 0 && state.asked > 0 && !ended.is_overdue) {
+        state.asked -= std::min(state.asked, ended.wanted);
+    }
+}
+
+} // namespace amaranthladder
--- /dev/null
+++ b/src/quota/quota_view.h
@@ -0,0 +1,86 @@
+#pragma once
+
+#include "common/endpoint.h"
+#include "peers/member.h"
+
+#include <absl/random/bit_gen_ref.h>
+#include <absl/time/time.h>
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <string_view>
+#include <vector>
+
+namespace amaranthladder {
+
+/// Daemons that an entry asks for the tokens of a tenant.
+struct quota_candidates {
+    std::optional<endpoint> coordinator;
+    std::optional<endpoint> second;
+    bool is_coordinator_suspected = false;
+};
+
+/// The members of the mesh as this daemon sees them, ranked for each tenant by rendezvous hashing.
+class quota_view {
+public:
+    /// A member that ranks above this daemon for some tenant.
+    struct rival {
+        endpoint address;
+        member_state state = member_state::alive;
+    };
+
+    /// @param self peer address of this daemon, which always counts as alive.
+    explicit quota_view(const endpoint& self);
+
+    void update(const std::vector<member>& members, absl::Time now);
+
+    /// @return the two highest-ranked members that are alive or suspected.
+    quota_candidates candidates(std::string_view tenant) const;
+
+    /// @return all members that rank above this daemon, dead ones included, but not those that have left.
+    std::vector<rival> rivals(std::string_view tenant) const;
+
+    /// @return a member other than this daemon that is alive or suspected, or null.
+    const endpoint* random_other(absl::BitGenRef random) const;
+
+    /// @return the most members known in the last ten minutes, dead ones included, but not those that have left.
+    std::size_t size() const {
+        return m_size;
+    }
+
+    /// @return the members considered alive, including this daemon.
+    std::size_t alive() const {
+        return m_alive;
+    }
+
+    /// @return the number of updates that changed something.
+    std::uint64_t version() const {
+        return m_version;
+    }
+
+    /// @return when this daemon last learned that a member is not alive any more, which may make it a coordinator.
+    absl::Time last_loss() const {
+        return m_last_loss;
+    }
+
+private:
+    struct ranked {
+        endpoint address;
+        std::uint64_t hash = 0;
+        member_state state = member_state::alive;
+
+        friend bool operator==(const ranked&, const ranked&) = default;
+    };
+
+    endpoint m_self;
+    std::uint64_t m_self_hash;
+    std::vector<ranked> m_members;
+    std::size_t m_size = 1;
+    std::size_t m_alive = 1;
+    std::uint64_t m_version = 0;
+    absl::Time m_size_time = absl::InfinitePast(); ///< When m_size was last as large.
+    absl::Time m_last_loss = absl::InfinitePast();
+};
+
+} // namespace amaranthladder
--- /dev/null
+++ b/src/quota/reach_estimator.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include "common/endpoint.h"
+
+#include <absl/time/time.h>
+
+#include <cstddef>
+#include <map>
+
+namespace amaranthladder {
+
+/// Estimates the fraction of the other daemons that this one can exchange messages with, from its own asks and their
+/// answers. Membership needs several seconds to notice that this daemon's side of a partition is the small one.
+class reach_estimator {
+public:
+    /// Time for which an answer, or its absence, counts.
+    static constexpr absl::Duration memory = absl::Seconds(1);
+    /// Time after which an ask counts as unanswered. Hosts with a tenth of a core stall for up to 0.1 s.
+    static constexpr absl::Duration answer_timeout = absl::Milliseconds(250);
+
+    void on_sent(const endpoint& to, absl::Time now);
+    void on_answer(const endpoint& from, absl::Time now);
+
+    /// @return the number of daemons with a recent answer or without one for too long.
+    std::size_t samples(absl::Time now) const;
+
+    /// @param needed samples below which the missing ones count as unanswered.
+    /// @return a number from 0 to 1. Each daemon counts once, so that one busy coordinator does not dominate.
+    double estimate(absl::Time now, std::size_t needed) const;
+
+    /// @return true if @p other has answered recently.
+    bool is_in_contact(const endpoint& other, absl::Time now) const;
+
+    /// Forgets old samples.
+    void expire(absl::Time now);
+
+private:
+    struct contact {
+        absl::Time answered_at = absl::InfinitePast();
+        absl::Time unanswered_since = absl::InfiniteFuture(); ///< First ask after the last answer.
+        absl::Time last_sent = absl::InfinitePast();
+    };
+
+    static bool is_lost(const contact& known, absl::Time now);
+    static bool is_answered(const contact& known, absl::Time now);
+
+    std::map<endpoint, contact> m_contacts;
+};
+
+} // namespace amaranthladder
--- /dev/null
+++ b/src/tests/fakes/quota_fleet.h
@@ -0,0 +1,81 @@
+#pragma once
+
+#include "config/intended_state.h"
+#include "quota/quota_node.h"
+
+#include <absl/time/time.h>
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <queue>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace amaranthladder {
+
+/// A fleet of quota nodes in virtual time: a message queue with delay, loss and repetition, partitions that may work in
+/// one direction only, and views of the members that lag as those of SWIM do.
+class quota_fleet {
+public:
+    struct options {
+        std::size_t daemons = 89;
+        std::size_t tenants = 87;
+        double requests_per_second = 1825;
+        double zipf_exponent = 1.2;
+        double limit_factor = 1.6; ///< Limit relative to the usual demand; the burst is one second of it.
+        double loss = 0;
+        double repetition = 0;
+        double slow = 0; ///< Share of messages that take up to 150 ms longer.
+        std::uint64_t seed = 1;
+    };
+
+    /// Requests of a tenant.
+    struct tally {
+        std::uint64_t requests = 0;
+        std::uint64_t within = 0;          ///< Within rate and burst, as counted by one exact bucket.
+        std::uint64_t wrongly_refused = 0; ///< Refused although within.
+        std::uint64_t run = 0;
+        std::uint64_t refused_over = 0;
+        std::uint64_t refused_unknown = 0;
+    };
+
+    explicit quota_fleet(const options& chosen);
+    ~quota_fleet();
+
+    void run_for(absl::Duration time);
+
+    /// Multiplies the demand of a tenant.
+    void set_demand(std::size_t tenant, double factor);
+    /// Multiplies the limits of all tenants. Each daemon learns of it after up to @p delay.
+    void set_limits(double factor, absl::Duration delay);
+    /// Cuts the daemons in @p group off from the others.
+    /// @param is_one_way messages into the group still arrive.
+    void cut(const std::vector<std::size_t>& group, bool is_one_way = false);
+    void heal();
+    void kill(std::size_t daemon);
+    void start(std::size_t daemon);
+    /// Stops a process for a while; what is sent to it waits.
+    void pause(std::size_t daemon, absl::Duration time);
+    /// @return the daemon that the first daemon takes for the coordinator of a tenant.
+    std::size_t coordinator(std::size_t tenant) const;
+
+    /// Forgets what was counted for wrongly_refused so far.
+    void clear_tallies();
+    tally total() const;
+    tally of_tenant(std::size_t tenant) const;
+    /// @return the largest number of requests that ran in any window, relative to the bound.
+    /// @param since start of the first window.
+    double worst_window(absl::Time since = absl::InfinitePast()) const;
+    std::uint64_t messages() const;
+    std::uint64_t message_bytes() const;
+    absl::Time now() const;
+
+private:
+    class implementation;
+    std::unique_ptr<implementation> m_implementation;
+};
+
+} // namespace amaranthladder
--- /dev/null
+++ b/src/tests/quota_fleet_test.cpp
@@ -0,0 +1,155 @@
+#include "quota/quota_node.h"
+
+#include "tests/fakes/quota_fleet.h"
+#include "tests/test_seed.h"
+
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <functional>
+#include <numeric>
+#include <random>
+#include <string>
+#include <vector>
+
+/// The quotas of P's 87 tenants over 89 daemons (docs/work-plan.md, 2.1 and 5.3): no window may exceed the bound of
+/// R-QUOTA whatever fails, and few requests within the quota may be refused.
+BOOST_AUTO_TEST_SUITE(quota_fleet_test)
+
+using namespace amaranthladder;
+
+namespace {
+
+struct scenario {
+    std::string name;
+    std::function<void(quota_fleet&)> play;
+    double max_wrongly_refused; ///< Share of the requests within the quota.
+    quota_fleet::options options = {};
+};
+
+std::ostream& operator<<(std::ostream& out, const scenario& shown) {
+    return out << shown.name;
+}
+
+std::vector<std::size_t> range(std::size_t first, std::size_t last) {
+    std::vector<std::size_t> result(last - first);
+    std::iota(result.begin(), result.end(), first);
+    return result;
+}
+
+quota_fleet::options with(double loss, double repetition, double slow) {
+    quota_fleet::options result;
+    result.loss = loss;
+    result.repetition = repetition;
+    result.slow = slow;
+    return result;
+}
+
+void play_cut(quota_fleet& fleet, std::size_t daemons, bool is_one_way) {
+    fleet.set_demand(0, 7);
+    fleet.run_for(absl::Seconds(5));
+    fleet.cut(range(0, daemons), is_one_way);
+    fleet.run_for(absl::Seconds(20));
+    fleet.heal();
+    fleet.run_for(absl::Seconds(15));
+}
+
+const std::vector<scenario> scenarios{
+    {"calm", [](quota_fleet& fleet) { fleet.run_for(absl::Seconds(30)); }, 0.005},
+    {"one tenant at 7 times its demand",
+     [](quota_fleet& fleet) {
+         fleet.run_for(absl::Seconds(5));
+         fleet.set_demand(0, 7);
+         fleet.run_for(absl::Seconds(25));
+     },
+     0.005},
+    {"a middle tenant at 7 times its demand",
+     [](quota_fleet& fleet) {
+         fleet.run_for(absl::Seconds(5));
+         fleet.set_demand(9, 7);
+         fleet.run_for(absl::Seconds(25));
+     },
+     0.005},
+    {"a tenth cut off", [](quota_fleet& fleet) { play_cut(fleet, 9, false); }, 0.05},
+    {"a data centre cut off", [](quota_fleet& fleet) { play_cut(fleet, 22, false); }, 0.05},
+    {"half cut off", [](quota_fleet& fleet) { play_cut(fleet, 44, false); }, 1},
+    {"a data centre cut off one way", [](quota_fleet& fleet) { play_cut(fleet, 22, true); }, 1},
+    {"the coordinator of the largest tenant alone",
+     [](quota_fleet& fleet) {
+         fleet.set_demand(0, 7);
+         fleet.run_for(absl::Seconds(5));
+         fleet.cut({fleet.coordinator(0)});
+         fleet.run_for(absl::Seconds(15));
+         fleet.heal();
+         fleet.run_for(absl::Seconds(10));
+     },
+     0.1},
+    {"the coordinator of the largest tenant killed and started",
+     [](quota_fleet& fleet) {
+         fleet.set_demand(0, 7);
+         fleet.run_for(absl::Seconds(5));
+         fleet.kill(fleet.coordinator(0));
+         fleet.run_for(absl::Seconds(4));
+         fleet.start(fleet.coordinator(0));
+         fleet.run_for(absl::Seconds(15));
+     },
+     0.1},
+    {"the coordinator of the largest tenant paused",
+     [](quota_fleet& fleet) {
+         fleet.set_demand(0, 7);
+         for (const int pause_ms : {300, 900, 2000, 4000, 12000}) {
+             fleet.run_for(absl::Seconds(5));
+             fleet.pause(fleet.coordinator(0), absl::Milliseconds(pause_ms));
+         }
+         fleet.run_for(absl::Seconds(20));
+     },
+     0.1},
+    {"all killed and started",
+     [](quota_fleet& fleet) {
+         fleet.set_demand(0, 7);
+         fleet.run_for(absl::Seconds(5));
+         for (const std::size_t index : range(0, 89)) {
+             fleet.kill(index);
+             fleet.start(index);
+         }
+         fleet.run_for(absl::Seconds(20));
+     },
+     1},
+    {"lost and repeated datagrams",
+     [](quota_fleet& fleet) {
+         fleet.set_demand(0, 7);
+         fleet.run_for(absl::Seconds(30));
+     },
+     0.05, with(0.02, 0.05, 0)},
+    {"slow daemons",
+     [](quota_fleet& fleet) {
+         fleet.set_demand(0, 7);
+         fleet.run_for(absl::Seconds(30));
+     },
+     0.05, with(0, 0, 0.1)},
+};
+
+} // namespace
+
+BOOST_DATA_TEST_CASE(keeps_the_bound, boost::unit_test::data::make(scenarios)) {
+    quota_fleet::options options = sample.options;
+    options.seed = test_seed();
+    quota_fleet fleet(options);
+    fleet.run_for(absl::Seconds(8));
+    fleet.clear_tallies();
+    sample.play(fleet);
+    const quota_fleet::tally total = fleet.total();
+    const double wrong = static_cast<double>(total.wrongly_refused) / static_cast<double>(total.within);
+    BOOST_TEST_MESSAGE(fmt::format("{}: worst window {:.3f} of the bound, wrongly refused {:.4f}, unknown {}, over {}, "
+                                   "messages per request {:.2f}, bytes per message {:.0f}",
+                                   sample.name, fleet.worst_window(), wrong, total.refused_unknown, total.refused_over,
+                                   static_cast<double>(fleet.messages()) / static_cast<double>(total.requests),
+                                   static_cast<double>(fleet.message_bytes()) / static_cast<double>(fleet.messages())));
+    BOOST_TEST(fleet.worst_window() <= 1);
+    BOOST_TEST(wrong <= sample.max_wrongly_refused);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
