Quota: count each entry at one daemon only

An entry without an answer counted at the second-ranked daemon and, for a while, also at the coordinator.

--- a/src/quota/quota_bucket.cpp
+++ b/src/quota/quota_bucket.cpp
@@ -67,7 +67,9 @@
 }
 
 void quota_bucket::cap() {
-    m_tokens = std::min(m_tokens, m_allowance.capacity * m_fraction);
+    // Below one, no token could ever be taken.
+    const double least = m_fraction > 0 ? std::min(1.0, m_allowance.capacity) : 0;
+    m_tokens = std::min(m_tokens, std::max(least, m_allowance.capacity * m_fraction));
 }
 
 } // namespace amaranthladder
--- a/src/quota/quota_client.cpp
+++ b/src/quota/quota_client.cpp
@@ -29,7 +29,8 @@
 
 } // namespace
 
-quota_client::quota_client(const quota_view& view, std::uint64_t first_id) : m_view(view), m_next_id(first_id) {}
+quota_client::quota_client(const quota_view& view, const reach_estimator& reach, std::uint64_t first_id)
+    : m_view(view), m_reach(reach), m_next_id(first_id) {}
 
 quota_verdict quota_client::acquire(const std::string& tenant, std::uint64_t waiter, absl::Time now) {
     tenant_state& state = m_tenants[tenant];
@@ -174,8 +175,14 @@
 
 void quota_client::ask(const std::string& tenant, tenant_state& state, std::uint32_t wanted, bool is_fallback,
                        absl::Time now) {
-    const quota_candidates candidates = m_view.candidates(tenant);
-    if (is_fallback && !candidates.second) {
+    const quota_candidates candidates = m_view.candidates(
+        tenant, [&](const endpoint& member) { return is_fallback && m_reach.is_silent(member, now); });
+    if (!is_fallback) {
+        state.fallback.reset();
+    } else if (!state.fallback || m_reach.is_silent(*state.fallback, now)) {
+        state.fallback = candidates.second;
+    }
+    if (is_fallback && !state.fallback) {
         refuse_waiters(state, quota_verdict::kind::refused_unknown, now);
         return;
     }
@@ -183,11 +190,15 @@
     m_asks[id] = {tenant, now, wanted, is_fallback, false};
     state.asked += wanted;
     ++m_counters.asks;
-    m_outgoing.push_back({is_fallback ? *candidates.second : *candidates.coordinator, {id, tenant, wanted}});
-    if (is_fallback) {
-        ++m_counters.fallback_asks;
-        m_outgoing.push_back({*candidates.coordinator, {m_next_id++, tenant, 0}});
+    if (!is_fallback) {
+        m_outgoing.push_back({*candidates.coordinator, {id, tenant, wanted, 0}});
+        return;
     }
+    ++m_counters.fallback_asks;
+    const absl::Duration left = std::max(absl::Milliseconds(1), state.avoids_coordinator_until - now);
+    const auto fallback_ms = static_cast<std::uint32_t>(absl::ToInt64Milliseconds(left));
+    m_outgoing.push_back({*state.fallback, {id, tenant, wanted, fallback_ms}});
+    m_outgoing.push_back({*candidates.coordinator, {m_next_id++, tenant, 0, fallback_ms}});
 }
 
 void quota_client::handle_no_answer(const open_ask& overdue, absl::Time now) {
--- a/src/quota/quota_client.h
+++ b/src/quota/quota_client.h
@@ -4,6 +4,7 @@
 #include "quota/quota_limits.h"
 #include "quota/quota_message.h"
 #include "quota/quota_view.h"
+#include "quota/reach_estimator.h"
 
 #include <absl/container/flat_hash_map.h>
 #include <absl/time/time.h>
@@ -11,6 +12,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <deque>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -55,9 +57,9 @@
         quota_verdict verdict;
     };
 
-    /// @param view outlives this object.
+    /// @param view and @param reach outlive this object.
     /// @param first_id start of the numbers of asks; random, so that answers to an earlier process do not match.
-    quota_client(const quota_view& view, std::uint64_t first_id);
+    quota_client(const quota_view& view, const reach_estimator& reach, std::uint64_t first_id);
 
     /// Requests a token.
     /// @param waiter identifies the request if it has to wait.
@@ -114,6 +116,7 @@
         absl::Time refused_until = absl::InfinitePast();
         absl::Time retry_at = absl::InfinitePast();
         absl::Time avoids_coordinator_until = absl::InfinitePast();
+        std::optional<endpoint> fallback; ///< The daemon asked until then, so that only one counts this entry.
     };
 
     struct open_ask {
@@ -137,6 +140,7 @@
     static void close(tenant_state& state, const open_ask& ended);
 
     const quota_view& m_view;
+    const reach_estimator& m_reach;
     std::uint64_t m_next_id;
     absl::flat_hash_map<std::string, tenant_state> m_tenants;
     absl::flat_hash_map<std::uint64_t, open_ask> m_asks;
--- a/src/quota/quota_coordinator.cpp
+++ b/src/quota/quota_coordinator.cpp
@@ -10,10 +10,14 @@
 
 /// Time for which an ask counts as the use of this daemon by the entry.
 constexpr absl::Duration asker_memory = absl::Seconds(1);
+/// Part of a tenant's limit that is its usual demand; tells how many entries ask if all use the same daemon.
+constexpr double usual_demand = 0.5;
+/// Asks of an entry for a busy tenant within asker_memory.
+constexpr double max_asks_per_entry = 3;
 /// Samples of the reach below which the missing ones count as failed.
 constexpr std::size_t min_reach_samples = 4;
 /// Above this, the membership alone is used: single lost datagrams must not reduce the fraction.
-constexpr double full_reach = 0.8;
+constexpr double full_reach = 0.85;
 /// Time from the first ask until the reach must be known; it is not measured while nobody asks.
 constexpr absl::Duration reach_start = absl::Milliseconds(1300);
 /// Role changes kept for the log until they are taken.
@@ -96,22 +100,13 @@
     update_role(ask.tenant, state, now);
     state.refused *= std::exp(-std::max(0.0, absl::ToDoubleSeconds(now - state.asked_at)));
     state.asked_at = now;
-    if (ask.wanted == 0) {
-        // The entry uses another daemon's tokens for now, which grants them in place of this one.
-        if (state.is_in_charge) {
-            state.askers[from] = now;
-        }
-    } else if (state.is_in_charge) {
-        state.askers.erase(from);
-    } else {
-        state.askers[from] = now;
-    }
+    count_asker(state, ask, from, now);
     state.bucket.advance(served_fraction(state, now), now);
     if (ask.wanted == 0) {
         return result;
     }
     result.granted = state.bucket.take(ask.wanted);
-    if (result.granted == 0 && !state.is_in_charge) {
+    if (result.granted == 0 && !state.is_in_charge && may_use_reserve(state, now)) {
         result.granted = state.bucket.take_reserve(now);
         m_counters.reserve_granted += result.granted;
     }
@@ -171,6 +166,22 @@
     return *found;
 }
 
+void quota_coordinator::count_asker(tenant_state& state, const quota_ask& ask, const endpoint& from,
+                                    absl::Time now) {
+    const absl::Duration fallback = std::min(absl::Milliseconds(ask.fallback_ms), asker_memory);
+    if (!state.is_in_charge) {
+        // Without a fallback time, the entry takes this daemon for the coordinator.
+        state.askers[from] = now + (ask.fallback_ms == 0 ? asker_memory : fallback);
+    } else if (ask.wanted == 0) {
+        // The entry uses another daemon's tokens for now, which grants them in place of this one.
+        state.askers[from] = now + fallback;
+    }
+}
+
+bool quota_coordinator::may_use_reserve(const tenant_state& state, absl::Time now) const {
+    return std::ranges::count_if(state.rivals, [&](const auto& other) { return !is_out(other, now); }) <= 1;
+}
+
 absl::Time quota_coordinator::in_charge_since() const {
     return std::max(*m_settled_at, m_view.last_loss());
 }
@@ -204,9 +215,14 @@
 }
 
 double quota_coordinator::served_fraction(tenant_state& state, absl::Time now) const {
-    std::erase_if(state.askers, [now](const auto& entry) { return now - entry.second > asker_memory; });
-    const double share = std::min(1.0, static_cast<double>(state.askers.size()) / static_cast<double>(m_view.size()));
-    return state.is_in_charge ? std::min(m_fraction, 1 - share) : share;
+    std::erase_if(state.askers, [now](const auto& entry) { return entry.second <= now; });
+    // Most entries do not ask within that time for a tenant with little demand, so the number that asked is compared
+    // with the number that would have asked if all entries used the same daemon.
+    const auto size = static_cast<double>(m_view.size());
+    const double asks = state.bucket.allowance().rate * usual_demand * absl::ToDoubleSeconds(asker_memory) / size;
+    const double expected = size * (1 - std::exp(-std::min(asks, max_asks_per_entry)));
+    const double share = std::min(1.0, static_cast<double>(state.askers.size()) / std::max(1.0, expected));
+    return std::min(m_fraction, state.is_in_charge ? 1 - share : share);
 }
 
 } // namespace amaranthladder
--- a/src/quota/quota_coordinator.h
+++ b/src/quota/quota_coordinator.h
@@ -94,7 +94,8 @@
         quota_bucket bucket;
         std::optional<std::uint64_t> view_version; ///< Of `rivals`.
         std::vector<quota_view::rival> rivals;
-        /// Entries that use the other daemon's tokens while this one is in charge, else those that use this one's.
+        /// Entries that use another daemon's tokens while this one is in charge, else those that use this one's; until
+        /// when they do so.
         std::map<endpoint, absl::Time> askers;
         bool is_in_charge = false;
         absl::Time asked_at = absl::InfinitePast();
@@ -105,6 +106,9 @@
     bool is_out(const quota_view::rival& other, absl::Time now) const;
     void update_role(const std::string& name, tenant_state& state, absl::Time now);
     double served_fraction(tenant_state& state, absl::Time now) const;
+    static void count_asker(tenant_state& state, const quota_ask& ask, const endpoint& from, absl::Time now);
+    /// @return true if at most one member that ranks above this daemon can grant tokens.
+    bool may_use_reserve(const tenant_state& state, absl::Time now) const;
     /// @return the time since which no other daemon can have been in charge of a tenant that this one is in charge of.
     absl::Time in_charge_since() const;
 
--- a/src/quota/quota_message.cpp
+++ b/src/quota/quota_message.cpp
@@ -49,6 +49,7 @@
         ask.id = read_id(protocol);
         protocol.readString(ask.tenant);
         ask.wanted = read_number(protocol);
+        ask.fallback_ms = read_number(protocol);
         result.asks.push_back(std::move(ask));
     }
     for (std::int32_t left = read_count(protocol); left > 0; --left) {
@@ -77,6 +78,7 @@
         protocol.writeI64(static_cast<std::int64_t>(ask.id));
         protocol.writeString(ask.tenant);
         protocol.writeI32(static_cast<std::int32_t>(ask.wanted));
+        protocol.writeI32(static_cast<std::int32_t>(ask.fallback_ms));
     }
     protocol.writeI32(static_cast<std::int32_t>(answers.size()));
     for (const quota_answer& answer : answers) {
--- a/src/quota/quota_message.h
+++ b/src/quota/quota_message.h
@@ -18,6 +18,8 @@
     std::uint64_t id = 0;
     std::string tenant;
     std::uint32_t wanted = 0;
+    /// Time for which the sender still uses the tokens of the second-ranked daemon; 0: it uses the coordinator's.
+    std::uint32_t fallback_ms = 0;
 
     friend bool operator==(const quota_ask&, const quota_ask&) = default;
 };
--- a/src/quota/quota_node.cpp
+++ b/src/quota/quota_node.cpp
@@ -20,7 +20,7 @@
 } // namespace
 
 quota_node::quota_node(const endpoint& self, const quota_limits& limits, std::uint64_t first_id)
-    : m_self(self), m_view(self), m_coordinator(limits, m_view, m_reach), m_client(m_view, first_id) {}
+    : m_self(self), m_view(self), m_coordinator(limits, m_view, m_reach), m_client(m_view, m_reach, first_id) {}
 
 void quota_node::set_configuration(std::shared_ptr<const intended_state> configuration, absl::Time now) {
     if (m_configuration != nullptr) {
@@ -161,7 +161,7 @@
 }
 
 void quota_node::probe(const endpoint& to) {
-    m_outgoing[to].asks.push_back({0, "", 0});
+    m_outgoing[to].asks.push_back({0, "", 0, 0});
 }
 
 } // namespace amaranthladder
--- a/src/quota/quota_view.cpp
+++ b/src/quota/quota_view.cpp
@@ -5,6 +5,8 @@
 #include <absl/random/distributions.h>
 
 #include <algorithm>
+#include <array>
+#include <utility>
 
 namespace amaranthladder {
 
@@ -13,6 +15,9 @@
 /// Time for which the largest number of members counts, so that a daemon that forgets the others grants no more.
 constexpr absl::Duration size_memory = absl::Minutes(10);
 
+/// With a quarter of the fleet out of reach, one of five of the highest-ranked daemons is in reach in 999 of 1,000 cases.
+constexpr std::size_t ranks_considered = 5;
+
 /// Rank of a member for a tenant: the highest one wins.
 std::uint64_t score(std::uint64_t member_hash, std::uint64_t tenant_hash) {
     std::uint64_t hash = member_hash ^ (tenant_hash * 0x9e3779b97f4a7c15ULL);
@@ -49,32 +54,33 @@
     }
 }
 
-quota_candidates quota_view::candidates(std::string_view tenant) const {
+quota_candidates quota_view::candidates(std::string_view tenant,
+                                        absl::FunctionRef<bool(const endpoint&)> is_silent) const {
     const std::uint64_t tenant_hash = stable_hash(tenant);
-    const ranked* first = nullptr;
-    const ranked* second = nullptr;
-    std::uint64_t first_score = 0;
-    std::uint64_t second_score = 0;
+    std::array<std::pair<std::uint64_t, const ranked*>, ranks_considered> best{};
     for (const ranked& candidate : m_members) {
         if (candidate.state == member_state::dead) {
             continue;
         }
-        const std::uint64_t own_score = score(candidate.hash, tenant_hash);
-        if (first == nullptr || own_score > first_score) {
-            second = first;
-            second_score = first_score;
-            first = &candidate;
-            first_score = own_score;
-        } else if (second == nullptr || own_score > second_score) {
-            second = &candidate;
-            second_score = own_score;
+        std::pair<std::uint64_t, const ranked*> next(score(candidate.hash, tenant_hash), &candidate);
+        for (auto& held : best) {
+            if (held.second == nullptr || next.first > held.first) {
+                std::swap(held, next);
+            }
+            if (next.second == nullptr) {
+                break;
+            }
         }
     }
     quota_candidates result;
-    result.coordinator = first->address;
-    result.is_coordinator_suspected = first->state == member_state::suspected;
-    if (second != nullptr) {
-        result.second = second->address;
+    result.coordinator = best[0].second->address;
+    for (std::size_t rank = 1; rank < best.size() && best[rank].second != nullptr && !result.second; ++rank) {
+        if (best[rank].second->state == member_state::alive && !is_silent(best[rank].second->address)) {
+            result.second = best[rank].second->address;
+        }
+    }
+    if (!result.second && best[1].second != nullptr) {
+        result.second = best[1].second->address;
     }
     return result;
 }
--- a/src/quota/quota_view.h
+++ b/src/quota/quota_view.h
@@ -3,6 +3,7 @@
 #include "common/endpoint.h"
 #include "peers/member.h"
 
+#include <absl/functional/function_ref.h>
 #include <absl/random/bit_gen_ref.h>
 #include <absl/time/time.h>
 
@@ -18,7 +19,6 @@
 struct quota_candidates {
     std::optional<endpoint> coordinator;
     std::optional<endpoint> second;
-    bool is_coordinator_suspected = false;
 };
 
 /// The members of the mesh as this daemon sees them, ranked for each tenant by rendezvous hashing.
@@ -35,8 +35,10 @@
 
     void update(const std::vector<member>& members, absl::Time now);
 
+    /// @param is_silent tells of a member that it does not answer; such a one is not returned as the second.
     /// @return the two highest-ranked members that are alive or suspected.
-    quota_candidates candidates(std::string_view tenant) const;
+    quota_candidates candidates(std::string_view tenant,
+                                absl::FunctionRef<bool(const endpoint&)> is_silent = never) const;
 
     /// @return all members that rank above this daemon, dead ones included, but not those that have left.
     std::vector<rival> rivals(std::string_view tenant) const;
@@ -65,6 +67,10 @@
     }
 
 private:
+    static bool never(const endpoint& /*member*/) {
+        return false;
+    }
+
     struct ranked {
         endpoint address;
         std::uint64_t hash = 0;
--- a/src/quota/reach_estimator.cpp
+++ b/src/quota/reach_estimator.cpp
@@ -38,9 +38,15 @@
     return found != m_contacts.end() && is_answered(found->second, now);
 }
 
+bool reach_estimator::is_silent(const endpoint& other, absl::Time now) const {
+    const auto found = m_contacts.find(other);
+    return found != m_contacts.end() && now - found->second.unanswered_since > silence_timeout &&
+           now - found->second.last_sent <= silence_memory;
+}
+
 void reach_estimator::expire(absl::Time now) {
     std::erase_if(m_contacts, [&](const auto& entry) {
-        return now - std::max(entry.second.answered_at, entry.second.last_sent) > memory + answer_timeout;
+        return now - std::max(entry.second.answered_at, entry.second.last_sent) > silence_memory;
     });
 }
 
--- a/src/tests/fakes/quota_fleet.h
+++ b/src/tests/fakes/quota_fleet.h
@@ -65,6 +65,8 @@
     /// Forgets what was counted for wrongly_refused so far.
     void clear_tallies();
     tally total() const;
+    /// @return the sum over the tenants at their usual demand.
+    tally of_allowed_tenants() const;
     tally of_tenant(std::size_t tenant) const;
     /// @return the largest number of requests that ran in any window, relative to the bound.
     /// @param since start of the first window.
