Quota: measure the reach among the members considered alive only

Probes of suspected and dead members counted as lost contacts on top of the membership's own fraction, so 7% of the requests were refused in a partition.

--- a/src/quota/quota_coordinator.cpp
+++ b/src/quota/quota_coordinator.cpp
@@ -66,7 +66,8 @@
     }
     const std::size_t others = m_view.alive() - 1;
     const bool is_reach_known = is_in_use(now) && now - m_in_use_since > reach_start;
-    double reach = m_reach.estimate(now, is_reach_known ? std::min(others, min_reach_samples) : 0);
+    double reach = m_reach.estimate(now, is_reach_known ? std::min(others, min_reach_samples) : 0,
+                                    [this](const endpoint& member) { return m_view.is_alive(member); });
     reach = reach >= full_reach ? 1 : reach;
     const double target = (1 + reach * static_cast<double>(others)) / static_cast<double>(m_view.size());
     const double risen = m_fraction + quota_bucket::rise_per_second * absl::ToDoubleSeconds(now - m_updated);
--- a/src/quota/quota_node.cpp
+++ b/src/quota/quota_node.cpp
@@ -146,7 +146,8 @@
 }
 
 void quota_node::send_probes(absl::Time now, absl::BitGenRef random) {
-    if (now >= m_next_probe && m_reach.samples(now) < wanted_samples) {
+    const auto counts = [this](const endpoint& member) { return m_view.is_alive(member); };
+    if (now >= m_next_probe && m_reach.samples(now, counts) < wanted_samples) {
         m_next_probe = now + probe_interval;
         if (const endpoint* const other = m_view.random_other(random)) {
             probe(*other);
--- a/src/quota/quota_view.cpp
+++ b/src/quota/quota_view.cpp
@@ -32,11 +32,15 @@
 
 void quota_view::update(const std::vector<member>& members, absl::Time now) {
     std::vector<ranked> changed{{m_self, m_self_hash, member_state::alive}};
+    std::set<endpoint> lost;
     std::size_t alive = 1;
     for (const member& known : members) {
         if (known.address == m_self || known.state == member_state::left) {
             continue;
         }
+        if (known.state != member_state::alive) {
+            lost.insert(known.address);
+        }
         alive += known.state == member_state::alive ? 1 : 0;
         changed.push_back({known.address, stable_hash(to_string(known.address)), known.state});
     }
@@ -44,6 +48,7 @@
         m_last_loss = now;
     }
     m_alive = alive;
+    m_lost = std::move(lost);
     if (changed.size() >= m_size || now - m_size_time > size_memory) {
         m_size = changed.size();
         m_size_time = now;
@@ -101,7 +106,7 @@
     // Few members are dead, so few draws suffice; without a hit the caller tries again later.
     for (int draw = 0; draw < 4 && m_members.size() > 1; ++draw) {
         const ranked& drawn = m_members[absl::Uniform<std::size_t>(random, 1, m_members.size())];
-        if (drawn.state != member_state::dead) {
+        if (drawn.state == member_state::alive) {
             return &drawn.address;
         }
     }
--- a/src/quota/quota_view.h
+++ b/src/quota/quota_view.h
@@ -10,6 +10,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <optional>
+#include <set>
 #include <string_view>
 #include <vector>
 
@@ -43,7 +44,11 @@
     /// @return all members that rank above this daemon, dead ones included, but not those that have left.
     std::vector<rival> rivals(std::string_view tenant) const;
 
-    /// @return a member other than this daemon that is alive or suspected, or null.
+    bool is_alive(const endpoint& address) const {
+        return !m_lost.contains(address);
+    }
+
+    /// @return a member other than this daemon that is alive, or null.
     const endpoint* random_other(absl::BitGenRef random) const;
 
     /// @return the most members known in the last ten minutes, dead ones included, but not those that have left.
@@ -82,6 +87,7 @@
     endpoint m_self;
     std::uint64_t m_self_hash;
     std::vector<ranked> m_members;
+    std::set<endpoint> m_lost; ///< Members that are suspected or dead.
     std::size_t m_size = 1;
     std::size_t m_alive = 1;
     std::uint64_t m_version = 0;
--- a/src/quota/reach_estimator.cpp
+++ b/src/quota/reach_estimator.cpp
@@ -16,15 +16,19 @@
     known.unanswered_since = absl::InfiniteFuture();
 }
 
-std::size_t reach_estimator::samples(absl::Time now) const {
-    return static_cast<std::size_t>(std::ranges::count_if(
-        m_contacts, [&](const auto& entry) { return is_lost(entry.second, now) || is_answered(entry.second, now); }));
+std::size_t reach_estimator::samples(absl::Time now, filter counts) const {
+    return static_cast<std::size_t>(std::ranges::count_if(m_contacts, [&](const auto& entry) {
+        return (is_lost(entry.second, now) || is_answered(entry.second, now)) && counts(entry.first);
+    }));
 }
 
-double reach_estimator::estimate(absl::Time now, std::size_t needed) const {
+double reach_estimator::estimate(absl::Time now, std::size_t needed, filter counts) const {
     std::size_t answered = 0;
     std::size_t total = 0;
     for (const auto& [address, known] : m_contacts) {
+        if (!counts(address)) {
+            continue;
+        }
         const bool is_reached = is_answered(known, now);
         answered += is_reached ? 1 : 0;
         total += is_reached || is_lost(known, now) ? 1 : 0;
--- a/src/quota/reach_estimator.h
+++ b/src/quota/reach_estimator.h
@@ -2,6 +2,7 @@
 
 #include "common/endpoint.h"
 
+#include <absl/functional/function_ref.h>
 #include <absl/time/time.h>
 
 #include <cstddef>
@@ -24,12 +25,15 @@
     void on_sent(const endpoint& to, absl::Time now);
     void on_answer(const endpoint& from, absl::Time now);
 
+    /// Tells which daemons to count: those considered alive. The membership already leaves out the others.
+    using filter = absl::FunctionRef<bool(const endpoint&)>;
+
     /// @return the number of daemons with a recent answer or without one for too long.
-    std::size_t samples(absl::Time now) const;
+    std::size_t samples(absl::Time now, filter counts) const;
 
     /// @param needed samples below which the missing ones count as unanswered.
     /// @return a number from 0 to 1. Each daemon counts once, so that one busy coordinator does not dominate.
-    double estimate(absl::Time now, std::size_t needed) const;
+    double estimate(absl::Time now, std::size_t needed, filter counts) const;
 
     /// @return true if @p other has answered recently.
     bool is_in_contact(const endpoint& other, absl::Time now) const;
