--- a/src/quota/quota_client.cpp
+++ b/src/quota/quota_client.cpp
@@ -22,6 +22,8 @@
 /// Time for which an entry stays with the second-ranked daemon. At least as long as that one counts the entry as its own,
 /// so that an entry is not counted by two daemons.
 constexpr absl::Duration avoid_time = absl::Seconds(1);
+/// Time after that in which the entry looks whether the coordinator still is silent, before it asks it again.
+constexpr absl::Duration silence_check_time = absl::Seconds(4);
 /// After the answer "none" an entry refuses requests without asking for at most this time. Bounds the messages about a
 /// tenant far over its quota.
 constexpr absl::Duration min_refusal_time = absl::Milliseconds(50);
@@ -169,7 +171,13 @@
     if (is_refill && (wanted < 2 || state.asked > 0 || held >= wanted * refill_share || now < state.refused_until)) {
         return;
     }
-    const bool is_avoided = now < state.avoids_coordinator_until;
+    bool is_avoided = now < state.avoids_coordinator_until;
+    if (!is_avoided && now < state.checks_coordinator_until) {
+        // The coordinator was silent when last asked. It is told of each ask to another daemon, so its answer ends this.
+        is_avoided = m_reach.is_silent(*m_view.candidates(tenant).coordinator, now, reach_estimator::answer_timeout);
+        state.avoids_coordinator_until = is_avoided ? now + avoid_time : state.avoids_coordinator_until;
+        state.checks_coordinator_until = is_avoided ? now + silence_check_time : state.checks_coordinator_until;
+    }
     ask(tenant, state, std::max(wanted, waiting_requests - std::min(expected, waiting_requests)), is_avoided, now);
 }
 
@@ -219,6 +227,7 @@
         return true;
     });
     state.avoids_coordinator_until = now + avoid_time;
+    state.checks_coordinator_until = now + silence_check_time;
     const std::string tenant = overdue.tenant;
     ask(tenant, state, std::max(batch(state), static_cast<std::uint32_t>(state.waiters.size())), true, now);
 }
--- a/src/quota/quota_client.h
+++ b/src/quota/quota_client.h
@@ -116,6 +116,7 @@
         absl::Time refused_until = absl::InfinitePast();
         absl::Time retry_at = absl::InfinitePast();
         absl::Time avoids_coordinator_until = absl::InfinitePast();
+        absl::Time checks_coordinator_until = absl::InfinitePast();
         std::optional<endpoint> fallback; ///< The daemon asked until then, so that only one counts this entry.
     };
 
