--- a/src/daemon/mesh_daemon.cpp
+++ b/src/daemon/mesh_daemon.cpp
@@ -12,6 +12,8 @@
 #include "daemon/follower_selector.h"
 #include "daemon/move_service.h"
 #include "daemon/order_service.h"
+#include "daemon/peer_record_rules.h"
+#include "daemon/quota_service.h"
 #include "daemon/report_collector.h"
 #include "daemon/status_text.h"
 #include "daemon/store_follower.h"
@@ -50,44 +52,11 @@
 
 /// Time before an order's deadline that is reserved for the last requests of the old version and for the report.
 constexpr absl::Duration order_deadline_margin = absl::Milliseconds(2500);
-/// Key prefix of the records in which an owner states that its upstream of an old version is idle.
-constexpr std::string_view idle_record_prefix = "idle/";
-
-/// Key of the record with the newest era of the store, a decimal number.
-constexpr std::string_view store_era_key = "store-era";
-
-std::uint64_t parse_era(const std::string& bytes) {
-    const std::optional<std::uint64_t> era = parse_number<std::uint64_t>(bytes);
-    if (!era) {
-        throw error(result_code::message_malformed, "the era of the store is not a number");
-    }
-    return *era;
-}
-
-/// @return the record with the newer era; @p held if @p heard cannot be read.
-std::string merge_eras(const std::string& held, const std::string& heard) {
-    try {
-        const std::uint64_t heard_era = parse_era(heard);
-        return held.empty() || heard_era > parse_era(held) ? heard : held;
-    } catch (const error&) {
-        return held;
-    }
-}
 
 std::string idle_record_key(const move_order& order, const std::string& upstream_id) {
     return fmt::format("{}{}/{}/{}", idle_record_prefix, order.service, order.introduced_in, upstream_id);
 }
 
-/// Merges two encoded records; @p held is returned if either cannot be decoded.
-template <typename Record> std::string merge_encoded(const std::string& held, const std::string& heard) {
-    try {
-        const Record heard_record = Record::decode(heard);
-        return held.empty() ? heard : merge(Record::decode(held), heard_record).encode();
-    } catch (const error&) {
-        return held;
-    }
-}
-
 /// Time from the start of a drain until the platform has redirected the callers: it checks readiness once a second and
 /// redirects after two failed checks.
 constexpr absl::Duration readiness_propagation_time = absl::Milliseconds(2200);
@@ -95,43 +64,6 @@
 /// be unused until the callers have been redirected. The rest of readiness_propagation_time is for the last requests.
 constexpr absl::Duration owner_drain_delay = absl::Milliseconds(1700);
 
-std::string merge_records(const std::string& key, const std::string& held, const std::string& heard) {
-    if (key.starts_with(order_key_prefix)) {
-        return merge_encoded<move_order>(held, heard);
-    }
-    if (key.starts_with(idle_record_prefix)) {
-        return held.empty() ? heard : held;
-    }
-    if (key == store_era_key) {
-        return merge_eras(held, heard);
-    }
-    if (key.starts_with(watcher_lease_record_prefix)) {
-        return merge_watcher_lease_records(held, heard);
-    }
-    if (key.starts_with(departure_key_prefix)) {
-        return merge_departure_records(held, heard);
-    }
-    return merge_encoded<move_record>(held, heard);
-}
-
-/// @return true if the daemons need not keep @p record any more.
-bool is_obsolete_record(const opaque_record& record, absl::Time now) {
-    if (!record.key.starts_with(departure_key_prefix)) {
-        return false;
-    }
-    try {
-        return is_obsolete(upstream_departure::decode(record.bytes), now);
-    } catch (const error&) {
-        return true;
-    }
-}
-
-/// Gossip sends urgent records first: progress of moves, orders, idle upstreams and departures. Watcher lease records
-/// are not urgent.
-bool is_urgent_record(const opaque_record& record) {
-    return !record.key.starts_with(watcher_lease_record_prefix);
-}
-
 } // namespace
 
 class mesh_daemon::implementation {
@@ -150,10 +82,8 @@
                   make_router_settings(settings, m_platform.has_value()), make_retry_budget(settings), m_clock, m_log,
                   make_upstream_observer()),
           m_peers(make_peer_settings(settings, m_proxy.owner_address()),
-                  {merge_records,
-                   [this](const opaque_record& record) { return is_obsolete_record(record, m_clock.now()); },
-                   is_urgent_record},
-                  make_peer_callbacks()) {
+                  make_record_rules(m_clock), make_peer_callbacks()),
+          m_quotas(m_platform ? m_platform->limits.quota : quota_limits(), m_proxy, m_peers, m_log) {
         m_peers.start();
         if (m_platform) {
             m_peers.add_contacts(m_platform->seeds);
@@ -579,7 +509,7 @@
     }
 
     void handle_peer_record(const opaque_record& record) {
-        if (record.key.starts_with(watcher_lease_record_prefix)) {
+        if (record.key.starts_with(watcher_lease_record_prefix) || m_quotas.handle_record(record)) {
             return;
         }
         try {
@@ -722,6 +652,7 @@
                 m_drain_at.reset();
             }
         }
+        m_quotas.update(are_upstreams_changed);
         if (are_upstreams_changed) {
             m_proxy.set_upstreams(usable_upstreams());
             std::vector<endpoint> suspected;
@@ -911,6 +842,7 @@
         result.upstreams_known = usable_upstreams().size();
         result.moves = m_moves.statuses();
         result.requests = m_proxy.counters();
+        result.quotas = m_proxy.quotas();
         result.dropped_log_lines = m_log.dropped_lines();
         const absl::MutexLock lock(&m_mutex);
         result.configuration_applied_at = m_applied_at;
@@ -973,6 +905,7 @@
     active_configuration m_configuration;
     request_proxy m_proxy;
     peer_server m_peers;
+    quota_service m_quotas;
     std::unique_ptr<store_client> m_store_client;
     std::unique_ptr<control_server> m_control_server;
     std::thread m_control_thread;
--- a/src/daemon/platform_interface.h
+++ b/src/daemon/platform_interface.h
@@ -4,6 +4,7 @@
 #include "daemon/upstream_announcement.h"
 #include "http/control_request.h"
 #include "http/header_names.h"
+#include "quota/quota_limits.h"
 #include "settings/daemon_settings.h"
 #include "store/store_connection_pool.h"
 
@@ -32,6 +33,7 @@
     absl::Duration stop_grace;
     /// Time for which an upstream serves after its leaving has been acknowledged; no request may reach it later.
     absl::Duration upstream_drain;
+    quota_limits quota; ///< Bound on the requests of tenants; defaults where the platform states none.
 };
 
 /// Response of an upstream to the question for its id.
--- a/src/daemon/status_text.cpp
+++ b/src/daemon/status_text.cpp
@@ -141,12 +141,45 @@
             {"connections_refused", counters.connections_refused}};
 }
 
+json::object quotas_json(const quota_report& quotas) {
+    return {{"settled", quotas.is_settled},
+            {"members", quotas.members_known},
+            {"fraction", quotas.fraction},
+            {"coordinated_tenants", quotas.coordinated_tenants},
+            {"granted", quotas.requests.granted},
+            {"refused_over_quota", quotas.requests.refused_over},
+            {"refused_unknown", quotas.requests.refused_unknown},
+            {"asked", quotas.requests.asks},
+            {"fallback", quotas.requests.fallback_asks},
+            {"waited", quotas.requests.waited},
+            {"expired", quotas.requests.expired}};
+}
+
 void add_metric(std::string& text, std::string_view metric, std::string_view type, std::string_view labels,
                 double value) {
     fmt::format_to(std::back_inserter(text), "# TYPE amaranthladder_{0} {1}\namaranthladder_{0}{2} {3}\n", metric, type,
                    labels, value);
 }
 
+void add_quota_metrics(std::string& text, const quota_report& quotas) {
+    const auto add = [&text](std::string_view metric, std::uint64_t value) {
+        add_metric(text, metric, "counter", "", static_cast<double>(value));
+    };
+    add("quota_granted_total", quotas.requests.granted);
+    add("quota_refused_over_total", quotas.requests.refused_over);
+    add("quota_refused_unknown_total", quotas.requests.refused_unknown);
+    add("quota_asked_total", quotas.requests.asks);
+    add("quota_fallback_total", quotas.requests.fallback_asks);
+    add("quota_expired_total", quotas.requests.expired);
+    add("quota_coordinator_asks_total", quotas.grants.asks);
+    add("quota_coordinator_granted_total", quotas.grants.granted);
+    add("quota_reserve_granted_total", quotas.grants.reserve_granted);
+    add("quota_coordinator_changes_total", quotas.grants.coordinator_changes);
+    add("quota_messages_sent_total", quotas.messages_sent);
+    add_metric(text, "quota_fleet_fraction", "gauge", "", quotas.fraction);
+    add_metric(text, "quota_coordinated_tenants", "gauge", "", static_cast<double>(quotas.coordinated_tenants));
+}
+
 } // namespace
 
 std::uint64_t control_bytes(const peer_counters& traffic) {
@@ -172,6 +205,7 @@
                               {"upstreams_known", status.upstreams_known},
                               {"moves", moves},
                               {"requests", requests_json(status.requests)},
+                              {"quotas", quotas_json(status.quotas)},
                               {"dropped_log_lines", status.dropped_log_lines}};
     return json::serialize(result) + "\n";
 }
@@ -195,6 +229,7 @@
                static_cast<double>(status.requests.malformed_rate_limits));
     add_metric(text, "upstream_surplus_responses_total", "counter", "",
                static_cast<double>(status.requests.surplus_responses));
+    add_quota_metrics(text, status.quotas);
     add_metric(text, "connections", "gauge", "", static_cast<double>(status.requests.connections_open));
     add_metric(text, "log_lines_dropped_total", "counter", "", static_cast<double>(status.dropped_log_lines));
     return text;
--- a/src/daemon/status_text.h
+++ b/src/daemon/status_text.h
@@ -7,6 +7,7 @@
 #include "daemon/announced_upstreams.h"
 #include "daemon/store_follower.h"
 #include "http/proxy_statistics.h"
+#include "quota/quota_node.h"
 #include "moves/move_status.h"
 #include "peers/member.h"
 #include "peers/peer_server.h"
@@ -41,6 +42,7 @@
     std::size_t upstreams_known = 0;
     std::vector<move_status> moves;
     proxy_counters requests;
+    quota_report quotas;
     std::uint64_t dropped_log_lines = 0;
 };
 
--- a/src/http/private/entry_call.cpp
+++ b/src/http/private/entry_call.cpp
@@ -93,6 +93,13 @@
     }
     set_target_time(matched_route);
     m_proxy.budget.on_request(m_service, m_proxy.clock.now());
+    if (const result_code refusal = co_await acquire_quota_token(); refusal != result_code::ok) {
+        if (m_is_cancelled) {
+            m_request.keeps_connection = false;
+            co_return serve_result{result_code::caller_disconnected, 0};
+        }
+        co_return co_await refuse(refusal, execution::not_run, m_request.info.tenant);
+    }
     m_request.info.caller_service = m_proxy.options.caller_service;
     m_request.info.is_idempotent = is_idempotent(matched_route);
     m_request.info.priority = matched_route.priority;
@@ -154,6 +161,27 @@
     }
 }
 
+asio::awaitable<result_code> entry_call::acquire_quota_token() {
+    const std::string& tenant = m_request.info.tenant;
+    if (!m_proxy.quotas.is_limited(tenant)) {
+        co_return result_code::ok;
+    }
+    const request_id waiter = m_proxy.next_request_id++;
+    m_cancel_attempt = [this, waiter] { m_proxy.quotas.cancel(m_request.info.tenant, waiter); };
+    const absl::Cleanup forget = [this] { m_cancel_attempt = nullptr; };
+    const quota_verdict verdict = co_await m_proxy.quotas.acquire(tenant, waiter);
+    if (verdict.result == quota_verdict::kind::run) {
+        m_quota_token_expires = verdict.token_expires;
+        co_return result_code::ok;
+    }
+    if (verdict.result == quota_verdict::kind::refused_over) {
+        // The jitter keeps callers that were refused together from retrying together.
+        m_request.retry_after = verdict.retry_after * absl::Uniform(m_proxy.random, 0.9, 1.4);
+        co_return result_code::quota_exceeded;
+    }
+    co_return result_code::quota_unknown;
+}
+
 const std::string& entry_call::choose_service(const route& matched_route) {
     return matched_route.weight_by_service.empty()
                ? matched_route.service
@@ -307,6 +335,9 @@
     auto& count = request_execution == execution::not_run ? m_proxy.counters.refusals_not_run
                                                           : m_proxy.counters.refusals_may_have_run;
     ++count;
+    if (request_execution == execution::not_run && m_quota_token_expires > m_proxy.clock.now()) {
+        m_proxy.quotas.give_back(m_request.info.tenant, std::exchange(m_quota_token_expires, absl::InfinitePast()));
+    }
     // The rest of an unread body would be parsed as the next request.
     if (!m_request.body.is_at_end()) {
         m_request.keeps_connection = false;
--- a/src/http/private/entry_call.h
+++ b/src/http/private/entry_call.h
@@ -44,6 +44,7 @@
     asio::awaitable<attempt_result> attempt_locally(const route& matched_route, const routing_decision& decision);
     asio::awaitable<attempt_result> attempt_at_owner(const route& matched_route, const routing_decision& decision);
     asio::awaitable<attempt_result> handle_owner_refusal(class exchange& owner_exchange);
+    asio::awaitable<result_code> acquire_quota_token();
     const std::string& choose_service(const route& matched_route);
     void observe_leaving(const std::string& upstream_id, const std::optional<owner_report>& report);
     void set_retry_after(result_code code);
@@ -70,6 +71,7 @@
     absl::Time m_deadline;
     absl::Time m_target_time = absl::InfiniteFuture();            ///< Time by which the response is wanted.
     absl::Duration m_shortest_backlog = absl::InfiniteDuration(); ///< Of all refusals due to load.
+    absl::Time m_quota_token_expires = absl::InfinitePast();      ///< Of the tenant's token that the request holds.
     std::function<void()> m_cancel_attempt;
     bool m_is_cancelled = false;
 };
--- a/src/http/private/proxy_state.h
+++ b/src/http/private/proxy_state.h
@@ -6,6 +6,7 @@
 #include "http/private/connection_pool.h"
 #include "http/private/drain_schedule.h"
 #include "http/private/local_upstream.h"
+#include "http/private/quota_gate.h"
 #include "http/private/response_relay.h"
 #include "http/proxy_options.h"
 #include "http/proxy_statistics.h"
@@ -101,6 +102,7 @@
     request_id next_request_id = 1;
     std::size_t requests_ahead = 0; ///< Requests on all connections that were read behind others.
     drain_schedule drain;           ///< Of this daemon; not started unless it has been asked to stop.
+    quota_gate quotas{context, clock, log, random};
 
     // The destructor of the event loop destroys suspended requests, which use the members above. The sockets of the
     // pool must be destroyed before the event loop.
--- a/src/http/request_proxy.cpp
+++ b/src/http/request_proxy.cpp
@@ -117,6 +117,11 @@
         return m_published_counters;
     }
 
+    quota_report quotas() const {
+        const absl::MutexLock lock(&m_mutex);
+        return m_published_quotas;
+    }
+
     void set_local_upstream(upstream_record record, int queue_limit) {
         local_upstream* known = m_state.find_local_upstream(record.id);
         if (known == nullptr) {
@@ -229,6 +234,7 @@
             m_state.counters.idle_upstream_connections = m_state.pool.idle_count();
             const absl::MutexLock lock(&m_mutex);
             m_published_counters = m_state.counters;
+            m_published_quotas = m_state.quotas.report();
         }
     }
 
@@ -279,6 +285,7 @@
     std::set<inbound_session*> m_sessions;
     mutable absl::Mutex m_mutex;
     proxy_counters m_published_counters ABSL_GUARDED_BY(m_mutex);
+    quota_report m_published_quotas ABSL_GUARDED_BY(m_mutex);
     proxy_state m_state; // Its destructor destroys suspended sessions, which use the members above.
     asio::ip::tcp::acceptor m_acceptor;
     asio::ip::tcp::acceptor m_owner_acceptor;
@@ -311,6 +318,7 @@
         std::erase_if(m_implementation->state().latency_by_route,
                       [&](const auto& entry) { return !state->routes.contains(entry.first); });
         m_implementation->state().request_router.set_configuration(state);
+        m_implementation->state().quotas.set_configuration(state);
     });
 }
 
@@ -333,6 +341,27 @@
     });
 }
 
+void request_proxy::start_quota(quota_transport transport) {
+    m_implementation->post([this, transport = std::move(transport)]() mutable {
+        m_implementation->state().quotas.start(std::move(transport));
+    });
+}
+
+void request_proxy::set_quota_members(std::vector<member> members, bool is_joined) {
+    m_implementation->post([this, members = std::move(members), is_joined] {
+        m_implementation->state().quotas.set_members(members, is_joined);
+    });
+}
+
+void request_proxy::receive_quota(quota_message message) {
+    m_implementation->post(
+        [this, message = std::move(message)] { m_implementation->state().quotas.receive(message); });
+}
+
+quota_report request_proxy::quotas() const {
+    return m_implementation->quotas();
+}
+
 void request_proxy::set_local_upstream(upstream_record record, int queue_limit) {
     m_implementation->post([this, record = std::move(record), queue_limit]() mutable {
         m_implementation->set_local_upstream(std::move(record), queue_limit);
--- a/src/http/request_proxy.h
+++ b/src/http/request_proxy.h
@@ -5,8 +5,12 @@
 #include "http/control_request.h"
 #include "http/proxy_options.h"
 #include "http/proxy_statistics.h"
+#include "http/quota_transport.h"
 #include "http/upstream_removal.h"
+#include "peers/member.h"
 #include "peers/upstream_record.h"
+#include "quota/quota_message.h"
+#include "quota/quota_node.h"
 #include "routing/retry_budget.h"
 #include "routing/router.h"
 
@@ -59,6 +63,14 @@
     void set_suspected_owners(std::vector<endpoint> owners);
     void set_share_overrides(share_overrides overrides);
 
+    /// Starts to limit the requests of tenants with a quota.
+    void start_quota(quota_transport transport);
+    /// @param is_joined this daemon knows the fleet, see quota_node::set_members().
+    void set_quota_members(std::vector<member> members, bool is_joined);
+    void receive_quota(quota_message message);
+    /// @return the state of the quotas; updated once a second.
+    quota_report quotas() const;
+
     /// Starts serving requests for a local upstream, or updates its record.
     /// @param queue_limit number of requests that may wait for a slot.
     void set_local_upstream(upstream_record record, int queue_limit);
--- a/src/quota/quota_client.h
+++ b/src/quota/quota_client.h
@@ -91,8 +91,7 @@
         return m_counters;
     }
 
-    /// @return true if tick() has something to do.
-    bool is_busy() const {
+    bool has_open_asks() const {
         return !m_asks.empty();
     }
 
--- a/src/quota/quota_node.h
+++ b/src/quota/quota_node.h
@@ -70,6 +70,11 @@
     std::vector<quota_client::resolved> take_resolved();
     std::vector<quota_role_change> take_role_changes();
 
+    /// @return true if tick() must be called every tick_interval, to notice in time that there is no answer.
+    bool has_open_asks() const {
+        return m_client.has_open_asks();
+    }
+
     /// @return true if tick() must be called.
     bool has_quotas() const {
         return m_has_quotas;
