--- a/src/daemon/mesh_daemon.cpp
+++ b/src/daemon/mesh_daemon.cpp
@@ -14,6 +14,7 @@
 #include "daemon/move_service.h"
 #include "daemon/opaque_record_rules.h"
 #include "daemon/order_service.h"
+#include "daemon/quota_service.h"
 #include "daemon/report_collector.h"
 #include "daemon/status_text.h"
 #include "daemon/store_follower.h"
@@ -78,7 +79,8 @@
                   make_upstream_observer()),
           m_peers(make_peer_settings(settings, m_proxy.owner_address()), make_opaque_rules(m_clock),
                   make_peer_callbacks()),
-          m_evacuations(make_evacuation_callbacks(), m_log) {
+          m_evacuations(make_evacuation_callbacks(), m_log),
+          m_quotas(m_platform ? m_platform->limits.quota : quota_limits(), m_proxy, m_peers, m_log) {
         m_peers.start();
         if (m_platform) {
             m_peers.add_contacts(m_platform->seeds);
@@ -534,7 +536,7 @@
     }
 
     void handle_peer_record(const opaque_record& record) {
-        if (record.key.starts_with(watcher_lease_record_prefix)) {
+        if (record.key.starts_with(watcher_lease_record_prefix) || m_quotas.handle_record(record)) {
             return;
         }
         try {
@@ -689,6 +691,7 @@
                 m_drain_at.reset();
             }
         }
+        m_quotas.update(are_upstreams_changed);
         if (are_upstreams_changed) {
             m_proxy.set_upstreams(usable_upstreams());
             std::vector<endpoint> suspected;
@@ -879,6 +882,7 @@
         result.moves = m_moves.statuses();
         result.requests = m_proxy.counters();
         result.evacuated_data_centers = m_evacuations.evacuated();
+        result.quotas = m_proxy.quotas();
         result.dropped_log_lines = m_log.dropped_lines();
         const absl::MutexLock lock(&m_mutex);
         result.configuration_applied_at = m_applied_at;
@@ -943,6 +947,7 @@
     peer_server m_peers;
     evacuation_service m_evacuations;
     std::optional<cold_state_checks> m_cold_checks; ///< Only with a platform.
+    quota_service m_quotas;
     std::unique_ptr<store_client> m_store_client;
     std::unique_ptr<control_server> m_control_server;
     std::thread m_control_thread;
--- a/src/daemon/platform_interface.h
+++ b/src/daemon/platform_interface.h
@@ -4,6 +4,7 @@
 #include "daemon/upstream_announcement.h"
 #include "http/control_request.h"
 #include "http/header_names.h"
+#include "quota/quota_limits.h"
 #include "settings/daemon_settings.h"
 #include "store/store_connection_pool.h"
 
@@ -36,6 +37,7 @@
     /// A cold upstream may get its cold rate times this, plus cold_slack, in any second.
     double cold_overage = 0;
     double cold_slack = 0; ///< In requests.
+    quota_limits quota;    ///< Bound on the requests of tenants; defaults where the platform states none.
 };
 
 /// Response of an upstream to the question for its id.
--- a/src/daemon/status_text.h
+++ b/src/daemon/status_text.h
@@ -10,6 +10,7 @@
 #include "moves/move_status.h"
 #include "peers/member.h"
 #include "peers/peer_server.h"
+#include "quota/quota_node.h"
 #include "settings/daemon_settings.h"
 
 #include <absl/time/time.h>
@@ -43,6 +44,7 @@
     std::vector<move_status> moves;
     proxy_counters requests;
     std::set<std::string> evacuated_data_centers;
+    quota_report quotas;
     std::uint64_t dropped_log_lines = 0;
 };
 
--- a/src/http/private/proxy_state.h
+++ b/src/http/private/proxy_state.h
@@ -7,6 +7,7 @@
 #include "http/private/connection_pool.h"
 #include "http/private/drain_schedule.h"
 #include "http/private/local_upstream.h"
+#include "http/private/quota_gate.h"
 #include "http/private/response_relay.h"
 #include "http/proxy_options.h"
 #include "http/proxy_statistics.h"
@@ -35,6 +36,9 @@
 class entry_call;
 
 /// State shared by all requests of a daemon. Used on the event loop's thread only.
+/// Bytes in the unit of link speeds.
+inline constexpr double bytes_per_megabit = 125'000;
+
 struct proxy_state {
     proxy_state(const proxy_options& proxy_settings, router_settings routing, retry_budget_policy budget_policy,
                 const steady_clock& time_source, event_log& logger, upstream_observer observer)
@@ -138,9 +142,10 @@
     absl::BitGen random;
     proxy_counters counters;
     request_id next_request_id = 1;
-    body_gate bodies{context, clock, {.link_bytes_per_second = options.link_bytes_per_second}};
+    body_gate bodies{context, clock, {.link_bytes_per_second = options.link_mbps * bytes_per_megabit}};
     std::size_t requests_ahead = 0; ///< Requests on all connections that were read behind others.
     drain_schedule drain;           ///< Of this daemon; not started unless it has been asked to stop.
+    quota_gate quotas{context, clock, log, random};
 
     // The destructor of the event loop destroys suspended requests, which use the members above. The sockets of the
     // pool must be destroyed before the event loop.
--- a/src/http/request_proxy.cpp
+++ b/src/http/request_proxy.cpp
@@ -117,6 +117,11 @@
         return m_published_counters;
     }
 
+    quota_report quotas() const {
+        const absl::MutexLock lock(&m_mutex);
+        return m_published_quotas;
+    }
+
     void set_local_upstream(upstream_record record, int queue_limit) {
         local_upstream* known = m_state.find_local_upstream(record.id);
         if (known == nullptr) {
@@ -286,6 +291,7 @@
             update_load_gauges();
             const absl::MutexLock lock(&m_mutex);
             m_published_counters = m_state.counters;
+            m_published_quotas = m_state.quotas.report();
         }
     }
 
@@ -346,6 +352,7 @@
     std::set<inbound_session*> m_sessions;
     mutable absl::Mutex m_mutex;
     proxy_counters m_published_counters ABSL_GUARDED_BY(m_mutex);
+    quota_report m_published_quotas ABSL_GUARDED_BY(m_mutex);
     proxy_state m_state; // Its destructor destroys suspended sessions, which use the members above.
     asio::ip::tcp::acceptor m_acceptor;
     asio::ip::tcp::acceptor m_owner_acceptor;
@@ -385,6 +392,7 @@
             known.semaphore->cold_starts().set_rate(proxy.cold_rate_of(known.record.service), proxy.clock.now());
             proxy.observe_cold(known, "configuration");
         }
+        proxy.quotas.set_configuration(state);
     });
 }
 
@@ -416,6 +424,26 @@
     m_implementation->post([this, id, remaining, asked_at] { m_implementation->report_cold(id, remaining, asked_at); });
 }
 
+void request_proxy::start_quota(quota_transport transport) {
+    m_implementation->post([this, transport = std::move(transport)]() mutable {
+        m_implementation->state().quotas.start(std::move(transport));
+    });
+}
+
+void request_proxy::set_quota_members(std::vector<member> members, bool is_joined) {
+    m_implementation->post([this, members = std::move(members), is_joined] {
+        m_implementation->state().quotas.set_members(members, is_joined);
+    });
+}
+
+void request_proxy::receive_quota(quota_message message) {
+    m_implementation->post([this, message = std::move(message)] { m_implementation->state().quotas.receive(message); });
+}
+
+quota_report request_proxy::quotas() const {
+    return m_implementation->quotas();
+}
+
 void request_proxy::set_local_upstream(upstream_record record, int queue_limit) {
     m_implementation->post([this, record = std::move(record), queue_limit]() mutable {
         m_implementation->set_local_upstream(std::move(record), queue_limit);
--- a/src/tests/upload_test.cpp
+++ b/src/tests/upload_test.cpp
@@ -44,7 +44,7 @@
 // Guards against bytes of a body that cross the mesh only to be refused: the link of the owner's host takes 10 s for
 // this body, and the caller waits for 1 s.
 BOOST_AUTO_TEST_CASE(refuses_before_the_body) {
-    two_daemons mesh(4, 4, [](proxy_options& options) { options.link_bytes_per_second = upload_bytes / 10.0; });
+    two_daemons mesh(4, 4, [](proxy_options& options) { options.link_mbps = upload_bytes * 8 / 10.0 / 1e6; });
     auto caller = mesh.client();
     const httplib::Headers headers{{"x-amaranthladder-deadline-ms", "1000"}};
     const auto started = std::chrono::steady_clock::now();
