--- a/src/http/private/proxy_state.h
+++ b/src/http/private/proxy_state.h
@@ -35,10 +35,10 @@
 
 class entry_call;
 
-/// State shared by all requests of a daemon. Used on the event loop's thread only.
 /// Bytes in the unit of link speeds.
 inline constexpr double bytes_per_megabit = 125'000;
 
+/// State shared by all requests of a daemon. Used on the event loop's thread only.
 struct proxy_state {
     proxy_state(const proxy_options& proxy_settings, router_settings routing, retry_budget_policy budget_policy,
                 const steady_clock& time_source, event_log& logger, upstream_observer observer)
