--- a/src/routing/cold_start_limit.cpp
+++ b/src/routing/cold_start_limit.cpp
@@ -124,11 +124,13 @@
 }
 
 void cold_start_limit::on_report(absl::Duration remaining, absl::Time valid_from, absl::Time now) {
-    if (valid_from < m_valid_from) {
+    m_reported_at = now;
+    // A heartbeat may have been sent before the last health check. If it says cold it applies nevertheless: the upstream
+    // may have turned cold since.
+    if (valid_from < m_valid_from && remaining <= absl::ZeroDuration()) {
         return;
     }
-    m_valid_from = valid_from;
-    m_reported_at = now;
+    m_valid_from = std::max(m_valid_from, valid_from);
     if (remaining > absl::ZeroDuration()) {
         if (!is_cold(now)) {
             begin_limit(now);
--- a/src/tests/cold_start_limit_test.cpp
+++ b/src/tests/cold_start_limit_test.cpp
@@ -169,6 +169,9 @@
     BOOST_TEST(upstream.limit.is_limiting(at(21'110)));
     upstream.limit.on_health_check(warm, at(21'200), at(21'210));
     BOOST_TEST(!upstream.limit.is_limiting(at(21'210)));
+    // It turns cold soon after the check.
+    upstream.limit.on_heartbeat(absl::Seconds(3), at(21'220));
+    BOOST_TEST(upstream.limit.is_limiting(at(21'220)));
 }
 
 // Guards against a service without a cold rate that is limited, or that costs health checks.
@@ -262,6 +265,7 @@
     absl::SleepFor(absl::Milliseconds(50));
     std::atomic<bool> is_over = false;
     std::vector<std::thread> callers;
+    callers.reserve(6);
     for (int index = 0; index < 6; ++index) {
         callers.emplace_back([&, index] {
             auto client = mesh.client(index % 2 == 0);
--- a/src/tests/evacuation_test.cpp
+++ b/src/tests/evacuation_test.cpp
@@ -43,24 +43,24 @@
     prefix_listener listener() {
         prefix_listener result;
         result.on_item = [this](const stored_item& item, bool /*is_change*/) {
-            const auto request = std::get<evacuation_request>(format.decode(item));
+            const auto request = std::get<evacuation_request>(m_format.decode(item));
             table.merge(request.data_center, {request.introduced_in, true});
         };
         result.on_removed = [this](const std::string& key, revision removed_in) {
-            table.merge(*format.evacuated_data_center(key), {removed_in, false});
+            table.merge(*m_format.evacuated_data_center(key), {removed_in, false});
         };
         result.on_reachable = [](bool /*is_reachable*/, store_outcome /*outcome*/) {};
         result.on_listed = [this](const names& keys, revision as_of) {
             names listed;
             for (const std::string& key : keys) {
-                listed.insert(*format.evacuated_data_center(key));
+                listed.insert(*m_format.evacuated_data_center(key));
             }
             table.end_missing(listed, as_of);
         };
         return result;
     }
 
-    intent_format format = platform::make_intent_format();
+    intent_format m_format = platform::make_intent_format();
 };
 
 } // namespace
