Test that orders to evacuate reach daemons through their peers

A daemon may start while the store is out of reach, or leave the store to others. Two processes with different stores show that it hears of an order and of its end, and keeps to the order after a restart.

--- a/src/tests/evacuation_test.cpp
+++ b/src/tests/evacuation_test.cpp
@@ -217,4 +217,34 @@
     BOOST_TEST(host.wait_for_status("/reads/x", 200, absl::Seconds(5)), host.log());
 }
 
+// Guards against a daemon that does not hear of an order, because it does not read the store that holds it: from its
+// peers it must learn of it, also after a restart, and of its end. Plays it with real processes.
+BOOST_AUTO_TEST_CASE(order_reaches_daemons_through_their_peers) {
+    platform_store store;
+    platform_store other_store;
+    put_test_configuration(store);
+    put_test_configuration(other_store);
+    for (int change = 0; change < 100; ++change) {
+        store.put("other/key", "x"); // A list of the other store must be older than the order.
+    }
+    const platform_host first(store, 1);
+    platform_host second(other_store, 2);
+    const std::string contact = to_string(first.peer_address());
+    other_store.put("mesh/daemons/" + contact, contact + "\n");
+    BOOST_REQUIRE(second.wait_for_log("member address=" + contact));
+    BOOST_REQUIRE(second.start_upstream());
+    store.put("op/evacuate/rosario-a", "{}");
+    BOOST_TEST(second.wait_for_status("/reads/x", 503, absl::Seconds(5)));
+    BOOST_TEST(second.wait_for_log("source=peer hosts=2 evacuated=1"), second.log());
+    second.kill();
+    second.start();
+    BOOST_REQUIRE(second.wait_for_status("/elsewhere", 404));
+    BOOST_REQUIRE(second.announce(2) == 200);
+    absl::SleepFor(absl::Seconds(2));
+    BOOST_TEST(second.client().Get("/reads/x")->status == 503);
+    store.remove("op/evacuate/rosario-a");
+    second.announce(3);
+    BOOST_TEST(second.wait_for_status("/reads/x", 200, absl::Seconds(5)), second.log());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
