--- a/src/routing/cold_start_limit.cpp
+++ b/src/routing/cold_start_limit.cpp
@@ -125,8 +125,8 @@
 
 void cold_start_limit::on_report(absl::Duration remaining, absl::Time valid_from, absl::Time now) {
     m_reported_at = now;
-    // A heartbeat may have been sent before the last health check. If it says cold it applies nevertheless: the upstream
-    // may have turned cold since.
+    // A heartbeat may have been sent before the last health check. If it says cold it applies nevertheless: the
+    // upstream may have turned cold since.
     if (valid_from < m_valid_from && remaining <= absl::ZeroDuration()) {
         return;
     }
--- a/src/tests/prefix_follower_test.cpp
+++ b/src/tests/prefix_follower_test.cpp
@@ -113,8 +113,8 @@
     scripted_store store;
     std::map<std::string, std::string> values;
     prefix_listener listener{[&](const stored_item& item, bool /*is_change*/) { values[item.key] = item.value; },
-                             [](const std::string& /*key*/, revision /*removed_in*/) {}, [](bool /*is_reachable*/, store_outcome /*outcome*/) {},
-                             [] { return absl::Seconds(1); }};
+                             [](const std::string& /*key*/, revision /*removed_in*/) {},
+                             [](bool /*is_reachable*/, store_outcome /*outcome*/) {}, [] { return absl::Seconds(1); }};
     absl::BitGen random;
     prefix_follower<scripted_store> follower(store, "op/", std::move(listener));
     BOOST_TEST(follower.step(random) == absl::ZeroDuration());
