Refuse requests at the entry while their service is short

While upstreams refuse requests of a service, the entry now refuses a part of them at once with service-short (503, not run) and a Retry-After within the slack of their target (service_shortage), less urgent ones first and returned ones last. Owners report the wait of a new request of the same priority in x-amaranthladder-wait-ms. In a shortage, a request that was held for more than an eighth of its target is answered after the next refusal.

In the queue, a less urgent request is expected to wait longer by the part of the work that was more urgent, while requests are refused: it was queued until it was late and only then refused.

--- a/src/daemon/status_text.cpp
+++ b/src/daemon/status_text.cpp
@@ -189,6 +189,8 @@
     add_metric(text, "retries_total", "counter", "", static_cast<double>(status.requests.retries));
     add_metric(text, "malformed_requests_total", "counter", "",
                static_cast<double>(status.requests.malformed_requests));
+    add_metric(text, "requests_refused_for_shortage_total", "counter", "",
+               static_cast<double>(status.requests.refusals_for_shortage));
     add_metric(text, "upstream_rate_limit_changes_total", "counter", "",
                static_cast<double>(status.requests.rate_limit_changes));
     add_metric(text, "upstream_rate_limits_malformed_total", "counter", "",
--- a/src/http/private/entry_call.cpp
+++ b/src/http/private/entry_call.cpp
@@ -31,6 +31,8 @@
 constexpr absl::Duration default_time_left = absl::Seconds(1);
 /// Retry-After is at most this fraction of the time that the caller has left, but not below min_retry_after.
 constexpr double max_wait_fraction = 1.0 / 3;
+/// A request that is refused after this fraction of its target latency has lost nothing by having been held.
+constexpr double max_free_hold_fraction = 1.0 / 8;
 
 absl::Duration expected_latency(const routing_decision& decision) {
     return decision.chosen ? decision.chosen->latency : absl::ZeroDuration();
@@ -101,6 +103,9 @@
     request_to_route.deadline = m_deadline;
     request_to_route.target_time = m_target_time;
     request_to_route.service = m_service;
+    if (must_shed(matched_route)) {
+        co_return co_await refuse(result_code::service_short, execution::not_run, m_service);
+    }
     attempt_result last;
     last.code = result_code::no_upstream;
     int attempts = 0;
@@ -112,6 +117,7 @@
             if (attempts == 0) {
                 last.code = decision.refusal;
             }
+            observe_refusal(matched_route, last);
             co_return co_await refuse_after_attempt(last, decision.service);
         }
         if (!m_proxy.drain.may_send(m_proxy.clock.now(), expected_latency(decision), m_deadline)) {
@@ -136,6 +142,7 @@
             m_shortest_backlog = std::min(m_shortest_backlog, last.backlog);
         }
         log_attempt_result(decision, last);
+        const bool is_held_in_shortage = observe_shortage(matched_route, decision, last);
         if (last.result) {
             co_return *last.result;
         }
@@ -143,7 +150,9 @@
             m_request.keeps_connection = false;
             co_return serve_result{result_code::caller_disconnected, 0};
         }
-        if (attempts >= max_upstream_choices || !may_retry(matched_route, last, std::max(m_attempts_sent, 1))) {
+        if (attempts >= max_upstream_choices || is_held_in_shortage ||
+            !may_retry(matched_route, last, std::max(m_attempts_sent, 1))) {
+            observe_refusal(matched_route, last);
             co_return co_await refuse_after_attempt(last, decision.upstream_id);
         }
         if (last.request_execution != execution::not_run) {
@@ -154,6 +163,65 @@
     }
 }
 
+std::optional<shortage_request> entry_call::make_shortage_request(const route& matched_route) const {
+    if (m_target_time == absl::InfiniteFuture()) {
+        return std::nullopt;
+    }
+    const absl::Time now = m_proxy.clock.now();
+    return shortage_request{.service = m_service,
+                            .kind = matched_route.name,
+                            .priority = m_request.info.priority,
+                            .time_to_target = m_target_time - now,
+                            .time_left =
+                                m_request.info.time_left.value_or(default_time_left) - (now - m_request.received_at),
+                            .has_returned = m_has_returned,
+                            .is_nested = m_request.info.is_nested};
+}
+
+bool entry_call::must_shed(const route& matched_route) {
+    const std::optional<shortage_request> described = make_shortage_request(matched_route);
+    if (!described) {
+        return false;
+    }
+    const shortage_decision decision = m_proxy.shortage.admit(*described, m_proxy.clock.now(), m_proxy.random);
+    if (decision.is_refused) {
+        ++m_proxy.counters.refusals_for_shortage;
+        m_request.retry_after = decision.retry_after;
+        m_proxy.log.info(fmt::format("shortage request={} service={} route={} priority={} returned={} "
+                                     "refused_share={:.3f} retry_after_ms={}",
+                                     m_request.info.request_id, m_service, matched_route.name, described->priority,
+                                     m_has_returned, decision.refused_share,
+                                     absl::ToInt64Milliseconds(decision.retry_after)));
+    }
+    return decision.is_refused;
+}
+
+bool entry_call::observe_shortage(const route& matched_route, const routing_decision& decision,
+                                  const attempt_result& ended) {
+    const std::optional<shortage_request> described = make_shortage_request(matched_route);
+    if (!described) {
+        return false;
+    }
+    const absl::Time now = m_proxy.clock.now();
+    if (ended.report && ended.report->wait) {
+        m_proxy.shortage.on_report(*described, decision.upstream_id, *ended.report->wait,
+                                   ended.report->route_service_time, now);
+    }
+    if (ended.outcome == attempt_outcome::answered) {
+        m_proxy.shortage.on_served(*described, now);
+    }
+    return ended.outcome == attempt_outcome::refused_load &&
+           now - m_request.received_at > matched_route.target_latency * max_free_hold_fraction &&
+           m_proxy.shortage.is_short(*described, now);
+}
+
+void entry_call::observe_refusal(const route& matched_route, const attempt_result& ended) {
+    if (const auto described = make_shortage_request(matched_route);
+        described && ended.outcome == attempt_outcome::refused_load) {
+        m_proxy.shortage.on_refused(*described, m_proxy.clock.now());
+    }
+}
+
 const std::string& entry_call::choose_service(const route& matched_route) {
     return matched_route.weight_by_service.empty()
                ? matched_route.service
@@ -311,7 +379,9 @@
     if (!m_request.body.is_at_end()) {
         m_request.keeps_connection = false;
     }
-    set_retry_after(code);
+    if (code != result_code::service_short) {
+        set_retry_after(code);
+    }
     if (m_proxy.log.is_enabled(log_level::info)) {
         const absl::Time now = m_proxy.clock.now();
         m_proxy.log.info(fmt::format(
@@ -368,6 +438,7 @@
                                       ? m_proxy.caller_timeouts.time_already_waited(
                                             matched_route.name, *m_request.info.time_left, m_request.received_at)
                                       : absl::ZeroDuration();
+    m_has_returned = waited > absl::ZeroDuration();
     m_target_time = m_request.received_at + matched_route.target_latency - waited;
     m_request.info.target_time_left = std::max(absl::ZeroDuration(), m_target_time - m_request.received_at);
 }
--- a/src/http/private/entry_call.h
+++ b/src/http/private/entry_call.h
@@ -39,6 +39,14 @@
         std::optional<serve_result> result;
     };
 
+    /// @return the request for admission control; only routes with a target latency take part in it.
+    std::optional<shortage_request> make_shortage_request(const route& matched_route) const;
+    /// @return true if the request must be refused at once, since its service is short.
+    bool must_shed(const route& matched_route);
+    /// Tells admission control about the end of an attempt.
+    /// @return true if no further attempt is made, since the request has been held long in a shortage.
+    bool observe_shortage(const route& matched_route, const routing_decision& decision, const attempt_result& ended);
+    void observe_refusal(const route& matched_route, const attempt_result& ended);
     asio::awaitable<serve_result> serve_route(const route& matched_route);
     asio::awaitable<attempt_result> attempt(const route& matched_route, const routing_decision& decision);
     asio::awaitable<attempt_result> attempt_locally(const route& matched_route, const routing_decision& decision);
@@ -70,6 +78,7 @@
     absl::Time m_deadline;
     absl::Time m_target_time = absl::InfiniteFuture();            ///< Time by which the response is wanted.
     absl::Duration m_shortest_backlog = absl::InfiniteDuration(); ///< Of all refusals due to load.
+    bool m_has_returned = false; ///< The caller's remaining time shows that the request was refused before.
     std::function<void()> m_cancel_attempt;
     bool m_is_cancelled = false;
 };
--- a/src/http/private/forwarding_headers.cpp
+++ b/src/http/private/forwarding_headers.cpp
@@ -143,6 +143,9 @@
     if (report.rate_limit) {
         fields.set(beast_view(header::rate_limit), fmt::format("{:g}", *report.rate_limit));
     }
+    if (report.wait) {
+        fields.set(beast_view(header::wait_ms), milliseconds_text(*report.wait));
+    }
     if (report.is_leaving) {
         fields.set(beast_view(header::leaving), "1");
     }
@@ -161,6 +164,9 @@
     report.service_time = microseconds(header::service_us);
     report.route_service_time = microseconds(header::route_us);
     report.rate_limit = parse_rate_limit(field_value(fields, header::rate_limit));
+    if (!field_value(fields, header::wait_ms).empty()) {
+        report.wait = absl::Milliseconds(std::max(number_or_zero<int>(fields, header::wait_ms), 0));
+    }
     report.is_leaving = field_value(fields, header::leaving) == "1";
     return report;
 }
--- a/src/http/private/forwarding_headers.h
+++ b/src/http/private/forwarding_headers.h
@@ -38,6 +38,7 @@
 inline constexpr std::string_view leaving = "x-amaranthladder-leaving";
 inline constexpr std::string_view tenant = "x-amaranthladder-tenant";
 inline constexpr std::string_view nested = "x-amaranthladder-nested";
+inline constexpr std::string_view wait_ms = "x-amaranthladder-wait-ms";
 inline constexpr std::string_view backlog_ms = "x-amaranthladder-backlog-ms";
 } // namespace header
 
--- a/src/http/private/owner_call.cpp
+++ b/src/http/private/owner_call.cpp
@@ -312,7 +312,8 @@
             .service_time = limiter.service_time(),
             .route_service_time = limiter.service_time(m_route),
             .rate_limit = limiter.rate_limit(),
-            .is_leaving = known != nullptr && known->has_said_leaving};
+            .is_leaving = known != nullptr && known->has_said_leaving,
+            .wait = limiter.wait_of(m_request.info.priority, m_proxy.clock.now())};
 }
 
 void owner_call::cancel() {
--- a/src/http/private/proxy_state.h
+++ b/src/http/private/proxy_state.h
@@ -13,6 +13,7 @@
 #include "routing/retry_budget.h"
 #include "routing/retry_policy.h"
 #include "routing/router.h"
+#include "routing/service_shortage.h"
 #include "routing/weighted_round_robin.h"
 
 #include <absl/container/flat_hash_map.h>
@@ -94,6 +95,7 @@
     bool has_configuration = false;     ///< A configuration has been applied since the start.
     std::set<entry_call*> remote_calls; ///< Idempotent requests that wait for another owner.
     caller_timeout_estimator caller_timeouts;
+    service_shortage shortage;
     absl::flat_hash_map<std::string, weighted_round_robin>
         service_rotations; ///< By route name; only for routes with several services.
     absl::BitGen random;
--- a/src/http/proxy_statistics.h
+++ b/src/http/proxy_statistics.h
@@ -46,6 +46,7 @@
     std::uint64_t retries = 0;
     std::uint64_t refusals_not_run = 0;
     std::uint64_t refusals_may_have_run = 0;
+    std::uint64_t refusals_for_shortage = 0; ///< At once, since the service is short; also in refusals_not_run.
     std::uint64_t rate_limit_changes = 0;    ///< Of local upstreams, as named in their responses.
     std::uint64_t malformed_rate_limits = 0; ///< Responses with a rate limit that is not a number.
     std::uint64_t surplus_responses = 0;     ///< Responses of upstreams to requests that had been answered before.
--- a/src/routing/priority_balance.cpp
+++ b/src/routing/priority_balance.cpp
@@ -26,6 +26,25 @@
     found.refused_at = now;
 }
 
+void priority_balance::on_started(int priority, absl::Duration work, absl::Time now) {
+    decayed(priority, now).work_s += absl::ToDoubleSeconds(work);
+}
+
+bool priority_balance::is_short(absl::Time now) const {
+    return std::ranges::any_of(m_counts, [&](const counts& one) { return now - one.refused_at <= refusal_validity; });
+}
+
+double priority_balance::more_urgent_share(int priority, absl::Time now) const {
+    double all = 0;
+    double more_urgent = 0;
+    for (const counts& one : m_counts) {
+        const double work = one.work_s * decay(one, now);
+        all += work;
+        more_urgent += one.priority < priority ? work : 0;
+    }
+    return all > 0 ? more_urgent / all : 0;
+}
+
 bool priority_balance::is_disadvantaged(int priority, absl::Time now) const {
     const auto found = std::ranges::find(m_counts, priority, &counts::priority);
     if (found == m_counts.end() || now - found->refused_at > refusal_validity) {
@@ -42,6 +61,10 @@
     return found == m_counts.end() ? 0 : found->refused_share();
 }
 
+double priority_balance::decay(const counts& of, absl::Time now) {
+    return std::exp(-absl::FDivDuration(now - of.updated_at, count_decay));
+}
+
 priority_balance::counts& priority_balance::decayed(int priority, absl::Time now) {
     const auto place = std::ranges::lower_bound(m_counts, priority, {}, &counts::priority);
     if (place == m_counts.end() || place->priority != priority) {
@@ -50,9 +73,10 @@
         made.updated_at = now;
         return *m_counts.insert(place, made);
     }
-    const double kept = std::exp(-absl::FDivDuration(now - place->updated_at, count_decay));
+    const double kept = decay(*place, now);
     place->offered *= kept;
     place->refused *= kept;
+    place->work_s *= kept;
     place->updated_at = now;
     return *place;
 }
--- a/src/routing/priority_balance.h
+++ b/src/routing/priority_balance.h
@@ -17,6 +17,16 @@
     /// Records that an offered request did not run.
     void on_refused(int priority, absl::Time now);
 
+    /// Records that an offered request started.
+    /// @param work expected service time.
+    void on_started(int priority, absl::Duration work, absl::Time now);
+
+    /// @return true if requests of any priority were refused recently.
+    bool is_short(absl::Time now) const;
+
+    /// @return part of the work that started recently which was more urgent.
+    double more_urgent_share(int priority, absl::Time now) const;
+
     /// @return true if requests of this priority were refused recently, and more often than those of a less urgent one.
     bool is_disadvantaged(int priority, absl::Time now) const;
 
@@ -28,6 +38,7 @@
         int priority = 0;
         double offered = 0; ///< Decays, as do the refusals, so their ratio needs no update with time.
         double refused = 0;
+        double work_s = 0; ///< Of started requests.
         absl::Time updated_at;
         absl::Time refused_at = absl::InfinitePast();
 
@@ -36,6 +47,7 @@
         }
     };
 
+    static double decay(const counts& of, absl::Time now);
     counts& decayed(int priority, absl::Time now);
 
     std::vector<counts> m_counts; ///< By priority, the most urgent first; there are few.
--- a/src/routing/router.h
+++ b/src/routing/router.h
@@ -72,11 +72,12 @@
 
 /// Load and service times of an upstream, which its owner reports with each response and refusal.
 struct owner_report {
-    double load = 0;                       ///< Running and queued requests per slot.
-    absl::Duration service_time;           ///< Mean over all requests; zero if unknown.
-    absl::Duration route_service_time;     ///< Mean over the requests of one route; zero if unknown.
-    std::optional<double> rate_limit = {}; ///< Requests per second that the upstream has asked for.
-    bool is_leaving = false;               ///< The upstream has said in a response that it leaves.
+    double load = 0;                         ///< Running and queued requests per slot.
+    absl::Duration service_time;             ///< Mean over all requests; zero if unknown.
+    absl::Duration route_service_time;       ///< Mean over the requests of one route; zero if unknown.
+    std::optional<double> rate_limit = {};   ///< Requests per second that the upstream has asked for.
+    bool is_leaving = false;                 ///< The upstream has said in a response that it leaves.
+    std::optional<absl::Duration> wait = {}; ///< Expected wait of a new request with the same priority for a slot.
 };
 
 /// Chooses the version and the upstream for each request of an entry.
--- a/src/routing/slot_limiter.cpp
+++ b/src/routing/slot_limiter.cpp
@@ -7,6 +7,13 @@
 
 namespace amaranthladder {
 
+namespace {
+
+/// A less urgent request waits for at most 20 times its turn in the queue before it counts as never served.
+constexpr double max_more_urgent_share = 0.95;
+
+} // namespace
+
 slot_limiter::slot_limiter(int slots, int queue_limit, slot_limiter_policy policy)
     : m_policy(policy), m_slots(std::max(slots, 1)), m_queue_limit(std::max(queue_limit, 0)) {}
 
@@ -173,6 +180,16 @@
     return std::max(wait_for_slot, m_start_rate.wait(queued(), now));
 }
 
+absl::Duration slot_limiter::wait_of(int priority, absl::Time now) const {
+    const auto ahead = std::ranges::count_if(
+        m_queue, [&](const waiting_request& waiting) { return waiting.is_nested || waiting.priority <= priority; });
+    if (running() < m_slots && m_queue.empty()) {
+        return m_start_rate.wait(0, now);
+    }
+    const absl::Duration wait = wait_behind(ahead, now);
+    return wait + overtaken_wait(wait, priority, now);
+}
+
 double slot_limiter::load(absl::Time now) const {
     const double slot_load = static_cast<double>(running() + queued()) / m_slots;
     const absl::Duration wait = m_start_rate.wait(queued(), now);
@@ -248,16 +265,25 @@
     return {admission::verdict::queued, result_code::ok};
 }
 
+absl::Duration slot_limiter::overtaken_wait(absl::Duration wait, int priority, absl::Time now) const {
+    if (!m_balance.is_short(now)) {
+        return absl::ZeroDuration();
+    }
+    const double urgent = std::min(m_balance.more_urgent_share(priority, now), max_more_urgent_share);
+    return wait * (urgent / (1 - urgent));
+}
+
 bool slot_limiter::is_admitted(const waiting_request& offered, absl::Time now) const {
     const absl::Duration wait = wait_behind(count_in_time_ahead(offered, now), now);
-    if (is_in_time(offered, now + wait)) {
+    if (is_in_time(offered, now + wait + overtaken_wait(wait, offered.priority, now))) {
         return true;
     }
     // Late requests get only spare capacity: at most one per slot is queued, and none while another one is in time.
     // Less urgent requests do not count against a favoured one.
     const std::ptrdiff_t ahead = offered.is_favoured ? count_ahead(offered, now) : queued();
-    const absl::Duration late_wait =
+    absl::Duration late_wait =
         offered.is_favoured ? wait_behind(ahead, now) : std::max(wait, m_start_rate.wait(ahead, now));
+    late_wait += overtaken_wait(late_wait, offered.priority, now);
     return !is_any_in_time_ahead(offered, now) && ahead < m_slots &&
            now + late_wait + service_time_of(offered.kind) <= offered.deadline;
 }
@@ -288,6 +314,7 @@
 
 void slot_limiter::start(const waiting_request& started, absl::Time now) {
     m_tenants.on_started(started.tenant, now);
+    m_balance.on_started(started.priority, service_time_of(started.kind), now);
     m_running.push_back({started.id, now, started.kind});
     m_start_rate.on_start(now);
 }
--- a/src/routing/slot_limiter.h
+++ b/src/routing/slot_limiter.h
@@ -108,6 +108,9 @@
     /// @return expected wait until a new request that is queued last can start.
     absl::Duration backlog(absl::Time now) const;
 
+    /// @return expected wait until a new request of a priority can start; zero if it can start now.
+    absl::Duration wait_of(int priority, absl::Time now) const;
+
     /// @return part of the recent offers of a priority that did not run; 0 without any.
     double refused_share(int priority) const {
         return m_balance.refused_share(priority);
@@ -225,6 +228,9 @@
     std::ptrdiff_t count_in_time_ahead(const waiting_request& offered, absl::Time now) const;
     /// Queues or refuses a request by its target.
     admission offer_by_target(waiting_request offered, absl::Time now);
+    /// @return how much longer a request waits because more urgent ones will arrive and go before it. Applied only
+    ///         while requests are refused: others would be queued until they are late, and only then be refused.
+    absl::Duration overtaken_wait(absl::Duration wait, int priority, absl::Time now) const;
     bool is_admitted(const waiting_request& offered, absl::Time now) const;
     /// Displaces the queued request that would start last, if @p offered is more urgent or its tenant has used less.
     bool displace_last_for(const waiting_request& offered, absl::Time now);
