Reuse expired wait reports in the entry's admission control

The entry kept one report for each upstream id that it ever used. Ids are new after each restart, so the list, which is searched for each response, grew with the churn of upstreams.

--- a/src/routing/service_shortage.cpp
+++ b/src/routing/service_shortage.cpp
@@ -83,7 +83,11 @@
     if (service_time > absl::ZeroDuration()) {
         decayed(service, request, now).service_time = service_time;
     }
-    const auto known = std::ranges::find(service.reports, upstream, &wait_report::upstream);
+    auto known = std::ranges::find(service.reports, upstream, &wait_report::upstream);
+    if (known == service.reports.end()) { // Expired reports make room, since upstreams come and go.
+        known = std::ranges::find_if(
+            service.reports, [&](const wait_report& report) { return now - report.reported_at > shortage_validity; });
+    }
     wait_report& report = known == service.reports.end() ? service.reports.emplace_back() : *known;
     report = {upstream, request.priority, wait, now, wait == absl::ZeroDuration() ? places_without_wait : 1};
 }
