--- a/src/http/private/forwarding_headers.cpp
+++ b/src/http/private/forwarding_headers.cpp
@@ -191,6 +191,9 @@
         fields.set(beast_view(header::link), fmt::format("{:.0f}", *report.link_utilisation * percent));
         fields.set(beast_view(header::link_mbps), fmt::format("{:g}", report.link_mbps));
     }
+    if (report.wait) {
+        fields.set(beast_view(header::wait_ms), milliseconds_text(*report.wait));
+    }
     if (report.is_leaving) {
         fields.set(beast_view(header::leaving), "1");
     }
@@ -217,6 +220,9 @@
         report.link_utilisation = *utilisation / percent;
         report.link_mbps = *link_mbps;
     }
+    if (!field_value(fields, header::wait_ms).empty()) {
+        report.wait = absl::Milliseconds(std::max(number_or_zero<int>(fields, header::wait_ms), 0));
+    }
     report.is_leaving = field_value(fields, header::leaving) == "1";
     return report;
 }
--- a/src/http/private/forwarding_headers.h
+++ b/src/http/private/forwarding_headers.h
@@ -43,6 +43,7 @@
 inline constexpr std::string_view speed = "x-amaranthladder-speed";
 inline constexpr std::string_view link = "x-amaranthladder-link";
 inline constexpr std::string_view link_mbps = "x-amaranthladder-link-mbps";
+inline constexpr std::string_view wait_ms = "x-amaranthladder-wait-ms";
 inline constexpr std::string_view backlog_ms = "x-amaranthladder-backlog-ms";
 } // namespace header
 
--- a/src/http/private/owner_call.cpp
+++ b/src/http/private/owner_call.cpp
@@ -378,7 +378,8 @@
                         .service_time = limiter.service_time(),
                         .route_service_time = limiter.service_time(m_route),
                         .rate_limit = limiter.rate_limit(now),
-                        .is_leaving = known != nullptr && known->has_said_leaving};
+                        .is_leaving = known != nullptr && known->has_said_leaving,
+                        .wait = limiter.wait_of(m_request.info.priority, now)};
     if (known != nullptr) {
         result.load = known->load.load(result.load, now);
         result.service_time = known->load.usual_service_time(result.service_time);
--- a/src/http/proxy_statistics.h
+++ b/src/http/proxy_statistics.h
@@ -61,11 +61,12 @@
     std::uint64_t link_bytes = 0;             ///< Moved over the host's link, in both directions.
     double link_utilisation = 0;              ///< Of the host's link over the last tenths of a second; 0 if unknown.
     double work_factor = 1; ///< Of the slowest local upstream: time that its work takes now, relative to the usual one.
-    std::uint64_t refusals_evacuated = 0; ///< Of the owner, since its data centre is evacuated.
-    std::uint64_t refusals_cold = 0;      ///< Of the owner, while its upstream is cold.
-    std::uint64_t cold_periods = 0;       ///< Times at which a local upstream became cold or unknown.
-    std::uint64_t cold_checks = 0;        ///< Health checks to find out whether a local upstream is cold.
-    std::uint64_t upstreams_cold = 0;     ///< Local upstreams that are cold now.
+    std::uint64_t refusals_evacuated = 0;    ///< Of the owner, since its data centre is evacuated.
+    std::uint64_t refusals_cold = 0;         ///< Of the owner, while its upstream is cold.
+    std::uint64_t cold_periods = 0;          ///< Times at which a local upstream became cold or unknown.
+    std::uint64_t cold_checks = 0;           ///< Health checks to find out whether a local upstream is cold.
+    std::uint64_t upstreams_cold = 0;        ///< Local upstreams that are cold now.
+    std::uint64_t refusals_for_shortage = 0; ///< At once, since the service is short; also in refusals_not_run.
     std::uint64_t requests_in_flight = 0;
     std::uint64_t idle_upstream_connections = 0;
 };
--- a/src/routing/router.h
+++ b/src/routing/router.h
@@ -90,6 +90,7 @@
     absl::Duration route_service_time;           ///< Mean over the requests of one route; zero if unknown.
     std::optional<double> rate_limit = {};       ///< Requests per second that the upstream has asked for.
     bool is_leaving = false;                     ///< The upstream has said in a response that it leaves.
+    std::optional<absl::Duration> wait = {};     ///< Expected wait of a new request with the same priority for a slot.
     double work_factor = 1;                      ///< Time that work takes now, relative to the service times above.
     std::optional<double> link_utilisation = {}; ///< Of the link of the upstream's host; nothing: unknown or not used.
     double link_mbps = 0;                        ///< Speed of that link, if link_utilisation is known.
