--- a/src/tests/fakes/platform_host.cpp
+++ b/src/tests/fakes/platform_host.cpp
@@ -64,6 +64,7 @@
         {"port_range.0", std::to_string(peer_port)},
         {"platform.address", to_string(store)},
         {"platform.reads_per_s", "2000"},
+        {"limits.link_mbps", "12.5"},
         {"seeds", ""},
     };
     for (const auto& [name, value] : fields) {
--- a/src/tests/settings_reader_test.cpp
+++ b/src/tests/settings_reader_test.cpp
@@ -135,6 +135,20 @@
     });
 }
 
+// Guards against a daemon that does not start because the platform does not state the speed of the host's link, and
+// against speeds that make no sense.
+BOOST_AUTO_TEST_CASE(reads_numbers_with_a_fraction) {
+    const auto link_mbps = [](const std::string& text) {
+        return read_daemon_settings("d.ini", required + "[host]\nlink_mbps = " + text + "\n").host.link_mbps;
+    };
+    BOOST_TEST(link_mbps("12.5") == 12.5);
+    BOOST_TEST(link_mbps("10") == 10);
+    BOOST_TEST(link_mbps("") == 0);
+    for (const char* const text : {"-1", "fast", "nan", "inf", "1e9", "10 Mbit"}) {
+        BOOST_TEST(!list_problems(required + "[host]\nlink_mbps = " + text + "\n").empty(), text);
+    }
+}
+
 std::string non_default_value(const setting_row& row) {
     switch (row.type) {
     case setting_type::duration:
