--- a/src/daemon/status_text.cpp
+++ b/src/daemon/status_text.cpp
@@ -198,6 +198,10 @@
     add_metric(text, "upstream_load_reports_malformed_total", "counter", "",
                static_cast<double>(status.requests.malformed_server_loads));
     add_metric(text, "upstream_work_factor", "gauge", "", status.requests.work_factor);
+    add_metric(text, "nested_requests_total", "counter", "", static_cast<double>(status.requests.nested_requests));
+    add_metric(text, "cross_data_center_attempts_total", "counter", "",
+               static_cast<double>(status.requests.remote_attempts));
+    add_metric(text, "cross_data_center_bytes_total", "counter", "", static_cast<double>(status.requests.remote_bytes));
     add_metric(text, "link_bytes_total", "counter", "", static_cast<double>(status.requests.link_bytes));
     add_metric(text, "link_utilisation", "gauge", "", status.requests.link_utilisation);
     add_metric(text, "connections", "gauge", "", static_cast<double>(status.requests.connections_open));
--- a/src/http/private/owner_call.cpp
+++ b/src/http/private/owner_call.cpp
@@ -48,6 +48,7 @@
         known != nullptr && m_proxy.clock.now() < known->unreachable_until) {
         co_return exchange_status{result_code::connect_failed, execution::not_run};
     }
+    detect_nested_call();
     // Must be a named variable: GCC 12 destroys an aggregate temporary in a co_await expression twice.
     slot_request wanted;
     wanted.id = m_id;
@@ -83,6 +84,17 @@
     co_return started;
 }
 
+void owner_call::detect_nested_call() {
+    const nested_route_detector::verdict found =
+        m_proxy.nested_routes.observe(m_route, m_request.info.caller_service, m_proxy.clock.now());
+    m_request.info.is_nested = m_request.info.is_nested || found.is_nested;
+    m_proxy.counters.nested_requests += m_request.info.is_nested ? 1 : 0;
+    if (found.has_changed) {
+        m_proxy.log.info(fmt::format("nested-route route={} nested={} caller_service={} request={}", m_route,
+                                     found.is_nested, m_request.info.caller_service, m_request.info.request_id));
+    }
+}
+
 void owner_call::log_admission(result_code granted, const slot_request& wanted) {
     if (!m_proxy.log.is_enabled(log_level::info)) {
         return;
--- a/src/http/private/owner_call.h
+++ b/src/http/private/owner_call.h
@@ -76,6 +76,8 @@
     /// Records what the upstream says of itself in its response.
     /// @param is_complete false if the response may lack what other responses of the upstream contain.
     void observe_signals(bool is_complete);
+    /// Marks the request if its route is one of nested calls.
+    void detect_nested_call();
     void observe_server_load(local_upstream& known, const upstream_signals& signals, bool is_complete);
     void log_admission(result_code granted, const slot_request& wanted);
     bool has_field(const std::string& name);
--- a/src/http/private/proxy_state.h
+++ b/src/http/private/proxy_state.h
@@ -11,6 +11,7 @@
 #include "http/proxy_statistics.h"
 #include "routing/caller_timeout_estimator.h"
 #include "routing/link_meter.h"
+#include "routing/nested_route_detector.h"
 #include "routing/retry_budget.h"
 #include "routing/retry_policy.h"
 #include "routing/router.h"
@@ -102,6 +103,7 @@
     bool has_configuration = false;     ///< A configuration has been applied since the start.
     std::set<entry_call*> remote_calls; ///< Idempotent requests that wait for another owner.
     caller_timeout_estimator caller_timeouts;
+    nested_route_detector nested_routes; ///< Of requests to local upstreams.
     absl::flat_hash_map<std::string, weighted_round_robin>
         service_rotations; ///< By route name; only for routes with several services.
     absl::BitGen random;
--- a/src/http/proxy_statistics.h
+++ b/src/http/proxy_statistics.h
@@ -49,6 +49,9 @@
     std::uint64_t rate_limit_changes = 0;     ///< Of local upstreams, as named in their responses.
     std::uint64_t malformed_rate_limits = 0;  ///< Responses with a rate limit that is not a number.
     std::uint64_t malformed_server_loads = 0; ///< Responses with a load report that cannot be read.
+    std::uint64_t nested_requests = 0;        ///< Requests to local upstreams that were taken for nested calls.
+    std::uint64_t remote_attempts = 0;        ///< Attempts at upstreams of other data centres.
+    std::uint64_t remote_bytes = 0;           ///< Bytes of the bodies of those that were answered, as declared.
     std::uint64_t link_bytes = 0;             ///< Moved over the host's link, in both directions.
     double link_utilisation = 0;              ///< Of the host's link over the last tenths of a second; 0 if unknown.
     double work_factor = 1; ///< Of the slowest local upstream: time that its work takes now, relative to the usual one.
--- a/src/http/request_proxy.cpp
+++ b/src/http/request_proxy.cpp
@@ -324,6 +324,7 @@
         std::erase_if(m_implementation->state().latency_by_route,
                       [&](const auto& entry) { return !state->routes.contains(entry.first); });
         m_implementation->state().request_router.set_configuration(state);
+        m_implementation->state().nested_routes.reset();
     });
 }
 
