Decide by expected completion which requests leave a data centre

A fixed fraction of the target kept requests at home or sent all of them away, and where all data centres were short it sent every second request to another. The probability now follows the risk of a late response that leaving avoids, the time saved, and the bytes of the route, so that as many leave as home cannot serve. Costs are estimated for the drawn candidates only.

--- a/src/daemon/component_settings.cpp
+++ b/src/daemon/component_settings.cpp
@@ -76,6 +76,7 @@
     result.holds_back_new_versions = requires_orders;
     result.data_center = settings.daemon.data_center;
     result.policy.warm_up.period = settings.requests.warm_up;
+    result.policy.data_centers.wait_per_megabyte = absl::Milliseconds(settings.routing.cross_data_center_ms_per_mb);
     return result;
 }
 
--- a/src/http/private/entry_call.cpp
+++ b/src/http/private/entry_call.cpp
@@ -39,9 +39,9 @@
 }
 
 /// @return the declared size of a request's body; a chunked one, whose size is not declared, counts as none.
-double body_bytes(const http::request_header<>& head) {
+std::uint64_t body_bytes(const http::request_header<>& head) {
     const auto text = head[http::field::content_length];
-    return static_cast<double>(parse_number<std::uint64_t>({text.data(), text.size()}).value_or(0));
+    return parse_number<std::uint64_t>({text.data(), text.size()}).value_or(0);
 }
 
 attempt_outcome refusal_outcome(result_code code) {
@@ -139,10 +139,7 @@
             m_proxy.request_router.on_report(decision.upstream_id, matched_route.name, *last.report,
                                              m_proxy.clock.now());
         }
-        if (last.response_bytes) {
-            m_proxy.request_router.on_transfer(matched_route.name, body_bytes(m_request.head),
-                                               static_cast<double>(*last.response_bytes));
-        }
+        record_transfer(matched_route, decision, last);
         m_attempts_sent += last.may_have_reached_upstream ? 1 : 0;
         if (last.outcome == attempt_outcome::refused_load) {
             m_shortest_backlog = std::min(m_shortest_backlog, last.backlog);
@@ -166,6 +163,19 @@
     }
 }
 
+void entry_call::record_transfer(const route& matched_route, const routing_decision& decision,
+                                 const attempt_result& ended) {
+    const std::uint64_t request_bytes = body_bytes(m_request.head);
+    if (ended.response_bytes) {
+        m_proxy.request_router.on_transfer(matched_route.name, static_cast<double>(request_bytes),
+                                           static_cast<double>(*ended.response_bytes));
+    }
+    if (!decision.is_local) {
+        ++m_proxy.counters.remote_attempts;
+        m_proxy.counters.remote_bytes += ended.response_bytes ? request_bytes + *ended.response_bytes : 0;
+    }
+}
+
 const std::string& entry_call::choose_service(const route& matched_route) {
     return matched_route.weight_by_service.empty()
                ? matched_route.service
--- a/src/http/private/entry_call.h
+++ b/src/http/private/entry_call.h
@@ -46,6 +46,7 @@
     asio::awaitable<attempt_result> attempt_locally(const route& matched_route, const routing_decision& decision);
     asio::awaitable<attempt_result> attempt_at_owner(const route& matched_route, const routing_decision& decision);
     asio::awaitable<attempt_result> handle_owner_refusal(class exchange& owner_exchange);
+    void record_transfer(const route& matched_route, const routing_decision& decision, const attempt_result& ended);
     const std::string& choose_service(const route& matched_route);
     void observe_leaving(const std::string& upstream_id, const std::optional<owner_report>& report);
     void set_retry_after(result_code code);
--- a/src/routing/picker.h
+++ b/src/routing/picker.h
@@ -1,8 +1,10 @@
 #pragma once
 
 #include "routing/completion_estimate.h"
+#include "routing/data_center_choice.h"
 #include "routing/routing_decision.h"
 
+#include <absl/functional/function_ref.h>
 #include <absl/random/bit_gen_ref.h>
 #include <absl/time/time.h>
 
@@ -26,6 +28,7 @@
     bool is_local = true; ///< The upstream is in the data centre of the entry.
     /// Expected time to the response, estimated from reports of owners; zero if unknown.
     absl::Duration expected_latency = absl::ZeroDuration();
+    absl::Duration report_age = absl::ZeroDuration(); ///< Age of the newest report; infinite without any.
     completion_estimate parts = {}; ///< Parts of that time, without what earlier responses took longer than expected.
 };
 
@@ -34,22 +37,26 @@
     std::size_t chosen = 0;
     std::optional<std::size_t> compared;
     choice_reason reason = choice_reason::only_candidate;
+    double leave_probability = 0; ///< With which the request was to leave its data centre.
 };
 
 /// Chooses an upstream by power of two choices, with preference for the local data centre.
 class picker {
 public:
-    explicit picker(picker_policy policy = {});
+    explicit picker(picker_policy policy = {}, data_center_policy data_centers = {});
 
-    /// @param candidates at least one.
+    /// @param candidates at least one; only their weights and data centres need to be known.
+    /// @param estimate fills in the other members of a candidate, given by its index. Called for those that are drawn,
+    ///        up to four, since the estimates of all would take most of the time of a choice.
     /// @param rng source of randomness.
-    /// @param max_local_latency expected latency up to which a local upstream is always preferred, since traffic
-    ///        between data centres costs more than the time saved. Zero: the spillover rules of the policy decide.
-    pick_result pick(std::span<const pick_candidate> candidates, absl::BitGenRef rng,
-                     absl::Duration max_local_latency = absl::ZeroDuration()) const;
+    /// @param question limits and sizes of the request, from which it is decided whether it leaves the data centre. The
+    ///        expected times are those of the candidates; without them the spillover rules of the policy decide.
+    pick_result pick(std::span<const pick_candidate> candidates, absl::FunctionRef<void(std::size_t)> estimate,
+                     absl::BitGenRef rng, data_center_question question = {}) const;
 
 private:
     picker_policy m_policy;
+    data_center_choice m_data_centers;
 };
 
 } // namespace amaranthladder
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -55,7 +55,8 @@
       link_utilisation(policy.link_decay, policy.report_memory), excess(policy.excess) {}
 
 router::router(router_settings settings)
-    : m_settings(std::move(settings)), m_warm_up(m_settings.policy.warm_up), m_picker(m_settings.policy.picker),
+    : m_settings(std::move(settings)), m_warm_up(m_settings.policy.warm_up),
+      m_picker(m_settings.policy.picker, m_settings.policy.data_centers),
       m_state(std::make_shared<const intended_state>()) {}
 
 void router::set_configuration(std::shared_ptr<const intended_state> state) {
@@ -110,8 +111,13 @@
         ++version;
     }
     const candidate_set usable = candidates(*version->group, matched_route, request, now);
-    const std::vector<pick_candidate> pick_candidates = make_pick_candidates(usable.upstreams, matched_route.name, now);
-    const pick_result picked = m_picker.pick(pick_candidates, rng, max_local_latency(matched_route, request, now));
+    std::vector<pick_candidate> pick_candidates = make_pick_candidates(usable.upstreams, now);
+    std::optional<report_averages> averages;
+    const auto estimate = [&](std::size_t index) {
+        estimate_cost(pick_candidates[index], *usable.upstreams[index], usable.upstreams, matched_route.name, averages,
+                      now);
+    };
+    const pick_result picked = m_picker.pick(pick_candidates, estimate, rng, question_of(matched_route, request, now));
     const upstream_state& chosen = *usable.upstreams[picked.chosen];
     routing_decision decision = make_decision(matched_route, request, result_code::ok);
     decision.version = *version->name;
@@ -120,6 +126,8 @@
     decision.address = chosen.record.address;
     decision.reason = usable.reason == choice_reason::none ? picked.reason : usable.reason;
     decision.candidate_count = static_cast<int>(usable.upstreams.size());
+    decision.leave_probability = picked.leave_probability;
+    decision.is_local = is_local(chosen);
     decision.chosen = candidate_info_of(chosen, pick_candidates[picked.chosen], now);
     if (picked.compared) {
         decision.compared =
@@ -215,6 +223,8 @@
         upstream->in_flight = in_flight;
         upstream->warm_up_started = m_services.contains(record.service) ? now : absl::InfinitePast();
         upstream->listed_since = now;
+        // Otherwise the first sample would count in full.
+        upstream->excess.observe(absl::ZeroDuration(), now);
     }
     upstream->record = record;
     upstream->is_listed = true;
@@ -345,43 +355,52 @@
 }
 
 std::vector<pick_candidate> router::make_pick_candidates(const std::vector<upstream_state*>& upstreams,
-                                                         const std::string& route_name, absl::Time now) const {
+                                                         absl::Time now) const {
+    std::vector<pick_candidate> pick_candidates;
+    pick_candidates.reserve(upstreams.size());
+    for (const upstream_state* upstream : upstreams) {
+        pick_candidates.push_back({.weight = usable_slots(*upstream) * m_warm_up.weight(upstream->warm_up_started, now),
+                                   .is_local = is_local(*upstream)});
+    }
+    return pick_candidates;
+}
+
+absl::Duration router::lowest_latency(const std::vector<upstream_state*>& upstreams, absl::Time now) {
     // An upstream without a sample counts as fast as the fastest one, so that it is tried but not flooded.
-    absl::Duration lowest_latency = absl::InfiniteDuration();
+    absl::Duration lowest = absl::InfiniteDuration();
     for (const upstream_state* upstream : upstreams) {
         if (upstream->latency.has_samples()) {
-            lowest_latency = std::min(lowest_latency, upstream->latency.value(now));
+            lowest = std::min(lowest, upstream->latency.value(now));
         }
     }
-    lowest_latency = lowest_latency == absl::InfiniteDuration() ? absl::Milliseconds(1) : lowest_latency;
-    const report_averages averages = average_reports(upstreams, route_name, now);
-    std::vector<pick_candidate> pick_candidates;
-    pick_candidates.reserve(upstreams.size());
-    for (const upstream_state* upstream : upstreams) {
-        const double slots = usable_slots(*upstream);
-        const double own_load = upstream->in_flight / slots;
-        const double reported_load = decayed_load(*upstream, now);
-        const absl::Duration latency = std::max(
-            upstream->latency.value(now), upstream->latency.has_samples() ? absl::Microseconds(1) : lowest_latency);
-        const completion_estimate parts = expected_completion(*upstream, route_name, averages, now);
-        if (parts.total() > absl::ZeroDuration()) {
-            const absl::Duration expected = parts.total() + upstream->excess.value(now);
-            pick_candidates.push_back({.weight = slots * m_warm_up.weight(upstream->warm_up_started, now),
-                                       .cost = absl::ToDoubleSeconds(expected + parts.spread),
-                                       .load = expected_load(*upstream, averages, now),
-                                       .is_local = is_local(*upstream),
-                                       .expected_latency = expected,
-                                       .parts = parts});
-            continue;
-        }
-        pick_candidates.push_back(
-            {.weight = slots * m_warm_up.weight(upstream->warm_up_started, now),
-             .cost = absl::ToDoubleSeconds(latency) * (1 + m_settings.policy.own_load_weight * own_load +
-                                                       m_settings.policy.reported_load_weight * reported_load),
-             .load = std::max(own_load, reported_load),
-             .is_local = is_local(*upstream)});
+    return lowest == absl::InfiniteDuration() ? absl::Milliseconds(1) : lowest;
+}
+
+void router::estimate_cost(pick_candidate& candidate, const upstream_state& upstream,
+                           const std::vector<upstream_state*>& upstreams, const std::string& route_name,
+                           std::optional<report_averages>& averages, absl::Time now) const {
+    const bool is_fresh =
+        upstream.service_time > absl::ZeroDuration() && upstream.load.age(now) < m_settings.policy.fresh_report_age;
+    if (!is_fresh && !averages) {
+        averages = average_reports(upstreams, route_name, now);
     }
-    return pick_candidates;
+    const report_averages used = averages.value_or(report_averages{});
+    candidate.parts = expected_completion(upstream, route_name, used, now);
+    if (candidate.parts.total() > absl::ZeroDuration()) {
+        candidate.expected_latency = candidate.parts.total() + upstream.excess.value(now);
+        candidate.cost = absl::ToDoubleSeconds(candidate.expected_latency + candidate.parts.spread);
+        candidate.load = expected_load(upstream, used, now);
+        candidate.report_age = upstream.load.age(now);
+        return;
+    }
+    const double own_load = upstream.in_flight / usable_slots(upstream);
+    const double reported_load = decayed_load(upstream, now);
+    const absl::Duration latency = upstream.latency.has_samples()
+                                       ? std::max(upstream.latency.value(now), absl::Microseconds(1))
+                                       : lowest_latency(upstreams, now);
+    candidate.cost = absl::ToDoubleSeconds(latency) * (1 + m_settings.policy.own_load_weight * own_load +
+                                                       m_settings.policy.reported_load_weight * reported_load);
+    candidate.load = std::max(own_load, reported_load);
 }
 
 router::report_averages router::average_reports(const std::vector<upstream_state*>& upstreams,
@@ -464,15 +483,11 @@
     m_transfer_sizes[route].observe(request_bytes, response_bytes);
 }
 
-absl::Duration router::max_local_latency(const route& matched_route, const routing_request& request,
+data_center_question router::question_of(const route& matched_route, const routing_request& request,
                                          absl::Time now) const {
-    if (request.target_time == absl::InfiniteFuture()) {
-        return absl::ZeroDuration();
-    }
-    const double fraction = matched_route.kind == route_kind::download
-                                ? m_settings.policy.local_latency_fraction_download
-                                : m_settings.policy.local_latency_fraction;
-    return std::max(absl::Milliseconds(1), (request.target_time - now) * fraction);
+    return {.time_to_target = request.target_time - now,
+            .time_to_deadline = request.deadline - now,
+            .bytes = mean_transfer_bytes(matched_route.name)};
 }
 
 void router::set_suspected_owners(std::vector<endpoint> owners) {
--- a/src/routing/router.h
+++ b/src/routing/router.h
@@ -4,6 +4,7 @@
 #include "peers/upstream_record.h"
 #include "routing/attempt_outcome.h"
 #include "routing/completion_estimate.h"
+#include "routing/data_center_choice.h"
 #include "routing/latency_average.h"
 #include "routing/outlier_ejector.h"
 #include "routing/picker.h"
@@ -34,15 +35,19 @@
 /// Parameters of router; docs/routing.md gives the reasons.
 struct router_policy {
     picker_policy picker;
+    data_center_policy data_centers;
     outlier_ejector_policy ejection;
     warm_up_policy warm_up;
     latency_average_policy latency;
     completion_policy completion;
     /// Of the time by which responses came later than expected. It follows faults that no report shows, such as a full
     /// link or an owner that lies, and is forgotten soon, since most of it is noise of single requests.
-    latency_average_policy excess = {.weight_up = 0.2, .weight_down = 0.1, .idle_decay = absl::Seconds(1.5)};
+    latency_average_policy excess = {.weight_up = 0.1, .weight_down = 0.05, .idle_decay = absl::Seconds(1.5)};
     double max_excess =
         4; ///< Cap on one sample of it, in expected times: 0.03 of the requests take seven times the work.
+    /// Age of the last report from which the others' means are taken into account; computing them takes longer than the
+    /// rest of a choice, and they change the estimate by less than 2% below it.
+    absl::Duration fresh_report_age = absl::Milliseconds(250);
     absl::Duration report_memory = absl::Seconds(5);      ///< Time over which means of reported figures are formed.
     absl::Duration speed_decay = absl::Milliseconds(600); ///< Age at which a reported speed has decayed to 1/e.
     absl::Duration link_decay = absl::Milliseconds(500);  ///< The same for the utilisation of a link.
@@ -55,9 +60,6 @@
     absl::Duration refusal_penalty = absl::Milliseconds(25);      ///< Time to avoid an upstream after refused_load.
     absl::Duration connect_penalty = absl::Milliseconds(250);     ///< The same after connect_failed.
     absl::Duration leaving_penalty = absl::Seconds(5);            ///< The same after refused_leaving.
-    /// A local upstream is preferred if its expected latency is at most this part of the time to the target.
-    double local_latency_fraction = 0.5;
-    double local_latency_fraction_download = 0.8; ///< For downloads, where bytes between data centres cost more.
     /// An owner is unresponsive if at least this many requests of the entry wait there and none was answered for
     /// unresponsive_after: its host hangs or is cut off, or its connections are dead. A single slow request may take as
     /// long.
@@ -237,7 +239,14 @@
     candidate_set candidates(const version_group& group, const route& matched_route, const routing_request& request,
                              absl::Time now) const;
     std::vector<pick_candidate> make_pick_candidates(const std::vector<upstream_state*>& upstreams,
-                                                     const std::string& route_name, absl::Time now) const;
+                                                     absl::Time now) const;
+    /// Fills in the costs of one candidate.
+    /// @param averages means over @p upstreams, computed when they are first needed.
+    void estimate_cost(pick_candidate& candidate, const upstream_state& upstream,
+                       const std::vector<upstream_state*>& upstreams, const std::string& route_name,
+                       std::optional<report_averages>& averages, absl::Time now) const;
+    /// @return the latency of the fastest upstream, for one without a sample.
+    static absl::Duration lowest_latency(const std::vector<upstream_state*>& upstreams, absl::Time now);
     report_averages average_reports(const std::vector<upstream_state*>& upstreams, const std::string& route_name,
                                     absl::Time now) const;
     bool is_local(const upstream_state& upstream) const;
@@ -248,7 +257,7 @@
     completion_estimate expected_completion(const upstream_state& upstream, const std::string& route_name,
                                             const report_averages& averages, absl::Time now) const;
     double expected_load(const upstream_state& upstream, const report_averages& averages, absl::Time now) const;
-    absl::Duration max_local_latency(const route& matched_route, const routing_request& request, absl::Time now) const;
+    data_center_question question_of(const route& matched_route, const routing_request& request, absl::Time now) const;
     double decayed_load(const upstream_state& upstream, absl::Time now) const;
     candidate_info candidate_info_of(const upstream_state& upstream, const pick_candidate& candidate,
                                      absl::Time now) const;
--- a/src/routing/routing_decision.cpp
+++ b/src/routing/routing_decision.cpp
@@ -53,10 +53,10 @@
         return fmt::format("route={} service={} candidates={} refused={} code={}", decision.route, decision.service,
                            decision.candidate_count, name(decision.refusal), static_cast<int>(decision.refusal));
     }
-    return fmt::format("route={} service={} version={} candidates={} reason={} owner={}{}{}", decision.route,
-                       decision.service, decision.version, decision.candidate_count, name(decision.reason),
-                       to_string(decision.owner), format_candidate("chosen", decision.chosen),
-                       format_candidate("compared", decision.compared));
+    return fmt::format("route={} service={} version={} candidates={} reason={} leave={:.2f} owner={}{}{}",
+                       decision.route, decision.service, decision.version, decision.candidate_count,
+                       name(decision.reason), decision.leave_probability, to_string(decision.owner),
+                       format_candidate("chosen", decision.chosen), format_candidate("compared", decision.compared));
 }
 
 } // namespace amaranthladder
--- a/src/routing/routing_decision.h
+++ b/src/routing/routing_decision.h
@@ -52,7 +52,9 @@
     endpoint address;        ///< HTTP address of the upstream, for use if this daemon is its owner.
     result_code refusal = result_code::no_upstream; ///< ok if an upstream was chosen. All refusals mean "not run".
     choice_reason reason = choice_reason::none;
-    int candidate_count = 0; ///< Upstreams of the version that were considered.
+    int candidate_count = 0;      ///< Upstreams of the version that were considered.
+    double leave_probability = 0; ///< With which the request was to leave its data centre, see data_center_choice.
+    bool is_local = true;         ///< The upstream is in the data centre of the entry.
     std::optional<candidate_info> chosen;
     std::optional<candidate_info> compared; ///< The candidate that lost the comparison, if there was one.
 
--- a/src/settings/daemon_settings.h
+++ b/src/settings/daemon_settings.h
@@ -76,6 +76,11 @@
 
         friend bool operator==(const requests_section&, const requests_section&) = default;
     };
+    struct routing_section {
+        double cross_data_center_ms_per_mb = 0;
+
+        friend bool operator==(const routing_section&, const routing_section&) = default;
+    };
     struct platform_section {
         std::string interface = "own";
         std::string limits;
@@ -97,6 +102,7 @@
     store_section store;
     peers_section peers;
     requests_section requests;
+    routing_section routing;
     platform_section platform;
     log_section log;
 
