--- a/src/http/private/entry_call.cpp
+++ b/src/http/private/entry_call.cpp
@@ -45,9 +45,9 @@
 }
 
 /// @return the declared size of a request's body; a chunked one, whose size is not declared, counts as none.
-double body_bytes(const http::request_header<>& head) {
+std::uint64_t body_bytes(const http::request_header<>& head) {
     const auto text = head[http::field::content_length];
-    return static_cast<double>(parse_number<std::uint64_t>({text.data(), text.size()}).value_or(0));
+    return parse_number<std::uint64_t>({text.data(), text.size()}).value_or(0);
 }
 
 attempt_outcome refusal_outcome(result_code code) {
@@ -135,6 +135,9 @@
     }
     set_target_time(matched_route);
     m_proxy.budget.on_request(m_service, m_proxy.clock.now());
+    if (must_shed(matched_route)) {
+        co_return co_await refuse(result_code::service_short, execution::not_run, m_service);
+    }
     if (const result_code refusal = co_await acquire_quota_token(); refusal != result_code::ok) {
         if (m_is_cancelled) {
             m_request.keeps_connection = false;
@@ -149,9 +152,6 @@
     request_to_route.deadline = m_deadline;
     request_to_route.target_time = m_target_time;
     request_to_route.service = m_service;
-    if (must_shed(matched_route)) {
-        co_return co_await refuse(result_code::service_short, execution::not_run, m_service);
-    }
     attempt_result last;
     last.code = result_code::no_upstream;
     int attempts = 0;
@@ -186,10 +186,7 @@
             m_proxy.request_router.on_report(decision.upstream_id, matched_route.name, *last.report,
                                              m_proxy.clock.now());
         }
-        if (last.response_bytes) {
-            m_proxy.request_router.on_transfer(matched_route.name, body_bytes(m_request.head),
-                                               static_cast<double>(*last.response_bytes));
-        }
+        record_transfer(matched_route, decision, last);
         m_attempts_sent += last.may_have_reached_upstream ? 1 : 0;
         if (last.outcome == attempt_outcome::refused_load) {
             m_shortest_backlog = std::min(m_shortest_backlog, last.backlog);
@@ -301,6 +298,19 @@
     }
 }
 
+void entry_call::record_transfer(const route& matched_route, const routing_decision& decision,
+                                 const attempt_result& ended) {
+    const std::uint64_t request_bytes = body_bytes(m_request.head);
+    if (ended.response_bytes) {
+        m_proxy.request_router.on_transfer(matched_route.name, static_cast<double>(request_bytes),
+                                           static_cast<double>(*ended.response_bytes));
+    }
+    if (!decision.is_local) {
+        ++m_proxy.counters.remote_attempts;
+        m_proxy.counters.remote_bytes += ended.response_bytes ? request_bytes + *ended.response_bytes : 0;
+    }
+}
+
 const std::string& entry_call::choose_service(const route& matched_route) {
     return matched_route.weight_by_service.empty()
                ? matched_route.service
--- a/src/http/private/entry_call.h
+++ b/src/http/private/entry_call.h
@@ -60,6 +60,7 @@
     /// @param is_waiting false for the first decision about the request.
     bool identify(const route& matched_route, bool is_waiting);
     asio::awaitable<result_code> acquire_quota_token();
+    void record_transfer(const route& matched_route, const routing_decision& decision, const attempt_result& ended);
     const std::string& choose_service(const route& matched_route);
     void observe_leaving(const std::string& upstream_id, const std::optional<owner_report>& report);
     void set_retry_after(result_code code);
--- a/src/http/private/owner_call.h
+++ b/src/http/private/owner_call.h
@@ -76,6 +76,8 @@
     /// Records what the upstream says of itself in its response.
     /// @param is_complete false if the response may lack what other responses of the upstream contain.
     void observe_signals(bool is_complete);
+    /// Marks the request if its route is one of nested calls.
+    void detect_nested_call();
     void observe_server_load(local_upstream& known, const upstream_signals& signals, bool is_complete);
     /// Counts a refusal.
     /// @return true if it counts against the version of the upstream.
--- a/src/http/request_proxy.cpp
+++ b/src/http/request_proxy.cpp
@@ -393,6 +393,7 @@
             proxy.observe_cold(known, "configuration");
         }
         proxy.quotas.set_configuration(state);
+        proxy.nested_routes.reset();
     });
 }
 
