Quota: rank the members once per tenant and view, bound probes and messages

A ranking costs 36 us at 12,000 members and was made for each ask. A daemon asked by mistake would have probed all members above it, and a message to one daemon could outgrow a datagram.

--- a/src/quota/quota_coordinator.cpp
+++ b/src/quota/quota_coordinator.cpp
@@ -22,6 +22,10 @@
 constexpr absl::Duration reach_start = absl::Milliseconds(1300);
 /// Role changes kept for the log until they are taken.
 constexpr std::size_t max_role_changes = 16;
+/// A daemon with more members above it is asked only by an entry with a wrong view, or by mistake.
+constexpr std::size_t max_rivals = 8;
+/// Daemons probed at once; bounds the datagrams while many members are lost.
+constexpr std::size_t max_rival_probes = 16;
 constexpr absl::Duration max_retry = absl::Seconds(10);
 
 } // namespace
@@ -132,11 +136,11 @@
 std::vector<endpoint> quota_coordinator::rivals_to_probe(absl::Time now) {
     std::vector<endpoint> result;
     for (const auto& [name, state] : m_tenants) {
-        if (now - state->asked_at > asker_memory) {
+        if (now - state->asked_at > asker_memory || state->rivals.size() > max_rivals) {
             continue;
         }
         for (const quota_view::rival& other : state->rivals) {
-            if (std::ranges::find(result, other.address) == result.end()) {
+            if (result.size() < max_rival_probes && std::ranges::find(result, other.address) == result.end()) {
                 result.push_back(other.address);
             }
         }
--- a/src/quota/quota_node.cpp
+++ b/src/quota/quota_node.cpp
@@ -1,6 +1,8 @@
 #include "quota/quota_node.h"
 
 #include <algorithm>
+#include <cstddef>
+#include <iterator>
 #include <utility>
 
 namespace amaranthladder {
@@ -16,6 +18,26 @@
 constexpr std::size_t wanted_samples = 6;
 constexpr absl::Duration probe_interval = absl::Milliseconds(150);
 constexpr absl::Duration rival_probe_interval = absl::Milliseconds(250);
+/// Items of each kind in a message. With tenant names of 64 bytes they fit into a datagram of 900 bytes.
+constexpr std::size_t max_message_items = 8;
+
+/// Appends @p message, divided into messages of at most max_message_items.
+void append(std::vector<quota_node::outgoing>& result, const endpoint& to, quota_message message) {
+    while (message.asks.size() > max_message_items || message.answers.size() > max_message_items) {
+        quota_message part{message.from, {}, {}};
+        const auto move_items = [](auto& from, auto& into) {
+            const auto count = static_cast<std::ptrdiff_t>(std::min(from.size(), max_message_items));
+            into.assign(std::make_move_iterator(from.begin()), std::make_move_iterator(from.begin() + count));
+            from.erase(from.begin(), from.begin() + count);
+        };
+        move_items(message.asks, part.asks);
+        move_items(message.answers, part.answers);
+        result.push_back({to, std::move(part)});
+    }
+    if (!message.is_empty()) {
+        result.push_back({to, std::move(message)});
+    }
+}
 
 } // namespace
 
@@ -113,7 +135,7 @@
         if (!message.asks.empty()) {
             m_reach.on_sent(to, now);
         }
-        result.push_back({to, std::move(message)});
+        append(result, to, std::move(message));
     }
     m_outgoing.clear();
     m_messages_sent += result.size();
--- a/src/quota/quota_node.h
+++ b/src/quota/quota_node.h
@@ -65,7 +65,7 @@
     void receive(const quota_message& message, absl::Time now);
     void tick(absl::Time now, absl::BitGenRef random);
 
-    /// @return the messages to send, at most one for each daemon.
+    /// @return the messages to send; each fits into a datagram.
     std::vector<outgoing> take_messages(absl::Time now);
     std::vector<quota_client::resolved> take_resolved();
     std::vector<quota_role_change> take_role_changes();
--- a/src/quota/quota_view.cpp
+++ b/src/quota/quota_view.cpp
@@ -15,9 +15,6 @@
 /// Time for which the largest number of members counts, so that a daemon that forgets the others grants no more.
 constexpr absl::Duration size_memory = absl::Minutes(10);
 
-/// With a quarter of the fleet out of reach, one of five of the highest-ranked daemons is in reach in 999 of 1,000 cases.
-constexpr std::size_t ranks_considered = 5;
-
 /// Rank of a member for a tenant: the highest one wins.
 std::uint64_t score(std::uint64_t member_hash, std::uint64_t tenant_hash) {
     std::uint64_t hash = member_hash ^ (tenant_hash * 0x9e3779b97f4a7c15ULL);
@@ -55,42 +52,52 @@
     }
     if (changed != m_members) {
         m_members = std::move(changed);
+        m_rankings.clear();
         ++m_version;
     }
 }
 
-quota_candidates quota_view::candidates(std::string_view tenant,
+quota_candidates quota_view::candidates(const std::string& tenant,
                                         absl::FunctionRef<bool(const endpoint&)> is_silent) const {
+    const ranking& best = rank(tenant);
+    quota_candidates result;
+    result.coordinator = best[0]->address;
+    for (std::size_t place = 1; place < best.size() && best[place] != nullptr && !result.second; ++place) {
+        if (best[place]->state == member_state::alive && !is_silent(best[place]->address)) {
+            result.second = best[place]->address;
+        }
+    }
+    if (!result.second && best[1] != nullptr) {
+        result.second = best[1]->address;
+    }
+    return result;
+}
+
+const quota_view::ranking& quota_view::rank(const std::string& tenant) const {
+    const auto known = m_rankings.find(tenant);
+    if (known != m_rankings.end()) {
+        return known->second;
+    }
     const std::uint64_t tenant_hash = stable_hash(tenant);
-    std::array<std::pair<std::uint64_t, const ranked*>, ranks_considered> best{};
+    std::array<std::uint64_t, ranks_considered> scores{};
+    ranking best{};
     for (const ranked& candidate : m_members) {
         if (candidate.state == member_state::dead) {
             continue;
         }
-        std::pair<std::uint64_t, const ranked*> next(score(candidate.hash, tenant_hash), &candidate);
-        for (auto& held : best) {
-            if (held.second == nullptr || next.first > held.first) {
-                std::swap(held, next);
-            }
-            if (next.second == nullptr) {
-                break;
+        const ranked* next = &candidate;
+        std::uint64_t next_score = score(candidate.hash, tenant_hash);
+        for (std::size_t place = 0; place < best.size() && next != nullptr; ++place) {
+            if (best[place] == nullptr || next_score > scores[place]) {
+                std::swap(best[place], next);
+                std::swap(scores[place], next_score);
             }
         }
     }
-    quota_candidates result;
-    result.coordinator = best[0].second->address;
-    for (std::size_t rank = 1; rank < best.size() && best[rank].second != nullptr && !result.second; ++rank) {
-        if (best[rank].second->state == member_state::alive && !is_silent(best[rank].second->address)) {
-            result.second = best[rank].second->address;
-        }
-    }
-    if (!result.second && best[1].second != nullptr) {
-        result.second = best[1].second->address;
-    }
-    return result;
+    return m_rankings.emplace(tenant, best).first->second;
 }
 
-std::vector<quota_view::rival> quota_view::rivals(std::string_view tenant) const {
+std::vector<quota_view::rival> quota_view::rivals(const std::string& tenant) const {
     const std::uint64_t tenant_hash = stable_hash(tenant);
     const std::uint64_t own_score = score(m_self_hash, tenant_hash);
     std::vector<rival> result;
--- a/src/quota/quota_view.h
+++ b/src/quota/quota_view.h
@@ -3,15 +3,17 @@
 #include "common/endpoint.h"
 #include "peers/member.h"
 
+#include <absl/container/flat_hash_map.h>
 #include <absl/functional/function_ref.h>
 #include <absl/random/bit_gen_ref.h>
 #include <absl/time/time.h>
 
+#include <array>
 #include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <set>
-#include <string_view>
+#include <string>
 #include <vector>
 
 namespace amaranthladder {
@@ -38,11 +40,11 @@
 
     /// @param is_silent tells of a member that it does not answer; such a one is not returned as the second.
     /// @return the two highest-ranked members that are alive or suspected.
-    quota_candidates candidates(std::string_view tenant,
+    quota_candidates candidates(const std::string& tenant,
                                 absl::FunctionRef<bool(const endpoint&)> is_silent = never) const;
 
     /// @return all members that rank above this daemon, dead ones included, but not those that have left.
-    std::vector<rival> rivals(std::string_view tenant) const;
+    std::vector<rival> rivals(const std::string& tenant) const;
 
     bool is_alive(const endpoint& address) const {
         return !m_lost.contains(address);
@@ -84,10 +86,19 @@
         friend bool operator==(const ranked&, const ranked&) = default;
     };
 
+    /// Members that an entry asks for a tenant, the highest-ranked first. With a quarter of the fleet out of reach, one of
+    /// the five highest-ranked is in reach in 999 of 1,000 cases.
+    static constexpr std::size_t ranks_considered = 5;
+    using ranking = std::array<const ranked*, ranks_considered>;
+
+    const ranking& rank(const std::string& tenant) const;
+
     endpoint m_self;
     std::uint64_t m_self_hash;
     std::vector<ranked> m_members;
     std::set<endpoint> m_lost; ///< Members that are suspected or dead.
+    /// By tenant, until the members change. Without it each ask costs 36 us at 12,000 members.
+    mutable absl::flat_hash_map<std::string, ranking> m_rankings;
     std::size_t m_size = 1;
     std::size_t m_alive = 1;
     std::uint64_t m_version = 0;
