--- a/src/daemon/mesh_daemon.cpp
+++ b/src/daemon/mesh_daemon.cpp
@@ -81,8 +81,8 @@
           m_proxy(make_proxy_options(settings, m_platform ? &*m_platform : nullptr),
                   make_router_settings(settings, m_platform.has_value()), make_retry_budget(settings), m_clock, m_log,
                   make_upstream_observer()),
-          m_peers(make_peer_settings(settings, m_proxy.owner_address()),
-                  make_record_rules(m_clock), make_peer_callbacks()),
+          m_peers(make_peer_settings(settings, m_proxy.owner_address()), make_record_rules(m_clock),
+                  make_peer_callbacks()),
           m_quotas(m_platform ? m_platform->limits.quota : quota_limits(), m_proxy, m_peers, m_log) {
         m_peers.start();
         if (m_platform) {
--- a/src/daemon/peer_record_rules.cpp
+++ b/src/daemon/peer_record_rules.cpp
@@ -83,8 +83,7 @@
 }
 
 opaque_rules make_record_rules(const steady_clock& clock) {
-    return {merge_records,
-            [&clock](const opaque_record& record) { return is_obsolete_record(record, clock.now()); },
+    return {merge_records, [&clock](const opaque_record& record) { return is_obsolete_record(record, clock.now()); },
             is_urgent_record};
 }
 
--- a/src/daemon/status_text.h
+++ b/src/daemon/status_text.h
@@ -7,10 +7,10 @@
 #include "daemon/announced_upstreams.h"
 #include "daemon/store_follower.h"
 #include "http/proxy_statistics.h"
-#include "quota/quota_node.h"
 #include "moves/move_status.h"
 #include "peers/member.h"
 #include "peers/peer_server.h"
+#include "quota/quota_node.h"
 #include "settings/daemon_settings.h"
 
 #include <absl/time/time.h>
--- a/src/http/request_proxy.cpp
+++ b/src/http/request_proxy.cpp
@@ -354,8 +354,7 @@
 }
 
 void request_proxy::receive_quota(quota_message message) {
-    m_implementation->post(
-        [this, message = std::move(message)] { m_implementation->state().quotas.receive(message); });
+    m_implementation->post([this, message = std::move(message)] { m_implementation->state().quotas.receive(message); });
 }
 
 quota_report request_proxy::quotas() const {
--- a/src/quota/quota_client.cpp
+++ b/src/quota/quota_client.cpp
@@ -19,8 +19,8 @@
 /// target latency, 125 ms for the shortest target of the deployment with quotas.
 constexpr absl::Duration coordinator_timeout = absl::Milliseconds(70);
 constexpr absl::Duration fallback_timeout = absl::Milliseconds(50);
-/// Time for which an entry stays with the second-ranked daemon. At least as long as that one counts the entry as its own,
-/// so that an entry is not counted by two daemons.
+/// Time for which an entry stays with the second-ranked daemon. At least as long as that one counts the entry as its
+/// own, so that an entry is not counted by two daemons.
 constexpr absl::Duration avoid_time = absl::Seconds(1);
 /// Time after that in which the entry looks whether the coordinator still is silent, before it asks it again.
 constexpr absl::Duration silence_check_time = absl::Seconds(4);
@@ -173,8 +173,9 @@
     }
     bool is_avoided = now < state.avoids_coordinator_until;
     if (!is_avoided && now < state.checks_coordinator_until) {
-        // The coordinator was silent when last asked. It is told of each ask to another daemon, so its answer ends this.
-        is_avoided = m_reach.is_silent(*m_view.candidates(tenant).coordinator, now, reach_estimator::answer_timeout);
+        // The coordinator was silent when last asked. It is told of each ask to another daemon, so its answer ends
+        // this.
+        is_avoided = m_reach.is_silent(*m_view.candidates(tenant).coordinator, now);
         state.avoids_coordinator_until = is_avoided ? now + avoid_time : state.avoids_coordinator_until;
         state.checks_coordinator_until = is_avoided ? now + silence_check_time : state.checks_coordinator_until;
     }
@@ -185,11 +186,7 @@
                        absl::Time now) {
     const quota_candidates candidates = m_view.candidates(
         tenant, [&](const endpoint& member) { return is_fallback && m_reach.is_silent(member, now); });
-    if (!is_fallback) {
-        state.fallback.reset();
-    } else if (!state.fallback || m_reach.is_silent(*state.fallback, now)) {
-        state.fallback = candidates.second;
-    }
+    choose_fallback(tenant, state, is_fallback ? candidates.second : std::nullopt, now);
     if (is_fallback && !state.fallback) {
         refuse_waiters(state, quota_verdict::kind::refused_unknown, now);
         return;
@@ -209,6 +206,19 @@
     m_outgoing.push_back({*candidates.coordinator, {m_next_id++, tenant, 0, fallback_ms}});
 }
 
+void quota_client::choose_fallback(const std::string& tenant, tenant_state& state,
+                                   const std::optional<endpoint>& second, absl::Time now) {
+    const bool is_kept = second && state.fallback && !m_reach.is_silent(*state.fallback, now);
+    if (is_kept || state.fallback == second) {
+        return;
+    }
+    if (state.fallback) {
+        // Otherwise that one would go on to count this entry, and both would grant for it.
+        m_outgoing.push_back({*state.fallback, {m_next_id++, tenant, 0, 0}});
+    }
+    state.fallback = second;
+}
+
 void quota_client::handle_no_answer(const open_ask& overdue, absl::Time now) {
     tenant_state& state = m_tenants.at(overdue.tenant);
     if (state.waiters.empty()) {
@@ -251,7 +261,8 @@
 
 void quota_client::refuse_overdue_waiters(tenant_state& state, absl::Time now) {
     while (!state.waiters.empty() && now - state.waiters.front().since > coordinator_timeout + fallback_timeout) {
-        m_resolved.push_back({state.waiters.front().id, make_refusal(state, quota_verdict::kind::refused_unknown, now)});
+        m_resolved.push_back(
+            {state.waiters.front().id, make_refusal(state, quota_verdict::kind::refused_unknown, now)});
         state.waiters.pop_front();
     }
 }
--- a/src/quota/quota_client.h
+++ b/src/quota/quota_client.h
@@ -132,6 +132,8 @@
     std::uint32_t usable_tokens(tenant_state& state, absl::Time now);
     void ask_if_needed(const std::string& tenant, tenant_state& state, absl::Time now);
     void ask(const std::string& tenant, tenant_state& state, std::uint32_t wanted, bool is_fallback, absl::Time now);
+    void choose_fallback(const std::string& tenant, tenant_state& state, const std::optional<endpoint>& second,
+                         absl::Time now);
     void handle_no_answer(const open_ask& overdue, absl::Time now);
     void serve_waiters(tenant_state& state, absl::Time now);
     void refuse_overdue_waiters(tenant_state& state, absl::Time now);
--- a/src/quota/quota_coordinator.cpp
+++ b/src/quota/quota_coordinator.cpp
@@ -10,14 +10,15 @@
 
 /// Time for which an ask counts as the use of this daemon by the entry.
 constexpr absl::Duration asker_memory = absl::Seconds(1);
-/// Part of a tenant's limit that is its usual demand; tells how many entries ask if all use the same daemon.
-constexpr double usual_demand = 0.5;
+/// Part of a tenant's limit that is its demand; tells how many entries ask if all use the same daemon. With 0.5, the
+/// entries of a tenant over its quota counted twice.
+constexpr double usual_demand = 1;
 /// Asks of an entry for a busy tenant within asker_memory.
 constexpr double max_asks_per_entry = 3;
 /// Samples of the reach below which the missing ones count as failed.
 constexpr std::size_t min_reach_samples = 4;
 /// Above this, the membership alone is used: single lost datagrams must not reduce the fraction.
-constexpr double full_reach = 0.85;
+constexpr double full_reach = 0.9;
 /// Time from the first ask until the reach must be known; it is not measured while nobody asks.
 constexpr absl::Duration reach_start = absl::Milliseconds(1300);
 /// Role changes kept for the log until they are taken.
@@ -161,20 +162,27 @@
     auto& found = m_tenants[limited.name];
     if (found == nullptr) {
         // Nobody asked before. If this daemon is in charge, it has been so since the last loss of a member at least.
-        const bool is_in_charge = std::ranges::all_of(m_view.rivals(limited.name),
-                                                      [&](const auto& other) { return is_out(other, now); });
-        found = std::make_unique<tenant_state>(tenant_state{
-            quota_bucket(make_quota_allowance(limited.rate_per_second, limited.burst, m_limits),
-                         is_in_charge ? m_fraction : 0, in_charge_since(), now),
-            std::nullopt, {}, {}, is_in_charge, absl::InfinitePast(), 0});
+        const bool is_in_charge =
+            std::ranges::all_of(m_view.rivals(limited.name), [&](const auto& other) { return is_out(other, now); });
+        found = std::make_unique<tenant_state>(
+            tenant_state{quota_bucket(make_quota_allowance(limited.rate_per_second, limited.burst, m_limits),
+                                      is_in_charge ? m_fraction : 0, in_charge_since(), now),
+                         std::nullopt,
+                         {},
+                         {},
+                         is_in_charge,
+                         absl::InfinitePast(),
+                         0});
     }
     return *found;
 }
 
-void quota_coordinator::count_asker(tenant_state& state, const quota_ask& ask, const endpoint& from,
-                                    absl::Time now) {
+void quota_coordinator::count_asker(tenant_state& state, const quota_ask& ask, const endpoint& from, absl::Time now) {
     const absl::Duration fallback = std::min(absl::Milliseconds(ask.fallback_ms), asker_memory);
-    if (!state.is_in_charge) {
+    if (!state.is_in_charge && ask.wanted == 0) {
+        // The entry uses another daemon's tokens from now on.
+        state.askers.erase(from);
+    } else if (!state.is_in_charge) {
         // Without a fallback time, the entry takes this daemon for the coordinator.
         state.askers[from] = now + (ask.fallback_ms == 0 ? asker_memory : fallback);
     } else if (ask.wanted == 0) {
@@ -202,8 +210,7 @@
         state.rivals = m_view.rivals(name);
         state.view_version = m_view.version();
     }
-    const bool is_in_charge =
-        std::ranges::all_of(state.rivals, [&](const auto& other) { return is_out(other, now); });
+    const bool is_in_charge = std::ranges::all_of(state.rivals, [&](const auto& other) { return is_out(other, now); });
     if (is_in_charge == state.is_in_charge) {
         return;
     }
--- a/src/quota/quota_limits.cpp
+++ b/src/quota/quota_limits.cpp
@@ -14,7 +14,7 @@
 /// Part of what the rate may use at most; the rest keeps a bucket of useful size for tenants without a burst.
 constexpr double max_rate_share = 0.94;
 /// Part of what rate and reserves leave. The rest covers the overlap when another daemon becomes the coordinator.
-constexpr double capacity_share = 0.55;
+constexpr double capacity_share = 0.45;
 
 } // namespace
 
--- a/src/quota/quota_message.h
+++ b/src/quota/quota_message.h
@@ -12,8 +12,8 @@
 /// Key of the opaque records that carry quota messages.
 inline constexpr std::string_view quota_record_key = "quota";
 
-/// Request for tokens. Without a tenant it only asks for an answer, to learn whether the receiver can be reached. With a
-/// tenant and no wanted tokens it says that the sender uses the tokens of the second-ranked daemon for now.
+/// Request for tokens. Without a tenant it only asks for an answer, to learn whether the receiver can be reached. With
+/// a tenant and no wanted tokens it says that the sender uses the tokens of the second-ranked daemon for now.
 struct quota_ask {
     std::uint64_t id = 0;
     std::string tenant;
--- a/src/quota/quota_node.cpp
+++ b/src/quota/quota_node.cpp
@@ -9,8 +9,8 @@
 
 namespace {
 
-/// Time from joining the mesh until this daemon grants tokens. A fleet that starts at once knows all members after 1.3 s
-/// at 100 daemons (docs/CAPACITY.md, S2); before that, each daemon could take itself for the coordinator.
+/// Time from joining the mesh until this daemon grants tokens. A fleet that starts at once knows all members after 1.3
+/// s at 100 daemons (docs/CAPACITY.md, S2); before that, each daemon could take itself for the coordinator.
 constexpr absl::Duration settle_time = absl::Seconds(2);
 /// A longer time between two ticks is a pause, in which others may have taken over: a member is suspected after 1 s.
 constexpr absl::Duration max_tick_gap = absl::Seconds(1);
--- a/src/quota/quota_view.h
+++ b/src/quota/quota_view.h
@@ -86,8 +86,8 @@
         friend bool operator==(const ranked&, const ranked&) = default;
     };
 
-    /// Members that an entry asks for a tenant, the highest-ranked first. With a quarter of the fleet out of reach, one of
-    /// the five highest-ranked is in reach in 999 of 1,000 cases.
+    /// Members that an entry asks for a tenant, the highest-ranked first. With a quarter of the fleet out of reach, one
+    /// of the five highest-ranked is in reach in 999 of 1,000 cases.
     static constexpr std::size_t ranks_considered = 5;
     using ranking = std::array<const ranked*, ranks_considered>;
 
--- a/src/quota/reach_estimator.cpp
+++ b/src/quota/reach_estimator.cpp
@@ -42,9 +42,9 @@
     return found != m_contacts.end() && is_answered(found->second, now);
 }
 
-bool reach_estimator::is_silent(const endpoint& other, absl::Time now, absl::Duration timeout) const {
+bool reach_estimator::is_silent(const endpoint& other, absl::Time now) const {
     const auto found = m_contacts.find(other);
-    return found != m_contacts.end() && now - found->second.unanswered_since > timeout &&
+    return found != m_contacts.end() && now - found->second.unanswered_since > answer_timeout &&
            now - found->second.last_sent <= silence_memory;
 }
 
--- a/src/quota/reach_estimator.h
+++ b/src/quota/reach_estimator.h
@@ -20,8 +20,6 @@
     static constexpr absl::Duration answer_timeout = absl::Milliseconds(250);
     /// Time after its last ask for which a daemon without an answer is avoided.
     static constexpr absl::Duration silence_memory = absl::Milliseconds(2500);
-    /// Time without an answer after which another daemon is asked in place of the second-ranked one.
-    static constexpr absl::Duration silence_timeout = absl::Milliseconds(50);
 
     void on_sent(const endpoint& to, absl::Time now);
     void on_answer(const endpoint& from, absl::Time now);
@@ -39,8 +37,8 @@
     /// @return true if @p other has answered recently.
     bool is_in_contact(const endpoint& other, absl::Time now) const;
 
-    /// @return true if @p other has not answered an ask of the last seconds for longer than @p timeout.
-    bool is_silent(const endpoint& other, absl::Time now, absl::Duration timeout = silence_timeout) const;
+    /// @return true if @p other has not answered an ask of the last seconds for longer than answer_timeout.
+    bool is_silent(const endpoint& other, absl::Time now) const;
 
     /// Forgets old samples.
     void expire(absl::Time now);
--- a/src/tests/fakes/quota_fleet.cpp
+++ b/src/tests/fakes/quota_fleet.cpp
@@ -248,8 +248,8 @@
                 if (is_reached) {
                     seen.suspected_at.reset();
                     if (seen.state != member_state::alive) {
-                        seen.alive_at = seen.alive_at.value_or(
-                            m_now + uniform(absl::Milliseconds(200), absl::Milliseconds(2500)));
+                        seen.alive_at =
+                            seen.alive_at.value_or(m_now + uniform(absl::Milliseconds(200), absl::Milliseconds(2500)));
                         if (m_now >= *seen.alive_at) {
                             seen.state = member_state::alive;
                             seen.alive_at.reset();
@@ -265,8 +265,8 @@
                                                                       static_cast<std::size_t>(m_group[viewer])));
                         shared.discard(3);
                         const double wait_s = std::exponential_distribution<>(1 / mean_s)(shared);
-                        seen.suspected_at = m_now + absl::Seconds(1 + wait_s) +
-                                            uniform(absl::ZeroDuration(), absl::Seconds(1));
+                        seen.suspected_at =
+                            m_now + absl::Seconds(1 + wait_s) + uniform(absl::ZeroDuration(), absl::Seconds(1));
                     }
                     if (m_now >= *seen.suspected_at + suspicion_time) {
                         seen.state = member_state::dead;
@@ -347,7 +347,8 @@
         }
         m_queue.push({m_now + delay, ++m_order, from, to, shared});
         if (chance(m_options.repetition)) {
-            m_queue.push({m_now + delay + uniform(absl::ZeroDuration(), absl::Seconds(2)), ++m_order, from, to, shared});
+            m_queue.push(
+                {m_now + delay + uniform(absl::ZeroDuration(), absl::Seconds(2)), ++m_order, from, to, shared});
         }
     }
 
--- a/src/tests/quota_fleet_test.cpp
+++ b/src/tests/quota_fleet_test.cpp
@@ -145,12 +145,13 @@
     const quota_fleet::tally allowed = fleet.of_allowed_tenants();
     const double wrong = static_cast<double>(allowed.wrongly_refused) / static_cast<double>(allowed.within);
     const quota_fleet::tally hot = fleet.of_tenant(0);
-    BOOST_TEST_MESSAGE(fmt::format("{}: worst window {:.3f} of the bound, wrongly refused {:.4f}, unknown {}, over {}, "
-                                   "largest tenant runs {:.3f} of its quota, messages per request {:.2f}, bytes per message {:.0f}",
-                                   sample.name, fleet.worst_window(), wrong, total.refused_unknown, total.refused_over,
-                                   static_cast<double>(hot.run) / static_cast<double>(hot.within),
-                                   static_cast<double>(fleet.messages()) / static_cast<double>(total.requests),
-                                   static_cast<double>(fleet.message_bytes()) / static_cast<double>(fleet.messages())));
+    BOOST_TEST_MESSAGE(
+        fmt::format("{}: worst window {:.3f} of the bound, wrongly refused {:.4f}, unknown {}, over {}, "
+                    "largest tenant runs {:.3f} of its quota, messages per request {:.2f}, bytes per message {:.0f}",
+                    sample.name, fleet.worst_window(), wrong, total.refused_unknown, total.refused_over,
+                    static_cast<double>(hot.run) / static_cast<double>(hot.within),
+                    static_cast<double>(fleet.messages()) / static_cast<double>(total.requests),
+                    static_cast<double>(fleet.message_bytes()) / static_cast<double>(fleet.messages())));
     BOOST_TEST(fleet.worst_window() <= 1);
     BOOST_TEST(wrong <= sample.max_wrongly_refused);
 }
--- a/src/tests/quota_node_test.cpp
+++ b/src/tests/quota_node_test.cpp
@@ -79,7 +79,8 @@
                 }
             }
         }
-        for (const quota_client::resolved& each : nodes.at(entry.address.empty() ? addresses[0] : entry)->take_resolved()) {
+        for (const quota_client::resolved& each :
+             nodes.at(entry.address.empty() ? addresses[0] : entry)->take_resolved()) {
             verdicts[each.waiter] = each.verdict;
         }
     }
