--- a/src/quota/quota_coordinator.cpp
+++ b/src/quota/quota_coordinator.cpp
@@ -234,7 +234,8 @@
     const double asks = state.bucket.allowance().rate * usual_demand * absl::ToDoubleSeconds(asker_memory) / size;
     const double expected = size * (1 - std::exp(-std::min(asks, max_asks_per_entry)));
     const double share = std::min(1.0, static_cast<double>(state.askers.size()) / std::max(1.0, expected));
-    return std::min(m_fraction, state.is_in_charge ? 1 - share : share);
+    // The entries that use other daemons are a part of those that this daemon sees.
+    return state.is_in_charge ? std::max(0.0, m_fraction - share) : std::min(m_fraction, share);
 }
 
 } // namespace amaranthladder
