--- a/src/quota/quota_client.cpp
+++ b/src/quota/quota_client.cpp
@@ -175,7 +175,7 @@
     if (!is_avoided && now < state.checks_coordinator_until) {
         // The coordinator was silent when last asked. It is told of each ask to another daemon, so its answer ends
         // this.
-        is_avoided = m_reach.is_silent(*m_view.candidates(tenant).coordinator, now, reach_estimator::answer_timeout);
+        is_avoided = m_reach.is_silent(*m_view.candidates(tenant).coordinator, now);
         state.avoids_coordinator_until = is_avoided ? now + avoid_time : state.avoids_coordinator_until;
         state.checks_coordinator_until = is_avoided ? now + silence_check_time : state.checks_coordinator_until;
     }
@@ -186,11 +186,7 @@
                        absl::Time now) {
     const quota_candidates candidates = m_view.candidates(
         tenant, [&](const endpoint& member) { return is_fallback && m_reach.is_silent(member, now); });
-    if (!is_fallback) {
-        state.fallback.reset();
-    } else if (!state.fallback || m_reach.is_silent(*state.fallback, now)) {
-        state.fallback = candidates.second;
-    }
+    choose_fallback(tenant, state, is_fallback ? candidates.second : std::nullopt, now);
     if (is_fallback && !state.fallback) {
         refuse_waiters(state, quota_verdict::kind::refused_unknown, now);
         return;
@@ -210,6 +206,19 @@
     m_outgoing.push_back({*candidates.coordinator, {m_next_id++, tenant, 0, fallback_ms}});
 }
 
+void quota_client::choose_fallback(const std::string& tenant, tenant_state& state,
+                                   const std::optional<endpoint>& second, absl::Time now) {
+    const bool is_kept = second && state.fallback && !m_reach.is_silent(*state.fallback, now);
+    if (is_kept || state.fallback == second) {
+        return;
+    }
+    if (state.fallback) {
+        // Otherwise that one would go on to count this entry, and both would grant for it.
+        m_outgoing.push_back({*state.fallback, {m_next_id++, tenant, 0, 0}});
+    }
+    state.fallback = second;
+}
+
 void quota_client::handle_no_answer(const open_ask& overdue, absl::Time now) {
     tenant_state& state = m_tenants.at(overdue.tenant);
     if (state.waiters.empty()) {
--- a/src/quota/quota_coordinator.cpp
+++ b/src/quota/quota_coordinator.cpp
@@ -10,18 +10,23 @@
 
 /// Time for which an ask counts as the use of this daemon by the entry.
 constexpr absl::Duration asker_memory = absl::Seconds(1);
-/// Part of a tenant's limit that is its usual demand; tells how many entries ask if all use the same daemon.
-constexpr double usual_demand = 0.5;
+/// Part of a tenant's limit that is its demand; tells how many entries ask if all use the same daemon. With 0.5, the
+/// entries of a tenant over its quota counted twice.
+constexpr double usual_demand = 1;
 /// Asks of an entry for a busy tenant within asker_memory.
 constexpr double max_asks_per_entry = 3;
 /// Samples of the reach below which the missing ones count as failed.
 constexpr std::size_t min_reach_samples = 4;
 /// Above this, the membership alone is used: single lost datagrams must not reduce the fraction.
-constexpr double full_reach = 0.85;
+constexpr double full_reach = 0.9;
 /// Time from the first ask until the reach must be known; it is not measured while nobody asks.
 constexpr absl::Duration reach_start = absl::Milliseconds(1300);
 /// Role changes kept for the log until they are taken.
 constexpr std::size_t max_role_changes = 16;
+/// A daemon with more members above it is asked only by an entry with a wrong view, or by mistake.
+constexpr std::size_t max_rivals = 8;
+/// Daemons probed at once; bounds the datagrams while many members are lost.
+constexpr std::size_t max_rival_probes = 16;
 constexpr absl::Duration max_retry = absl::Seconds(10);
 
 } // namespace
@@ -132,11 +137,11 @@
 std::vector<endpoint> quota_coordinator::rivals_to_probe(absl::Time now) {
     std::vector<endpoint> result;
     for (const auto& [name, state] : m_tenants) {
-        if (now - state->asked_at > asker_memory) {
+        if (now - state->asked_at > asker_memory || state->rivals.size() > max_rivals) {
             continue;
         }
         for (const quota_view::rival& other : state->rivals) {
-            if (std::ranges::find(result, other.address) == result.end()) {
+            if (result.size() < max_rival_probes && std::ranges::find(result, other.address) == result.end()) {
                 result.push_back(other.address);
             }
         }
@@ -174,7 +179,10 @@
 
 void quota_coordinator::count_asker(tenant_state& state, const quota_ask& ask, const endpoint& from, absl::Time now) {
     const absl::Duration fallback = std::min(absl::Milliseconds(ask.fallback_ms), asker_memory);
-    if (!state.is_in_charge) {
+    if (!state.is_in_charge && ask.wanted == 0) {
+        // The entry uses another daemon's tokens from now on.
+        state.askers.erase(from);
+    } else if (!state.is_in_charge) {
         // Without a fallback time, the entry takes this daemon for the coordinator.
         state.askers[from] = now + (ask.fallback_ms == 0 ? asker_memory : fallback);
     } else if (ask.wanted == 0) {
@@ -226,7 +234,8 @@
     const double asks = state.bucket.allowance().rate * usual_demand * absl::ToDoubleSeconds(asker_memory) / size;
     const double expected = size * (1 - std::exp(-std::min(asks, max_asks_per_entry)));
     const double share = std::min(1.0, static_cast<double>(state.askers.size()) / std::max(1.0, expected));
-    return std::min(m_fraction, state.is_in_charge ? 1 - share : share);
+    // The entries that use other daemons are a part of those that this daemon sees.
+    return state.is_in_charge ? std::max(0.0, m_fraction - share) : std::min(m_fraction, share);
 }
 
 } // namespace amaranthladder
