--- a/src/config/private/row_codec.cpp
+++ b/src/config/private/row_codec.cpp
@@ -29,6 +29,15 @@
 
 /// Stands for the priority of a tenant that states none.
 constexpr int no_priority = -1;
+
+/// A stated priority below 0, which is not valid, must not be read as none: a daemon that decodes the row would accept
+/// what the one that wrote it refuses.
+std::int64_t encoded_priority(std::optional<int> priority) {
+    if (!priority) {
+        return no_priority;
+    }
+    return *priority < 0 ? std::int64_t{*priority} + no_priority : *priority;
+}
 // The end of the year 9999, the last year that RFC 3339 can represent.
 constexpr std::int64_t latest_milliseconds = 253'402'300'799'999;
 
@@ -274,7 +283,7 @@
     json::monotonic_resource memory(m_scratch->buffer.data(), m_scratch->buffer.size());
     json::array row({"tenant", view(value.name)}, &memory);
     row.emplace_back(write_texts(value.key_digests, &memory));
-    row.emplace_back(value.priority.value_or(no_priority));
+    row.emplace_back(encoded_priority(value.priority));
     row.emplace_back(to_thousandths(value.rate_per_second));
     row.emplace_back(to_thousandths(value.burst));
     row.emplace_back(view(value.origin.file));
