Tool: report entries without effect, contradictions and differences

Cause: check told only what the daemons refuse. Routes, tenants and shares without effect and contradictory limits were found when traffic was lost, and nothing showed before a publish what it would change.

--- a/src/common/result_code.h
+++ b/src/common/result_code.h
@@ -51,6 +51,15 @@
     snapshot_not_newer = 1122,
     snapshot_base_mismatch = 1123,
 
+    // Findings of a check of a folder that the daemons may accept.
+    check_route_never_matches = 1130,
+    check_tenant_without_key = 1131,
+    check_share_without_route = 1132,
+    check_target_above_timeout = 1133,
+    check_quota_conflict = 1134,
+    check_attempts_conflict = 1135,
+    check_difference = 1136,
+
     // The platform's store.
     store_unavailable = 1200,
     store_outcome_unknown = 1201,
--- a/src/config/state_builder.cpp
+++ b/src/config/state_builder.cpp
@@ -185,18 +185,18 @@
     std::vector<config_problem>& m_problems;
 };
 
-source_line find_line(const merged_folder& folder, const std::string& section, const std::string& key,
-                      const source_line& origin) {
-    const auto found = folder.find(section);
-    if (found == folder.end()) {
+} // namespace
+
+source_line checked_folder::line_of(const std::string& section, const std::string& key,
+                                    const source_line& origin) const {
+    const auto found = sections.find(section);
+    if (found == sections.end()) {
         return origin;
     }
     const auto value = found->second.values.find(key);
     return value == found->second.values.end() ? origin : value->second.origin;
 }
 
-} // namespace
-
 state_builder::state_builder(const merged_folder& folder, std::vector<config_problem>& problems)
     : m_folder(folder), m_problems(problems) {}
 
@@ -312,25 +312,30 @@
     m_state.moves.emplace(section.name, std::move(value));
 }
 
-intended_state state_builder::build_valid(const std::vector<config_file>& files) {
-    std::vector<config_problem> problems;
-    const merged_folder folder = folder_merger::merge(files, problems);
-    intended_state result = state_builder(folder, problems).build();
+checked_folder state_builder::build_checked(const std::vector<config_file>& files) {
+    checked_folder result;
+    result.sections = folder_merger::merge(files, result.problems);
+    result.state = state_builder(result.sections, result.problems).build();
     std::set<std::pair<std::string, std::string>> reported;
-    for (const config_problem& problem : problems) {
+    for (const config_problem& problem : result.problems) {
         reported.emplace(problem.section, problem.key);
     }
-    const auto line_of = [&](const std::string& section, const std::string& key, const source_line& origin) {
-        return find_line(folder, section, key, origin);
+    const auto line_of = [&result](const std::string& section, const std::string& key, const source_line& origin) {
+        return result.line_of(section, key, origin);
     };
     // A value that was already reported is replaced by a default; a problem with that default would be a consequence.
-    for (config_problem& problem : validator::check(result, line_of)) {
+    for (config_problem& problem : validator::check(result.state, line_of)) {
         if (!reported.contains({problem.section, problem.key})) {
-            problems.push_back(std::move(problem));
+            result.problems.push_back(std::move(problem));
         }
     }
-    throw_if_any(std::move(problems));
     return result;
 }
 
+intended_state state_builder::build_valid(const std::vector<config_file>& files) {
+    checked_folder result = build_checked(files);
+    throw_if_any(std::move(result.problems));
+    return std::move(result.state);
+}
+
 } // namespace amaranthladder
--- a/src/tests/tool_commands_test.cpp
+++ b/src/tests/tool_commands_test.cpp
@@ -80,6 +80,39 @@
     BOOST_TEST(out.str().find(R"("version":2)") != std::string::npos);
 }
 
+// Guards against findings that scripts cannot read, an exit code of 0 with findings, a comparison with the wrong
+// version, and a key in what the check prints.
+BOOST_AUTO_TEST_CASE(check_reports_findings_and_differences) {
+    BOOST_TEST((run({"check", folder.string()}) == result_code::ok));
+    BOOST_TEST(out.str() == "1 services, 1 routes, 0 shares, 0 moves, 0 tenants, 0 findings\n");
+    BOOST_TEST((run({"check", folder.string(), "--against", "running"}) == result_code::check_difference));
+    BOOST_TEST(out.str().find("difference: 10.ini:4: 1136 check-difference: [route orders]: added") !=
+                   std::string::npos,
+               out.str());
+    BOOST_TEST((run({"apply", folder.string()}) == result_code::ok));
+    BOOST_TEST((run({"check", folder.string(), "--against", "running"}) == result_code::ok));
+    const auto content = head_reader(state).read(absl::Seconds(5));
+    const std::filesystem::path saved = folder / "saved.snapshot";
+    std::ofstream(saved) << content->bytes;
+    BOOST_TEST((run({"check", folder.string(), "--against", saved.string()}) == result_code::ok));
+    BOOST_TEST((run({"check", folder.string(), "--against", folder.string()}) == result_code::ok));
+    BOOST_TEST((run({"check", folder.string(), "--against", "/nonexistent"}) == result_code::file_unreadable));
+    write("20.ini", "[tenant acme]\nkeys = k-77f0, k-77f0\nburst = 3\n");
+    BOOST_TEST((run({"check", folder.string(), "--against", saved.string(), "--format", "json"}) ==
+                result_code::config_shared_key));
+    const std::string json = out.str();
+    for (const char* part : {R"("code":1114)", R"("severity":"error")", R"("severity":"warning")",
+                             R"("severity":"difference")", R"("file":"20.ini")", R"("line":2)", R"("fix":"give one)"}) {
+        BOOST_TEST(json.find(part) != std::string::npos, part << " is not in " << json);
+    }
+    BOOST_TEST(json.find("k-77f0") == std::string::npos);
+    store_faults faults;
+    faults.is_down = true;
+    state.set_faults(faults);
+    BOOST_TEST((run({"check", folder.string(), "--against", "running", "--deadline", "300ms"}) ==
+                result_code::store_unavailable));
+}
+
 // An unrelated edit must not restart a move.
 BOOST_AUTO_TEST_CASE(moves_keep_introduction_version) {
     std::mt19937_64 random(1);
--- a/src/tool/exit_status.cpp
+++ b/src/tool/exit_status.cpp
@@ -24,7 +24,8 @@
     }
     const int number = static_cast<int>(code);
     const bool is_config_problem = number >= 1100 && code < result_code::snapshot_malformed;
-    return is_config_problem ? exit_status::refused : exit_status::failed;
+    const bool is_finding = code >= result_code::check_route_never_matches && code <= result_code::check_difference;
+    return is_config_problem || is_finding ? exit_status::refused : exit_status::failed;
 }
 
 } // namespace amaranthladder
--- a/src/tool/exit_status.h
+++ b/src/tool/exit_status.h
@@ -7,7 +7,7 @@
 /// Exit codes of the operator's tool, as listed in docs/tool.md.
 enum class exit_status {
     ok = 0,
-    refused = 1,     ///< The folder is not valid, or a daemon refused a query.
+    refused = 1,     ///< The folder is not valid, `check` has findings, or a daemon refused a query.
     usage = 2,       ///< The command line is not valid.
     unavailable = 3, ///< The store or daemon cannot be reached; nothing was published.
     raced = 4,       ///< Another operator published first; nothing was published.
--- a/src/tool/tool_commands.cpp
+++ b/src/tool/tool_commands.cpp
@@ -10,6 +10,7 @@
 #include "store/http_store.h"
 #include "tool/daemon_client.h"
 #include "tool/exit_status.h"
+#include "tool/folder_check.h"
 #include "tool/folder_publisher.h"
 
 #include <absl/random/random.h>
@@ -17,6 +18,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <filesystem>
 #include <fstream>
 #include <ostream>
 #include <sstream>
@@ -26,6 +28,8 @@
 
 namespace {
 
+/// Value of --against for the version that the store holds.
+constexpr std::string_view running_version = "running";
 constexpr absl::Duration stop_poll_interval = absl::Milliseconds(100);
 constexpr absl::Duration initial_retry_delay = absl::Seconds(1);
 constexpr absl::Duration max_retry_delay = absl::Seconds(30);
@@ -64,6 +68,42 @@
             {"text", problem.text}};
 }
 
+boost::json::object to_json(const check_report& report) {
+    boost::json::array findings;
+    for (const check_finding& finding : report.findings) {
+        boost::json::object listed = to_json(finding.problem);
+        listed["severity"] = std::string(name(finding.severity));
+        listed["fix"] = finding.fix;
+        findings.push_back(std::move(listed));
+    }
+    return {{"code", static_cast<int>(report.code())},
+            {"name", std::string(name(report.code()))},
+            {"services", report.services},
+            {"routes", report.routes},
+            {"shares", report.shares},
+            {"moves", report.moves},
+            {"tenants", report.tenants},
+            {"findings", std::move(findings)}};
+}
+
+std::string to_text(const check_report& report) {
+    std::string text;
+    for (const check_finding& finding : report.findings) {
+        text += fmt::format("{}: {}\n", name(finding.severity), to_string(finding));
+    }
+    return text + fmt::format("{} services, {} routes, {} shares, {} moves, {} tenants, {} findings\n", report.services,
+                              report.routes, report.shares, report.moves, report.tenants, report.findings.size());
+}
+
+std::string read_file(const std::string& path) {
+    std::ifstream file(path);
+    std::ostringstream text;
+    if (!file || !(text << file.rdbuf())) {
+        throw error(result_code::file_unreadable, path);
+    }
+    return text.str();
+}
+
 bool are_files_equal(const std::vector<config_file>& left, const std::vector<config_file>& right) {
     return std::ranges::equal(left, right, [](const config_file& one, const config_file& other) {
         return one.name == other.name && one.text == other.text;
@@ -95,10 +135,24 @@
 }
 
 result_code tool_commands::check() {
-    const intended_state state = state_builder::build_valid(folder_merger::load(m_options.folder));
-    print_result(result_code::ok, fmt::format("{} services, {} routes, {} shares, {} moves", state.services.size(),
-                                              state.routes.size(), state.shares.size(), state.moves.size()));
-    return result_code::ok;
+    const std::vector<config_file> files = folder_merger::load(m_options.folder);
+    const std::optional<intended_state> base = m_options.against ? std::optional(read_base()) : std::nullopt;
+    const check_report report = folder_check::run(files, base ? &*base : nullptr);
+    m_out << (m_options.uses_json ? boost::json::serialize(to_json(report)) + "\n" : to_text(report)) << std::flush;
+    return report.code();
+}
+
+intended_state tool_commands::read_base() const {
+    if (*m_options.against == running_version) {
+        call_counter calls;
+        http_store store(m_options.store, calls);
+        const auto content = head_reader<http_store>(store).read(m_options.deadline);
+        return content ? snapshot::decode(content->bytes, content->head.hash)->state() : intended_state{};
+    }
+    if (std::filesystem::is_directory(*m_options.against)) {
+        return state_builder::build_valid(folder_merger::load(*m_options.against));
+    }
+    return snapshot::decode(read_file(*m_options.against))->state();
 }
 
 result_code tool_commands::apply() {
@@ -174,13 +228,8 @@
     request.month = m_options.month;
     request.uses_csv = m_options.uses_csv;
     if (m_options.compare_file) {
-        std::ifstream file(*m_options.compare_file);
-        std::ostringstream text;
-        if (!file || !(text << file.rdbuf())) {
-            throw error(result_code::file_unreadable, *m_options.compare_file);
-        }
         request.comparison_file_name = *m_options.compare_file;
-        request.comparison_text = text.str();
+        request.comparison_text = read_file(*m_options.compare_file);
     }
     call_counter calls;
     http_store store(m_options.store, calls);
--- a/src/tool/tool_commands.h
+++ b/src/tool/tool_commands.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "common/result_code.h"
+#include "config/intended_state.h"
 #include "tool/tool_options.h"
 
 #include <functional>
@@ -22,6 +23,8 @@
 
 private:
     result_code check();
+    /// @return the state that --against names.
+    intended_state read_base() const;
     result_code apply();
     result_code watch(const std::function<bool()>& is_stopped);
     result_code status();
--- a/src/tool/tool_options.cpp
+++ b/src/tool/tool_options.cpp
@@ -32,6 +32,9 @@
         "operator", po::value<std::string>()->default_value(default_operator()),
         "operator name stored with the version")("expect-version", po::value<std::uint64_t>(),
                                                  "apply only on top of this version")(
+        "against", po::value<std::string>(),
+        "check: compare with 'running' (the store's version), a folder or a snapshot file")(
+        "format", po::value<std::string>()->default_value("text"), "check: text or json, as --json")(
         "deadline", po::value<std::string>()->default_value("30s"), "timeout of a command or publish")(
         "poll", po::value<std::string>()->default_value("1s"), "watch: interval between reads of the folder")(
         "request", po::value<std::string>(), "explain: METHOD PATH, for instance 'GET /orders'")(
@@ -48,6 +51,19 @@
     return values.contains(key) ? std::optional(values[key].as<std::string>()) : std::nullopt;
 }
 
+void read_format(const po::variables_map& values, tool_options& parsed) {
+    const std::string& format = values["format"].as<std::string>();
+    if (format != "text" && format != "json") {
+        throw error(result_code::usage, "--format is text or json");
+    }
+    if (!values["format"].defaulted()) {
+        if (parsed.command != "check" || (parsed.uses_json && format == "text")) {
+            throw error(result_code::usage, "only check takes --format, and not 'text' beside --json");
+        }
+        parsed.uses_json = format == "json";
+    }
+}
+
 void validate(const tool_options& parsed) {
     if (parsed.is_help_requested || parsed.is_version_requested) {
         return;
@@ -72,6 +88,9 @@
     if ((parsed.uses_csv || parsed.compare_file) && parsed.command != "report") {
         throw error(result_code::usage, "only report takes --csv and --compare");
     }
+    if (parsed.against && parsed.command != "check") {
+        throw error(result_code::usage, "only check takes --against");
+    }
     if (parsed.expected_version && parsed.command != "apply") {
         throw error(result_code::usage, "only apply takes --expect-version");
     }
@@ -107,6 +126,8 @@
     if (values.contains("expect-version")) {
         parsed.expected_version = values["expect-version"].as<std::uint64_t>();
     }
+    parsed.against = optional_text(values, "against");
+    read_format(values, parsed);
     parsed.request = optional_text(values, "request");
     parsed.move = optional_text(values, "move");
     parsed.route = optional_text(values, "route");
@@ -120,7 +141,8 @@
 
 void tool_options::print_help(std::ostream& out) {
     out << "amaranthladder COMMAND [OPTIONS]\n"
-           "  check FOLDER    validate a configuration folder\n"
+           "  check FOLDER    report errors, entries without effect, contradictions and, with --against, "
+           "differences\n"
            "  apply FOLDER    validate and publish a configuration folder\n"
            "  watch FOLDER    apply each change of a folder until stopped\n"
            "  status          show a daemon's status\n"
--- a/src/tool/tool_options.h
+++ b/src/tool/tool_options.h
@@ -23,6 +23,7 @@
     endpoint daemon;
     std::string operator_name;
     std::optional<std::uint64_t> expected_version;
+    std::optional<std::string> against; ///< Only `check`: `running`, a folder, or a file with a snapshot.
     absl::Duration deadline;
     absl::Duration poll_interval;
     std::optional<std::string> request;
