Count link bytes by the daemon's own addresses

Where hosts share a kernel, both ends of a connection between two of them can have the same address, and its bytes were not counted. Connections to daemons count unless the target is one of the daemon's own addresses.

--- a/src/http/private/connection_pool.h
+++ b/src/http/private/connection_pool.h
@@ -54,9 +54,9 @@
     /// @return a new connection that is not open yet.
     std::unique_ptr<pooled_connection> create(const endpoint& target);
 
-    /// Counts the bytes of an open connection from now on, unless its target is on the same host.
+    /// Counts the bytes of a connection to another host from now on.
     void count_link_bytes(pooled_connection& connection) {
-        amaranthladder::count_link_bytes(connection.stream, m_link_bytes);
+        connection.stream.rate_policy().count_in(&m_link_bytes);
     }
 
     /// Returns @p connection to the pool. Its last response must have been read completely.
--- a/src/http/private/exchange.cpp
+++ b/src/http/private/exchange.cpp
@@ -51,7 +51,10 @@
     }
     m_connection->stream.socket().set_option(asio::ip::tcp::no_delay(true), failure);
     enable_tcp_keepalive(m_connection->stream.socket().native_handle());
-    m_pool.count_link_bytes(*m_connection);
+    // The addresses of the sockets do not tell: hosts of a test share a kernel.
+    if (target.address != m_options.listen_address.address && target.address != m_options.owner_address.address) {
+        m_pool.count_link_bytes(*m_connection);
+    }
     m_connection->opened_at = m_clock.now();
     m_connection->last_received_at = m_connection->opened_at;
     co_return exchange_status{};
--- a/src/http/private/inbound_session.cpp
+++ b/src/http/private/inbound_session.cpp
@@ -39,7 +39,10 @@
     : m_proxy(proxy), m_peer_type(peer), m_stream(std::move(socket)),
       m_buffer(proxy.options.max_header_bytes + proxy.options.body_buffer_bytes),
       m_pipeline(1 + proxy.options.max_requests_ahead) {
-    count_link_bytes(m_stream, proxy.link_bytes);
+    // A daemon serves the requests of its own host itself, so those of daemons come over the link.
+    if (peer == peer_type::daemon || !has_local_peer(m_stream)) {
+        m_stream.rate_policy().count_in(&proxy.link_bytes);
+    }
 }
 
 asio::awaitable<void> inbound_session::run() {
--- a/src/http/private/metered_stream.h
+++ b/src/http/private/metered_stream.h
@@ -54,15 +54,13 @@
 /// A stream that counts its bytes if they are moved over the host's link.
 using metered_stream = beast::basic_stream<asio::ip::tcp, asio::any_io_executor, byte_count_policy>;
 
-/// Counts the bytes of an open connection in @p total, unless its peer is on the same host: both ends then have the
-/// same address, and nothing is moved over the link.
-inline void count_link_bytes(metered_stream& stream, std::uint64_t& total) {
+/// @return true if both ends of an open connection have the same address, so that nothing is moved over the link.
+inline bool has_local_peer(metered_stream& stream) {
     error_code local_failure;
     error_code remote_failure;
     const auto local = stream.socket().local_endpoint(local_failure);
     const auto remote = stream.socket().remote_endpoint(remote_failure);
-    const bool is_remote = !local_failure && !remote_failure && local.address() != remote.address();
-    stream.rate_policy().count_in(is_remote ? &total : nullptr);
+    return !local_failure && !remote_failure && local.address() == remote.address();
 }
 
 } // namespace amaranthladder
