--- a/src/quota/quota_limits.cpp
+++ b/src/quota/quota_limits.cpp
@@ -7,10 +7,10 @@
 namespace {
 
 /// Parts of the slack and of the requests in a window that the reserves may grant.
-constexpr double reserve_slack_share = 0.2;
+constexpr double reserve_slack_share = 0.12;
 constexpr double reserve_window_share = 0.015;
 /// Daemons with different views may take different daemons for the second-ranked one.
-constexpr double reserves_in_use = 2;
+constexpr double reserves_in_use = 3;
 /// Part of what the rate may use at most; the rest keeps a bucket of useful size for tenants without a burst.
 constexpr double max_rate_share = 0.94;
 /// Part of what rate and reserves leave. The rest covers the overlap when another daemon becomes the coordinator.
--- a/src/tests/quota_bucket_test.cpp
+++ b/src/tests/quota_bucket_test.cpp
@@ -47,7 +47,7 @@
     const double period_s = window_s + absl::ToDoubleSeconds(token_lifetime);
     const double bound = (sample.rate * window_s + sample.burst) * (1 + limits.overage) + limits.slack;
     const double granted = allowance.rate * period_s + allowance.capacity +
-                           2 * (allowance.reserve_rate * period_s + allowance.reserve_capacity);
+                           3 * (allowance.reserve_rate * period_s + allowance.reserve_capacity);
     BOOST_TEST(granted <= bound);
     BOOST_TEST(allowance.rate > 0);
     BOOST_TEST(allowance.capacity > 0);
