--- a/src/http/private/quota_gate.h
+++ b/src/http/private/quota_gate.h
@@ -24,6 +24,7 @@
 public:
     /// All arguments outlive this object.
     quota_gate(asio::io_context& context, const steady_clock& clock, event_log& log, absl::BitGen& random);
+    ~quota_gate() = default;
     quota_gate(const quota_gate&) = delete;
     quota_gate& operator=(const quota_gate&) = delete;
 
--- a/src/tests/fakes/quota_fleet.cpp
+++ b/src/tests/fakes/quota_fleet.cpp
@@ -332,7 +332,7 @@
         }
     }
 
-    void send(std::size_t from, std::size_t to, quota_message message) {
+    void send(std::size_t from, std::size_t to, const quota_message& message) {
         ++m_messages;
         // The record's key and the list around it take about this many bytes in the datagram.
         const std::string bytes = message.encode();
--- a/src/tests/fakes/quota_fleet.h
+++ b/src/tests/fakes/quota_fleet.h
@@ -44,6 +44,8 @@
 
     explicit quota_fleet(const options& chosen);
     ~quota_fleet();
+    quota_fleet(const quota_fleet&) = delete;
+    quota_fleet& operator=(const quota_fleet&) = delete;
 
     void run_for(absl::Duration time);
 
