Quota: ask a late coordinator again instead of refusing

Cause: on hosts whose links are full of response bodies, answers of coordinators come late.

An entry goes back to a coordinator that is not silent, within the time for which a request may wait.

--- a/src/quota/quota_client.cpp
+++ b/src/quota/quota_client.cpp
@@ -19,9 +19,6 @@
 /// target latency, 125 ms for the shortest target of the deployment with quotas.
 constexpr absl::Duration coordinator_timeout = absl::Milliseconds(70);
 constexpr absl::Duration fallback_timeout = absl::Milliseconds(50);
-/// The same for a coordinator that was not silent before: it is busy. The fallback daemon has only a small reserve, so
-/// a change to it after 70 ms refused one in ten requests of the largest tenants on hosts with a tenth of a core.
-constexpr absl::Duration busy_coordinator_timeout = absl::Milliseconds(250);
 /// Time for which an entry stays with the second-ranked daemon. At least as long as that one counts the entry as its
 /// own, so that an entry is not counted by two daemons.
 constexpr absl::Duration avoid_time = absl::Seconds(1);
@@ -109,7 +106,7 @@
 void quota_client::tick(absl::Time now) {
     std::vector<std::uint64_t> overdue;
     for (auto& [id, open] : m_asks) {
-        const absl::Duration limit = open.is_fallback ? fallback_timeout : answer_limit(open.tenant, now);
+        const absl::Duration limit = open.is_fallback ? fallback_timeout : coordinator_timeout;
         if (now - open.sent > limit && !open.is_overdue) {
             overdue.push_back(id);
         }
@@ -228,7 +225,15 @@
         return;
     }
     if (overdue.is_fallback) {
-        refuse_waiters(state, quota_verdict::kind::refused_unknown, now);
+        if (m_reach.is_silent(*m_view.candidates(overdue.tenant).coordinator, now)) {
+            refuse_waiters(state, quota_verdict::kind::refused_unknown, now);
+            return;
+        }
+        // The coordinator answers, only late: on a host whose link is full, datagrams wait behind the bodies of
+        // responses. Requests that wait for too long are refused by refuse_overdue_waiters().
+        state.avoids_coordinator_until = now;
+        const std::string tenant = overdue.tenant;
+        ask(tenant, state, std::max(batch(state), static_cast<std::uint32_t>(state.waiters.size())), false, now);
         return;
     }
     // From now on the second-ranked daemon grants for this entry, so late answers of the coordinator are not used.
@@ -263,18 +268,13 @@
 }
 
 void quota_client::refuse_overdue_waiters(tenant_state& state, absl::Time now) {
-    while (!state.waiters.empty() && now - state.waiters.front().since > busy_coordinator_timeout + fallback_timeout) {
+    while (!state.waiters.empty() && now - state.waiters.front().since > coordinator_timeout + fallback_timeout) {
         m_resolved.push_back(
             {state.waiters.front().id, make_refusal(state, quota_verdict::kind::refused_unknown, now)});
         state.waiters.pop_front();
     }
 }
 
-absl::Duration quota_client::answer_limit(const std::string& tenant, absl::Time now) const {
-    const std::optional<endpoint> coordinator = m_view.candidates(tenant).coordinator;
-    return coordinator && m_reach.is_silent(*coordinator, now) ? coordinator_timeout : busy_coordinator_timeout;
-}
-
 quota_verdict quota_client::make_refusal(const tenant_state& state, quota_verdict::kind reason, absl::Time now) {
     const bool is_over = reason == quota_verdict::kind::refused_over;
     ++(is_over ? m_counters.refused_over : m_counters.refused_unknown);
--- a/src/quota/quota_client.h
+++ b/src/quota/quota_client.h
@@ -138,8 +138,6 @@
     void serve_waiters(tenant_state& state, absl::Time now);
     void refuse_overdue_waiters(tenant_state& state, absl::Time now);
     void refuse_waiters(tenant_state& state, quota_verdict::kind reason, absl::Time now);
-    /// @return how long an ask to the tenant's coordinator may stay without an answer.
-    absl::Duration answer_limit(const std::string& tenant, absl::Time now) const;
     quota_verdict make_refusal(const tenant_state& state, quota_verdict::kind reason, absl::Time now);
     static void close(tenant_state& state, const open_ask& ended);
 
--- a/src/tests/fakes/quota_fleet.cpp
+++ b/src/tests/fakes/quota_fleet.cpp
@@ -321,7 +321,7 @@
     void flush(std::size_t index) {
         daemon& each = m_daemons[index];
         for (quota_node::outgoing& out : each.node->take_messages(m_now)) {
-            send(index, m_index.at(out.to), std::move(out.message));
+            send(index, m_index.at(out.to), out.message);
         }
         for (const quota_client::resolved& resolved : each.node->take_resolved()) {
             const auto found = m_waiting.find(resolved.waiter);
