Take bodies larger than the memory for bodies

Cause: an owner refused every body above 8 MiB, since it counted the whole body as held; request_proxy_test ended with SIGPIPE when its 30 MB request was refused. Longer bodies are passed on while they arrive and hold 512 KiB at most.

--- a/src/http/private/proxy_state.h
+++ b/src/http/private/proxy_state.h
@@ -146,7 +146,10 @@
     absl::BitGen random;
     proxy_counters counters;
     request_id next_request_id = 1;
-    body_gate bodies{context, clock, {.link_bytes_per_second = options.link_mbps * bytes_per_megabit}};
+    body_gate bodies{context,
+                     clock,
+                     {.link_bytes_per_second = options.link_mbps * bytes_per_megabit,
+                      .max_held_bytes_per_body = options.requested_body_buffer_bytes}};
     std::size_t requests_ahead = 0; ///< Requests on all connections that were read behind others.
     drain_schedule drain;           ///< Of this daemon; not started unless it has been asked to stop.
     quota_gate quotas{context, clock, log, random};
--- a/src/routing/body_admission.cpp
+++ b/src/routing/body_admission.cpp
@@ -11,7 +11,8 @@
     for (const body_offer& waiting : m_waiting) {
         ahead += waiting.bytes;
     }
-    if (now + link_time(ahead + offered.bytes) > offered.latest_arrival || offered.bytes > m_policy.max_held_bytes) {
+    if (now + link_time(ahead + offered.bytes) > offered.latest_arrival ||
+        memory_of(offered.bytes) > m_policy.max_held_bytes) {
         return verdict::refused;
     }
     if (m_waiting.empty() && may_start(offered.bytes, now)) {
@@ -83,18 +84,23 @@
     return total;
 }
 
+std::size_t body_admission::memory_of(std::size_t bytes) const {
+    return std::min(bytes, m_policy.max_held_bytes_per_body);
+}
+
 bool body_admission::may_start(std::size_t bytes, absl::Time now) const {
     const std::size_t under_way = link_bytes(now);
     // A body that alone exceeds the limit is received when no other is under way.
     const bool fits_link = under_way == 0 || link_time(under_way + bytes) <= m_policy.max_link_delay;
-    return fits_link && transfers() < m_policy.max_transfers && held_bytes() + bytes <= m_policy.max_held_bytes;
+    return fits_link && transfers() < m_policy.max_transfers &&
+           held_bytes() + memory_of(bytes) <= m_policy.max_held_bytes;
 }
 
 void body_admission::start(request_id id, std::size_t bytes, absl::Time now) {
     const absl::Duration slow_after =
         std::max(m_policy.min_slow_sender_time, m_policy.slow_sender_factor * link_time(bytes));
     m_transfers.push_back({id, bytes, now + slow_after});
-    m_held.push_back({id, bytes});
+    m_held.push_back({id, memory_of(bytes)});
 }
 
 } // namespace amaranthladder
--- a/src/routing/body_admission.h
+++ b/src/routing/body_admission.h
@@ -17,6 +17,8 @@
     absl::Duration max_link_delay = absl::Milliseconds(80);
     int max_transfers = 32;                                    ///< Bodies that may be under way.
     std::size_t max_held_bytes = std::size_t{8} * 1024 * 1024; ///< Bodies under way or held, all together.
+    /// Largest part of one body that is held; longer bodies are passed on while they arrive.
+    std::size_t max_held_bytes_per_body = std::size_t{512} * 1024;
     /// A transfer that takes this multiple of the time that the link needs is limited by its sender, and no longer
     /// counts as link load. Otherwise a few slow senders would keep all others waiting.
     double slow_sender_factor = 4;
@@ -82,6 +84,8 @@
     absl::Duration link_time(std::size_t bytes) const;
     std::size_t link_bytes(absl::Time now) const;
     std::size_t held_bytes() const;
+    /// @return the memory that a body takes.
+    std::size_t memory_of(std::size_t bytes) const;
     bool may_start(std::size_t bytes, absl::Time now) const;
     void start(request_id id, std::size_t bytes, absl::Time now);
 
--- a/src/tests/body_admission_test.cpp
+++ b/src/tests/body_admission_test.cpp
@@ -113,6 +113,7 @@
 BOOST_AUTO_TEST_CASE(memory_is_bounded) {
     body_admission_policy policy;
     policy.max_held_bytes = 1'000'000;
+    policy.max_held_bytes_per_body = 3'000'000;
     body_admission admission(policy);
     for (request_id id = 1; id <= 2; ++id) {
         BOOST_TEST((admission.offer({id, 400'000}, start) == body_admission::verdict::receive));
@@ -125,4 +126,10 @@
     BOOST_TEST(admission.start_waiting(start) == std::vector<request_id>{3});
 }
 
+// Guards against a refusal of a body that is larger than all memory for bodies: it is passed on while it arrives.
+BOOST_AUTO_TEST_CASE(large_bodies_are_streamed) {
+    body_admission admission({});
+    BOOST_TEST((admission.offer({1, 100'000'000}, start) == body_admission::verdict::receive));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
