--- a/src/tests/fakes/quota_fleet.h
+++ b/src/tests/fakes/quota_fleet.h
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <numeric>
 #include <queue>
 #include <random>
 #include <string>
@@ -82,4 +83,20 @@
     std::unique_ptr<implementation> m_implementation;
 };
 
+/// @return the indexes from @p first to the one before @p last.
+inline std::vector<std::size_t> range(std::size_t first, std::size_t last) {
+    std::vector<std::size_t> result(last - first);
+    std::iota(result.begin(), result.end(), first);
+    return result;
+}
+
+/// @return options with these shares of lost, repeated and slow messages.
+inline quota_fleet::options with(double loss, double repetition, double slow) {
+    quota_fleet::options result;
+    result.loss = loss;
+    result.repetition = repetition;
+    result.slow = slow;
+    return result;
+}
+
 } // namespace amaranthladder
