--- a/src/daemon/opaque_record_rules.cpp
+++ b/src/daemon/opaque_record_rules.cpp
@@ -71,9 +71,8 @@
     }
 }
 
-/// Gossip sends urgent records first: progress of moves, orders, idle upstreams, departures and
-/// evacuations. Watcher lease records
-/// are not urgent.
+/// Gossip sends urgent records first: progress of moves, orders, idle upstreams, departures and evacuations. Watcher
+/// lease records are not urgent.
 bool is_urgent_record(const opaque_record& record) {
     return !record.key.starts_with(watcher_lease_record_prefix);
 }
--- a/src/tool/check_finding.cpp
+++ b/src/tool/check_finding.cpp
@@ -58,6 +58,17 @@
     return fix.empty() ? "see docs/result-codes.md" : fix;
 }
 
+check_finding make_finding(finding_severity severity, config_problem problem) {
+    std::string fix(suggested_fix(problem.code));
+    return {severity, std::move(problem), std::move(fix)};
+}
+
+check_finding make_warning(const finding_line& line, result_code code, const std::string& section,
+                           const std::string& key, const source_line& origin, std::string text) {
+    const source_line place = line(section, key, origin);
+    return make_finding(finding_severity::warning, {code, place.file, place.line, section, key, std::move(text)});
+}
+
 std::string to_string(const check_finding& finding) {
     return fmt::format("{} (fix: {})", to_string(finding.problem), finding.fix);
 }
--- a/src/tool/check_finding.h
+++ b/src/tool/check_finding.h
@@ -33,6 +33,15 @@
 /// @return a short suggestion for a problem with the code @p code that a folder can have.
 std::string_view suggested_fix(result_code code);
 
+/// @return the finding of a problem, with the fix for its code.
+check_finding make_finding(finding_severity severity, config_problem problem);
+
+/// @return a warning about a key of a section that the daemons accept.
+/// @param section the section as `KIND NAME`.
+/// @param origin position of the section, from which @p line finds that of the key.
+check_finding make_warning(const finding_line& line, result_code code, const std::string& section,
+                           const std::string& key, const source_line& origin, std::string text);
+
 /// @return the finding as one line: position, number, name, section, key, text and fix.
 std::string to_string(const check_finding& finding);
 
--- a/src/tool/folder_check.cpp
+++ b/src/tool/folder_check.cpp
@@ -18,10 +18,9 @@
 
 check_finding make_difference(const section_difference& difference) {
     const std::string section = fmt::format("{} {}", difference.kind, difference.name);
-    return {finding_severity::difference,
-            {result_code::check_difference, difference.origin.file, difference.origin.line, section, "",
-             std::string(difference.change)},
-            std::string(suggested_fix(result_code::check_difference))};
+    return make_finding(finding_severity::difference,
+                        {result_code::check_difference, difference.origin.file, difference.origin.line, section, "",
+                         std::string(difference.change)});
 }
 
 } // namespace
@@ -39,8 +38,7 @@
     check_report report{
         {}, state.services.size(), state.routes.size(), state.shares.size(), state.moves.size(), state.tenants.size()};
     for (config_problem& problem : folder.problems) {
-        std::string fix(suggested_fix(problem.code));
-        report.findings.push_back({finding_severity::error, std::move(problem), std::move(fix)});
+        report.findings.push_back(make_finding(finding_severity::error, std::move(problem)));
     }
     std::ranges::move(find_unreachable_entries(state, line), std::back_inserter(report.findings));
     std::ranges::move(find_limit_conflicts(state, line), std::back_inserter(report.findings));
--- a/src/tool/unreachable_entries.cpp
+++ b/src/tool/unreachable_entries.cpp
@@ -92,10 +92,7 @@
 
     void add(result_code code, const std::string& section, const std::string& key, const source_line& origin,
              std::string text) {
-        const source_line place = m_line(section, key, origin);
-        m_findings.push_back({finding_severity::warning,
-                              {code, place.file, place.line, section, key, std::move(text)},
-                              std::string(suggested_fix(code))});
+        m_findings.push_back(make_warning(m_line, code, section, key, origin, std::move(text)));
     }
 
     const intended_state& m_state;
