Share the unit of link speeds and the expected service time of a kind

link_meter, completion_estimate and proxy_state each converted megabits, and inbound_session repeated how slot_limiter stands in for a kind without samples. No behaviour changes; the conversions differ by powers of two only.

--- a/src/http/private/inbound_session.cpp
+++ b/src/http/private/inbound_session.cpp
@@ -458,9 +458,7 @@
 body_offer inbound_session::make_body_offer(const served_request& request, const local_upstream& upstream) const {
     const slot_limiter& limiter = upstream.semaphore->limiter();
     const absl::Time now = m_proxy.clock.now();
-    const absl::Duration known = limiter.service_time(request.info.route);
-    const absl::Duration service_time = known == absl::ZeroDuration() ? limiter.service_time() : known;
-    const absl::Duration work = service_time + limiter.backlog(now);
+    const absl::Duration work = limiter.expected_service_time(request.info.route) + limiter.backlog(now);
     body_offer offered;
     offered.id = m_proxy.next_request_id++;
     offered.bytes = request.body.declared_size().value_or(m_proxy.options.requested_body_buffer_bytes);
--- a/src/http/private/proxy_state.h
+++ b/src/http/private/proxy_state.h
@@ -13,6 +13,7 @@
 #include "http/proxy_statistics.h"
 #include "routing/caller_timeout_estimator.h"
 #include "routing/link_meter.h"
+#include "routing/link_units.h"
 #include "routing/nested_route_detector.h"
 #include "routing/retry_budget.h"
 #include "routing/retry_policy.h"
@@ -37,9 +38,6 @@
 
 class entry_call;
 
-/// Bytes in the unit of link speeds.
-inline constexpr double bytes_per_megabit = 125'000;
-
 /// State shared by all requests of a daemon. Used on the event loop's thread only.
 struct proxy_state {
     proxy_state(const proxy_options& proxy_settings, router_settings routing, retry_budget_policy budget_policy,
--- a/src/routing/completion_estimate.cpp
+++ b/src/routing/completion_estimate.cpp
@@ -1,14 +1,13 @@
 #include "routing/completion_estimate.h"
 
+#include "routing/link_units.h"
+
 #include <algorithm>
 
 namespace amaranthladder {
 
 namespace {
 
-constexpr double bits_per_byte = 8;
-constexpr double bits_per_megabit = 1e6;
-
 /// @return load^2 / (1 - load) below @p max_load, and its tangent there above it.
 double crowding(double load, double max_load) {
     const double known = std::min(load, max_load);
@@ -23,8 +22,8 @@
     }
     const double utilisation = std::clamp(inputs.link_utilisation, 0.0, policy.max_link_utilisation);
     const double bytes_ahead = utilisation * policy.link_burst_bytes;
-    const double remaining = (1 - utilisation) * inputs.link_mbps * bits_per_megabit;
-    return absl::Seconds((inputs.bytes + bytes_ahead) * bits_per_byte / remaining);
+    const double remaining = (1 - utilisation) * inputs.link_mbps * bytes_per_megabit;
+    return absl::Seconds((inputs.bytes + bytes_ahead) / remaining);
 }
 
 } // namespace
--- a/src/routing/link_meter.cpp
+++ b/src/routing/link_meter.cpp
@@ -1,16 +1,11 @@
 #include "routing/link_meter.h"
 
+#include "routing/link_units.h"
+
 #include <algorithm>
 
 namespace amaranthladder {
 
-namespace {
-
-constexpr double bits_per_byte = 8;
-constexpr double bits_per_megabit = 1e6;
-
-} // namespace
-
 link_meter::link_meter(double megabits_per_second, link_meter_policy policy)
     : m_megabits_per_second(megabits_per_second), m_policy(policy) {}
 
@@ -39,7 +34,7 @@
     if (m_megabits_per_second <= 0) {
         return std::nullopt;
     }
-    return bytes_per_second() * bits_per_byte / (m_megabits_per_second * bits_per_megabit);
+    return bytes_per_second() / (m_megabits_per_second * bytes_per_megabit);
 }
 
 } // namespace amaranthladder
--- a/src/routing/slot_limiter.cpp
+++ b/src/routing/slot_limiter.cpp
@@ -192,6 +192,11 @@
     return known == m_kind_indexes.end() ? absl::ZeroDuration() : m_service_time_by_kind[known->second];
 }
 
+absl::Duration slot_limiter::expected_service_time(const std::string& kind) const {
+    const auto known = m_kind_indexes.find(kind);
+    return known == m_kind_indexes.end() ? m_service_time : service_time_of(known->second);
+}
+
 absl::Duration slot_limiter::backlog(absl::Time now) const {
     const absl::Duration wait_for_slot =
         m_service_time * static_cast<double>(std::max(0, running() + queued() + 1 - m_slots)) / m_slots;
--- a/src/routing/slot_limiter.h
+++ b/src/routing/slot_limiter.h
@@ -108,6 +108,9 @@
     /// @return moving average of the service time of a kind; zero before the first sample.
     absl::Duration service_time(const std::string& kind) const;
 
+    /// @return moving average of the service time of a kind; of all requests before the first sample of the kind.
+    absl::Duration expected_service_time(const std::string& kind) const;
+
     /// @return expected wait until a new request that is queued last can start.
     absl::Duration backlog(absl::Time now) const;
 
