Deduct the delay on the way between daemons from a request's time

Entries now send their clock's time, and owners subtract what a transit exceeds the shortest recent one of the same process by. Comparing wall clocks was ruled out, since they jump.

--- a/src/daemon/status_text.cpp
+++ b/src/daemon/status_text.cpp
@@ -246,6 +246,7 @@
                static_cast<double>(status.requests.malformed_server_loads));
     add_metric(text, "upstream_work_factor", "gauge", "", status.requests.work_factor);
     add_metric(text, "nested_requests_total", "counter", "", static_cast<double>(status.requests.nested_requests));
+    add_metric(text, "delayed_requests_total", "counter", "", static_cast<double>(status.requests.delayed_requests));
     add_metric(text, "cross_data_center_attempts_total", "counter", "",
                static_cast<double>(status.requests.remote_attempts));
     add_metric(text, "cross_data_center_bytes_total", "counter", "", static_cast<double>(status.requests.remote_bytes));
--- a/src/http/private/entry_call.cpp
+++ b/src/http/private/entry_call.cpp
@@ -375,9 +375,11 @@
     info.mesh = m_proxy.options.mesh;
     info.route = matched_route.name;
     info.upstream = decision.upstream_id;
-    info.time_left = m_deadline - m_proxy.clock.now();
+    const absl::Time now = m_proxy.clock.now();
+    info.sent = send_stamp{m_proxy.process_number, absl::ToUnixMillis(now)};
+    info.time_left = m_deadline - now;
     if (m_target_time < absl::InfiniteFuture()) {
-        info.target_time_left = std::max(absl::ZeroDuration(), m_target_time - m_proxy.clock.now());
+        info.target_time_left = std::max(absl::ZeroDuration(), m_target_time - now);
     }
     write_forwarding_headers(head, info);
     exchange owner_exchange(m_proxy.pool, m_proxy.options, m_proxy.clock);
--- a/src/http/private/forwarding_headers.cpp
+++ b/src/http/private/forwarding_headers.cpp
@@ -109,6 +109,7 @@
     info.tenant = field_value(fields, header::tenant);
     info.key.digest = field_value(fields, header::key_digest);
     info.is_nested = field_value(fields, header::nested) == "1";
+    info.sent = parse_send_stamp(field_value(fields, header::sent));
     return info;
 }
 
@@ -136,6 +137,7 @@
     set_if_not_empty(fields, header::tenant, info.tenant);
     set_if_not_empty(fields, header::key_digest, info.tenant.empty() ? "" : info.key.digest);
     set_if_not_empty(fields, header::nested, info.is_nested ? "1" : "");
+    set_if_not_empty(fields, header::sent, info.sent ? to_string(*info.sent) : "");
     if (info.target_time_left) {
         set_if_not_empty(fields, header::target_ms, milliseconds_text(*info.target_time_left));
     }
--- a/src/http/private/forwarding_headers.h
+++ b/src/http/private/forwarding_headers.h
@@ -4,6 +4,7 @@
 #include "http/header_names.h"
 #include "routing/router.h"
 #include "routing/tenant_directory.h"
+#include "routing/transit_delay.h"
 #include "routing/upstream_signals.h"
 
 #include <absl/time/time.h>
@@ -43,6 +44,7 @@
 inline constexpr std::string_view speed = "x-amaranthladder-speed";
 inline constexpr std::string_view link = "x-amaranthladder-link";
 inline constexpr std::string_view link_mbps = "x-amaranthladder-link-mbps";
+inline constexpr std::string_view sent = "x-amaranthladder-sent";
 inline constexpr std::string_view wait_ms = "x-amaranthladder-wait-ms";
 inline constexpr std::string_view backlog_ms = "x-amaranthladder-backlog-ms";
 } // namespace header
@@ -63,6 +65,7 @@
     std::string tenant;                             ///< Tenant that holds the caller's key; empty: none.
     presented_key key;                              ///< From another daemon, only the digest.
     bool is_nested = false;                         ///< Sent by an upstream while it runs a request of a caller.
+    std::optional<send_stamp> sent;                 ///< When the entry sent it; the times left count from then.
 
     /// @return true if an entry daemon sent the request to its owner.
     bool is_from_entry() const {
--- a/src/http/private/inbound_session.cpp
+++ b/src/http/private/inbound_session.cpp
@@ -170,6 +170,7 @@
     };
     try {
         next.request->info = read_forwarding_info(head);
+        deduct_transit_delay(*next.request);
     } catch (const error& failure) {
         next.problem = failure.what();
     }
@@ -367,6 +368,28 @@
     return info;
 }
 
+void inbound_session::deduct_transit_delay(served_request& request) {
+    forwarding_info& info = request.info;
+    if (!info.sent) {
+        return;
+    }
+    const absl::Duration delay = m_proxy.transit_delays.observe(*info.sent, request.received_at);
+    if (delay == absl::ZeroDuration()) {
+        return;
+    }
+    ++m_proxy.counters.delayed_requests;
+    const auto deduct = [delay](std::optional<absl::Duration>& left) {
+        if (left) {
+            left = std::max(absl::ZeroDuration(), *left - delay);
+        }
+    };
+    deduct(info.time_left);
+    deduct(info.target_time_left);
+    m_proxy.log.info(fmt::format("transit-delay request={} delay_ms={} time_left_ms={}", info.request_id,
+                                 absl::ToInt64Milliseconds(delay),
+                                 absl::ToInt64Milliseconds(info.time_left.value_or(absl::InfiniteDuration()))));
+}
+
 absl::Duration inbound_session::time_left(const served_request& request) const {
     return request.received_at + request.info.time_left.value_or(m_proxy.options.default_timeout) - m_proxy.clock.now();
 }
--- a/src/http/private/inbound_session.h
+++ b/src/http/private/inbound_session.h
@@ -79,6 +79,8 @@
     /// Serves a request; an exception ends its connection. The parameter keeps the request alive.
     asio::awaitable<void> serve_logged(request_pointer next);
     forwarding_info read_forwarding_info(const http::request_header<>& head) const;
+    /// Subtracts from a request's times left what its way from the entry took beyond the usual.
+    void deduct_transit_delay(served_request& request);
     absl::Duration time_left(const served_request& request) const;
     asio::awaitable<serve_result> serve_as_entry(pending_request& next);
     asio::awaitable<serve_result> serve_as_owner(pending_request& next);
--- a/src/http/private/proxy_state.h
+++ b/src/http/private/proxy_state.h
@@ -20,6 +20,7 @@
 #include "routing/router.h"
 #include "routing/service_shortage.h"
 #include "routing/tenant_directory.h"
+#include "routing/transit_delay.h"
 #include "routing/weighted_round_robin.h"
 
 #include <absl/container/flat_hash_map.h>
@@ -140,8 +141,10 @@
     service_shortage shortage;
     nested_route_detector nested_routes; ///< Of requests to local upstreams.
     absl::flat_hash_map<std::string, weighted_round_robin>
-        service_rotations; ///< By route name; only for routes with several services.
+        service_rotations;                  ///< By route name; only for routes with several services.
+    transit_delay_estimator transit_delays; ///< Of requests from other daemons.
     absl::BitGen random;
+    const std::uint64_t process_number = absl::Uniform<std::uint32_t>(random); ///< Of this run of the daemon.
     proxy_counters counters;
     request_id next_request_id = 1;
     body_gate bodies{context,
--- a/src/http/proxy_statistics.h
+++ b/src/http/proxy_statistics.h
@@ -59,6 +59,7 @@
     std::uint64_t bodies_refused = 0;         ///< Requests refused before their bodies were sent.
     std::uint64_t malformed_server_loads = 0; ///< Responses with a load report that cannot be read.
     std::uint64_t nested_requests = 0;        ///< Requests to local upstreams that were taken for nested calls.
+    std::uint64_t delayed_requests = 0;       ///< Requests of entries that were delayed on the way.
     std::uint64_t remote_attempts = 0;        ///< Attempts at upstreams of other data centres.
     std::uint64_t remote_bytes = 0;           ///< Bytes of the bodies of those that were answered, as declared.
     std::uint64_t link_bytes = 0;             ///< Moved over the host's link, in both directions.
