--- a/src/tests/pull_scheduler_test.cpp
+++ b/src/tests/pull_scheduler_test.cpp
@@ -156,4 +156,23 @@
     BOOST_TEST((tasks[2].peer != tasks[1].peer));
 }
 
+// Guards against a version that is late because several peers cannot be reached in turn, as when a third of the fleet
+// is cut off: a configuration must be in force within 2.5 s.
+BOOST_AUTO_TEST_CASE(unreachable_peers_do_not_delay_others) {
+    std::mt19937_64 random(1);
+    const peer_settings settings;
+    pull_scheduler tested(settings);
+    for (int number = 1; number <= 10; ++number) {
+        tested.receive_digest(peer(number), {5, ""}, true, start, random);
+    }
+    int asked = 0;
+    for (absl::Time now = start; now < start + absl::Milliseconds(2500) && asked < 8; now += absl::Milliseconds(10)) {
+        for (const pull_task& task : tested.tick(now, random)) {
+            ++asked;
+            tested.finish(task, pull_outcome::unreachable, now, random);
+        }
+    }
+    BOOST_TEST(asked == 8);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
