--- a/src/peers/pull_scheduler.cpp
+++ b/src/peers/pull_scheduler.cpp
@@ -79,8 +79,8 @@
         m_wanted = m_current.version;
     }
     if (outcome == pull_outcome::unreachable && !m_candidates.empty()) {
-        // Only the failed peer has to wait. With the growing backoff between different peers as well, four were asked in
-        // the 2.5 s in which a configuration must be in force.
+        // Only the failed peer has to wait. With the growing backoff between different peers as well, four were asked
+        // in the 2.5 s in which a configuration must be in force.
         m_next_pull = now + absl::Uniform(random, 0.5, 1.5) * m_settings.pull_backoff_initial;
         return;
     }
