Model stalls and planned replacement of daemons in the quota fleet

The rows of quota_fleet_test had no daemons that stall for short times and none that join or leave as planned, so they did not show the refusals of a rolling release. Stalls take up to 100 ms, twice a second and daemon, one in fifty up to 300 ms.

--- a/src/tests/fakes/quota_fleet.cpp
+++ b/src/tests/fakes/quota_fleet.cpp
@@ -20,6 +20,12 @@
 /// Suspicion of SWIM with 89 members: 4 * log10(98) seconds.
 constexpr absl::Duration suspicion_time = absl::Seconds(8);
 constexpr absl::Duration join_time = absl::Milliseconds(1300);
+/// Time for which a daemon that leaves still runs after its drain has started, as in mesh_daemon.
+constexpr absl::Duration drain_time = absl::Milliseconds(1700);
+/// Time after which callers no longer use an entry that drains.
+constexpr absl::Duration redirect_time = absl::Seconds(1);
+/// Longest time until a daemon learns that another one has joined or left.
+constexpr absl::Duration gossip_time = absl::Seconds(1);
 const absl::Time epoch = absl::UnixEpoch() + absl::Hours(1);
 
 } // namespace
@@ -40,12 +46,13 @@
         m_tallies.resize(chosen.tenants);
         m_runs.resize(chosen.tenants);
         m_configuration = make_configuration(1);
-        m_group.assign(chosen.daemons, 0);
-        m_daemons.resize(chosen.daemons);
-        for (std::size_t index = 0; index < chosen.daemons; ++index) {
+        m_group.assign(chosen.daemons + chosen.spares, 0);
+        m_daemons.resize(chosen.daemons + chosen.spares);
+        for (std::size_t index = 0; index < m_daemons.size(); ++index) {
             m_daemons[index].address = {fmt::format("10.0.{}.{}", index / 200, 1 + (index % 200)), 7000};
             m_index[m_daemons[index].address] = index;
-            m_daemons[index].seen.assign(chosen.daemons, {});
+            m_daemons[index].is_spare = index >= chosen.daemons;
+            m_daemons[index].seen.assign(m_daemons.size(), {});
         }
         for (std::size_t index = 0; index < chosen.daemons; ++index) {
             start(index);
@@ -67,10 +74,14 @@
                 m_queue.pop();
                 deliver(next);
             }
+            stall();
             send_requests();
             for (std::size_t index = 0; index < m_daemons.size(); ++index) {
                 daemon& each = m_daemons[index];
-                if (each.node && m_now >= each.paused_until && m_now >= each.next_tick) {
+                if (each.node && each.left_at <= m_now) {
+                    kill(index);
+                }
+                if (each.node && is_running(each) && m_now >= each.next_tick) {
                     each.next_tick = m_now + quota_node::tick_interval;
                     each.node->tick(m_now, m_random);
                     flush(index);
@@ -84,6 +95,7 @@
         started.node = std::make_unique<quota_node>(started.address, quota_limits(), m_random());
         started.node->set_configuration(m_configuration, m_now);
         started.started_at = m_now;
+        started.was_started = true;
         started.next_tick = m_now;
         started.joins_at = m_now + uniform(absl::Milliseconds(200), join_time);
         for (seen_member& member : started.seen) {
@@ -91,7 +103,18 @@
         }
     }
 
+    void replace(std::size_t index) {
+        start(m_options.daemons + m_replaced++);
+        m_daemons[index].redirected_at = m_now + redirect_time;
+        m_daemons[index].left_at = m_now + drain_time;
+    }
+
     void kill(std::size_t index) {
+        for (const held_request& held : m_daemons[index].held) {
+            --m_tallies[held.tenant].requests;
+            m_tallies[held.tenant].within -= held.is_within ? 1 : 0;
+        }
+        m_daemons[index].held.clear();
         m_daemons[index].node.reset();
         for (auto& [id, request] : m_waiting) {
             request.is_gone = request.is_gone || request.entry == index;
@@ -131,6 +154,8 @@
             m_ideal.emplace_back(std::max(1.0, rate), absl::Seconds(1 / rate), m_now);
         }
         m_tallies.assign(m_tallies.size(), {});
+        m_counted_since = m_now;
+        m_counted_messages = m_messages;
     }
 
     tally sum(bool with_hot_tenants) const {
@@ -146,6 +171,7 @@
             sum.run += one.run;
             sum.refused_over += one.refused_over;
             sum.refused_unknown += one.refused_unknown;
+            sum.late += one.late;
         }
         return sum;
     }
@@ -167,6 +193,12 @@
                m_now >= m_daemons[other].paused_until;
     }
 
+    struct held_request {
+        std::size_t tenant = 0;
+        bool is_within = false;
+        absl::Time since;
+    };
+
     struct delivery {
         absl::Time at;
         std::uint64_t order = 0;
@@ -183,6 +215,8 @@
         bool is_known = false;
         std::optional<absl::Time> suspected_at;
         std::optional<absl::Time> alive_at;
+        std::optional<absl::Time> known_at;
+        std::optional<absl::Time> left_at;
         member_state state = member_state::alive;
     };
 
@@ -193,6 +227,13 @@
         absl::Time joins_at;
         absl::Time next_tick;
         absl::Time paused_until = absl::InfinitePast();
+        absl::Time stalled_until = absl::InfinitePast();
+        absl::Time next_stall = absl::InfinitePast();
+        absl::Time redirected_at = absl::InfiniteFuture();
+        absl::Time left_at = absl::InfiniteFuture();
+        bool was_started = false;
+        bool is_spare = false;          ///< Joins the running fleet.
+        std::vector<held_request> held; ///< Requests that came during a stall.
         absl::Time configured_at = absl::InfiniteFuture();
         std::vector<seen_member> seen;
     };
@@ -202,8 +243,38 @@
         std::size_t entry = 0;
         bool is_within = false;
         bool is_gone = false;
+        absl::Time since;
     };
 
+    bool is_running(const daemon& each) const {
+        return m_now >= each.paused_until && m_now >= each.stalled_until;
+    }
+
+    /// Stalls daemons at random, as the scheduler does with those that have a tenth of a core.
+    void stall() {
+        if (m_options.stalls_per_second <= 0) {
+            return;
+        }
+        std::exponential_distribution<> wait_s(m_options.stalls_per_second);
+        for (std::size_t index = 0; index < m_daemons.size(); ++index) {
+            daemon& each = m_daemons[index];
+            if (!each.node || m_now < each.stalled_until) {
+                continue;
+            }
+            for (const held_request& held : std::exchange(each.held, {})) {
+                acquire(held, index);
+            }
+            if (m_now < each.next_stall) {
+                continue;
+            }
+            if (each.next_stall != absl::InfinitePast()) {
+                each.stalled_until = m_now + (chance(0.02) ? uniform(absl::Milliseconds(100), absl::Milliseconds(300))
+                                                           : uniform(absl::ZeroDuration(), absl::Milliseconds(100)));
+            }
+            each.next_stall = std::max(m_now, each.stalled_until) + absl::Seconds(wait_s(m_random));
+        }
+    }
+
     void apply_configurations() {
         for (daemon& each : m_daemons) {
             if (m_now >= each.configured_at) {
@@ -238,7 +309,21 @@
                     continue;
                 }
                 seen_member& seen = each.seen[other];
+                if (!m_daemons[other].was_started || is_left(seen, m_daemons[other])) {
+                    if (seen.state == member_state::left) {
+                        members.push_back({m_daemons[other].address, {}, "", seen.state, 0});
+                    }
+                    continue;
+                }
                 const bool is_reached = is_mutual(viewer, other);
+                if (!seen.is_known && m_daemons[other].is_spare && is_joined &&
+                    m_daemons[other].started_at > each.joins_at) {
+                    seen.known_at =
+                        seen.known_at.value_or(m_daemons[other].joins_at + uniform(absl::ZeroDuration(), gossip_time));
+                    if (m_now < *seen.known_at) {
+                        continue;
+                    }
+                }
                 if (!seen.is_known) {
                     seen.is_known = is_joined && (is_reached || m_now - each.joins_at > absl::Milliseconds(200));
                     if (!seen.is_known) {
@@ -280,11 +365,30 @@
         }
     }
 
+    /// @return true if the viewer knows that @p other has left.
+    bool is_left(seen_member& seen, const daemon& other) {
+        if (other.left_at > m_now) {
+            return false;
+        }
+        seen.left_at = seen.left_at.value_or(other.left_at + uniform(absl::ZeroDuration(), gossip_time));
+        if (m_now >= *seen.left_at) {
+            seen.state = member_state::left;
+        }
+        return seen.state == member_state::left;
+    }
+
+    bool has_callers(const daemon& each) const {
+        return each.was_started && m_now < each.redirected_at && (!each.is_spare || m_now >= each.joins_at);
+    }
+
     void send_requests() {
         for (std::size_t index = 0; index < m_demand.size(); ++index) {
             const double mean = m_demand[index] * m_factors[index] * absl::ToDoubleSeconds(step);
             for (int left = std::poisson_distribution<>(mean)(m_random); left > 0; --left) {
-                const std::size_t entry = m_random() % m_daemons.size();
+                std::size_t entry = m_random() % m_daemons.size();
+                while (!has_callers(m_daemons[entry])) {
+                    entry = m_random() % m_daemons.size();
+                }
                 if (m_daemons[entry].node && m_now >= m_daemons[entry].paused_until) {
                     send_request(index, entry);
                 }
@@ -294,28 +398,37 @@
 
     void send_request(std::size_t tenant, std::size_t entry) {
         ++m_tallies[tenant].requests;
-        const bool is_within = m_ideal[tenant].try_take(m_now);
-        m_tallies[tenant].within += is_within ? 1 : 0;
+        const held_request made{tenant, m_ideal[tenant].try_take(m_now), m_now};
+        m_tallies[tenant].within += made.is_within ? 1 : 0;
+        if (m_now < m_daemons[entry].stalled_until) {
+            m_daemons[entry].held.push_back(made);
+        } else {
+            acquire(made, entry);
+        }
+    }
+
+    void acquire(const held_request& made, std::size_t entry) {
         const std::uint64_t id = ++m_last_request;
-        const quota_verdict verdict = m_daemons[entry].node->acquire(tenant_name(tenant), id, m_now);
+        const quota_verdict verdict = m_daemons[entry].node->acquire(tenant_name(made.tenant), id, m_now);
+        const waiting_request request{made.tenant, entry, made.is_within, false, made.since};
         if (verdict.result == quota_verdict::kind::wait) {
-            m_waiting[id] = {tenant, entry, is_within, false};
-            flush(entry);
+            m_waiting[id] = request;
         } else {
-            count(tenant, verdict, is_within);
-            flush(entry);
+            count(request, verdict);
         }
+        flush(entry);
     }
 
-    void count(std::size_t tenant, const quota_verdict& verdict, bool is_within) {
-        tally& counted = m_tallies[tenant];
+    void count(const waiting_request& request, const quota_verdict& verdict) {
+        tally& counted = m_tallies[request.tenant];
         if (verdict.result == quota_verdict::kind::run) {
             ++counted.run;
-            ++m_runs[tenant][static_cast<std::int64_t>((m_now - epoch) / slice)];
+            counted.late += m_now - request.since > absl::Milliseconds(125) ? 1 : 0;
+            ++m_runs[request.tenant][static_cast<std::int64_t>((m_now - epoch) / slice)];
             return;
         }
         ++(verdict.result == quota_verdict::kind::refused_over ? counted.refused_over : counted.refused_unknown);
-        counted.wrongly_refused += is_within ? 1 : 0;
+        counted.wrongly_refused += request.is_within ? 1 : 0;
     }
 
     void flush(std::size_t index) {
@@ -326,7 +439,7 @@
         for (const quota_client::resolved& resolved : each.node->take_resolved()) {
             const auto found = m_waiting.find(resolved.waiter);
             if (found != m_waiting.end()) {
-                count(found->second.tenant, resolved.verdict, found->second.is_within);
+                count(found->second, resolved.verdict);
                 m_waiting.erase(found);
             }
         }
@@ -357,9 +470,9 @@
         if (!receiver.node) {
             return;
         }
-        if (m_now < receiver.paused_until) {
+        if (!is_running(receiver)) {
             delivery later = next;
-            later.at = receiver.paused_until + step;
+            later.at = std::max(receiver.paused_until, receiver.stalled_until) + step;
             m_queue.push(later);
             return;
         }
@@ -387,6 +500,9 @@
     std::uint64_t m_last_request = 0;
     std::uint64_t m_order = 0;
     std::uint64_t m_messages = 0;
+    std::uint64_t m_counted_messages = 0; ///< m_messages at m_counted_since.
+    absl::Time m_counted_since = epoch;
+    std::size_t m_replaced = 0;
     std::uint64_t m_bytes = 0;
     double m_limit_factor = 1;
     std::shared_ptr<const intended_state> m_configuration;
@@ -432,6 +548,10 @@
     m_implementation->start(daemon);
 }
 
+void quota_fleet::replace(std::size_t daemon) {
+    m_implementation->replace(daemon);
+}
+
 void quota_fleet::pause(std::size_t daemon, absl::Duration time) {
     m_implementation->m_daemons[daemon].paused_until = m_implementation->m_now + time;
 }
@@ -440,6 +560,9 @@
     quota_view view(m_implementation->m_daemons[0].address);
     std::vector<member> members;
     for (const auto& each : m_implementation->m_daemons) {
+        if (!each.was_started || each.left_at <= m_implementation->m_now) {
+            continue;
+        }
         members.push_back({each.address, {}, "", member_state::alive, 0});
     }
     view.update(members, m_implementation->m_now);
@@ -488,6 +611,12 @@
     return m_implementation->m_messages;
 }
 
+double quota_fleet::messages_per_daemon() const {
+    const implementation& fleet = *m_implementation;
+    return static_cast<double>(fleet.m_messages - fleet.m_counted_messages) /
+           absl::ToDoubleSeconds(fleet.m_now - fleet.m_counted_since) / static_cast<double>(fleet.m_options.daemons);
+}
+
 std::uint64_t quota_fleet::message_bytes() const {
     return m_implementation->m_bytes;
 }
--- a/src/tests/fakes/quota_fleet.h
+++ b/src/tests/fakes/quota_fleet.h
@@ -29,7 +29,9 @@
         double limit_factor = 1.6; ///< Limit relative to the usual demand; the burst is one second of it.
         double loss = 0;
         double repetition = 0;
-        double slow = 0; ///< Share of messages that take up to 150 ms longer.
+        double slow = 0;              ///< Share of messages that take up to 150 ms longer.
+        double stalls_per_second = 0; ///< Of each daemon: up to 100 ms, one in fifty up to 300 ms.
+        std::size_t spares = 0;       ///< Daemons that join later by replace().
         std::uint64_t seed = 1;
     };
 
@@ -41,6 +43,7 @@
         std::uint64_t run = 0;
         std::uint64_t refused_over = 0;
         std::uint64_t refused_unknown = 0;
+        std::uint64_t late = 0; ///< Run more than 125 ms after the request.
     };
 
     explicit quota_fleet(const options& chosen);
@@ -60,6 +63,9 @@
     void heal();
     void kill(std::size_t daemon);
     void start(std::size_t daemon);
+    /// Starts the next spare daemon and lets @p daemon leave as planned: it drains, announces that it has left, and
+    /// ends.
+    void replace(std::size_t daemon);
     /// Stops a process for a while; what is sent to it waits.
     void pause(std::size_t daemon, absl::Duration time);
     /// @return the daemon that the first daemon takes for the coordinator of a tenant.
@@ -74,6 +80,8 @@
     /// @return the largest number of requests that ran in any window, relative to the bound.
     /// @param since start of the first window.
     double worst_window(absl::Time since = absl::InfinitePast()) const;
+    /// @return messages a second and daemon since clear_tallies().
+    double messages_per_daemon() const;
     std::uint64_t messages() const;
     std::uint64_t message_bytes() const;
     absl::Time now() const;
--- a/src/tests/quota_fleet_test.cpp
+++ b/src/tests/quota_fleet_test.cpp
@@ -12,6 +12,7 @@
 #include <functional>
 #include <numeric>
 #include <random>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -43,6 +44,31 @@
     fleet.run_for(absl::Seconds(15));
 }
 
+/// A rolling release: a daemon each 0.8 s, the coordinators of the largest tenants among them.
+void play_replacement(quota_fleet& fleet) {
+    fleet.run_for(absl::Seconds(2));
+    std::set<std::size_t> replaced;
+    for (std::size_t tenant = 0; tenant < 7; ++tenant) {
+        replaced.insert(fleet.coordinator(tenant));
+    }
+    for (std::size_t index = 0; replaced.size() < 21; index += 4) {
+        replaced.insert(index);
+    }
+    for (const std::size_t index : replaced) {
+        fleet.replace(index);
+        fleet.run_for(absl::Milliseconds(800));
+    }
+    fleet.run_for(absl::Seconds(8));
+}
+
+/// Hosts with a tenth of a core.
+quota_fleet::options with_stalls() {
+    quota_fleet::options result;
+    result.stalls_per_second = 2;
+    result.spares = 21;
+    return result;
+}
+
 const std::vector<scenario> scenarios{
     {"calm", [](quota_fleet& fleet) { fleet.run_for(absl::Seconds(30)); }, 0.005},
     {"one tenant at 7 times its demand",
@@ -116,6 +142,15 @@
          fleet.run_for(absl::Seconds(30));
      },
      0.05, with(0, 0, 0.1)},
+    {"calm with stalls", [](quota_fleet& fleet) { fleet.run_for(absl::Seconds(30)); }, 0.005, with_stalls()},
+    {"21 daemons replaced, with stalls", play_replacement, 0.01, with_stalls()},
+    {"21 daemons replaced, with stalls and one tenant at 7 times its demand",
+     [](quota_fleet& fleet) {
+         fleet.set_demand(0, 7);
+         fleet.set_demand(9, 7);
+         play_replacement(fleet);
+     },
+     0.01, with_stalls()},
 };
 
 } // namespace
@@ -131,13 +166,14 @@
     const quota_fleet::tally allowed = fleet.of_allowed_tenants();
     const double wrong = static_cast<double>(allowed.wrongly_refused) / static_cast<double>(allowed.within);
     const quota_fleet::tally hot = fleet.of_tenant(0);
-    BOOST_TEST_MESSAGE(
-        fmt::format("{}: worst window {:.3f} of the bound, wrongly refused {:.4f}, unknown {}, over {}, "
-                    "largest tenant runs {:.3f} of its quota, messages per request {:.2f}, bytes per message {:.0f}",
-                    sample.name, fleet.worst_window(), wrong, total.refused_unknown, total.refused_over,
-                    static_cast<double>(hot.run) / static_cast<double>(hot.within),
-                    static_cast<double>(fleet.messages()) / static_cast<double>(total.requests),
-                    static_cast<double>(fleet.message_bytes()) / static_cast<double>(fleet.messages())));
+    BOOST_TEST_MESSAGE(fmt::format(
+        "{}: worst window {:.3f} of the bound, wrongly refused {:.4f}, unknown {}, over {}, "
+        "largest tenant runs {:.3f} of its quota, {} run after 125 ms, messages per request {:.2f}, "
+        "a second and daemon {:.1f}, bytes per message {:.0f}",
+        sample.name, fleet.worst_window(), wrong, total.refused_unknown, total.refused_over,
+        static_cast<double>(hot.run) / static_cast<double>(hot.within), total.late,
+        static_cast<double>(fleet.messages()) / static_cast<double>(total.requests), fleet.messages_per_daemon(),
+        static_cast<double>(fleet.message_bytes()) / static_cast<double>(fleet.messages())));
     BOOST_TEST(fleet.worst_window() <= 1);
     BOOST_TEST(wrong <= sample.max_wrongly_refused);
 }
