Hand the buckets of tenants over when daemons join and leave

A rolling release made tenants lose requests: a joined daemon that ranks first replaced the coordinator with a fraction of 0 that rises by 0.4 a second, and one that leaves was replaced in the same way. Entries that used the fallback daemon for a second after 70 ms without an answer were subtracted from the coordinator's fraction although the fallback daemon granted little.

- A daemon that joins claims the bucket from those that rank next; they grant until then and redirect entries afterwards.
A daemon that drains hands its buckets over.
If one is only seen to have left, the next one serves the full fraction at once.
- A daemon that grants in the place of others tells them how much, and the one in charge subtracts exactly that.
- An ask is repeated after 75 ms with the same number, which the daemon recognizes; the fallback daemon is asked after 125 ms, and a request waits for 0.3 s at most.
Late answers are used.
An entry's own stalls count neither as silence nor as waiting.
- A coordinator logs the inputs of its answers 'none' (quota-none).

--- a/src/http/private/quota_gate.cpp
+++ b/src/http/private/quota_gate.cpp
@@ -61,6 +61,13 @@
     }
 }
 
+void quota_gate::leave() {
+    if (m_node) {
+        m_node->leave(m_clock.now());
+        flush();
+    }
+}
+
 asio::awaitable<quota_verdict> quota_gate::acquire(std::string tenant, std::uint64_t waiter) {
     quota_verdict verdict = m_node->acquire(tenant, waiter, m_clock.now());
     if (verdict.result == quota_verdict::kind::wait) {
@@ -110,6 +117,7 @@
                                        change.is_coordinator, change.fraction));
             }
         }
+        log_none_reports();
     }
     m_is_running = false;
 }
@@ -137,6 +145,17 @@
     }
 }
 
+void quota_gate::log_none_reports() {
+    for (const quota_none_report& report : m_node->take_none_reports()) {
+        if (m_log_budget.try_take(m_clock.now())) {
+            m_log.info(fmt::format("quota-none tenant={} rate={:.1f} fraction={:.2f} served={:.2f} "
+                                   "entries_elsewhere={} tokens={:.1f} wanted={}",
+                                   report.tenant, report.rate, report.fraction, report.served, report.entries,
+                                   report.tokens, report.wanted));
+        }
+    }
+}
+
 void quota_gate::log_refusal(const std::string& tenant, const quota_verdict& verdict) {
     if (!m_log_budget.try_take(m_clock.now())) {
         ++m_unlogged;
--- a/src/http/private/quota_gate.h
+++ b/src/http/private/quota_gate.h
@@ -35,12 +35,15 @@
     void set_members(const std::vector<member>& members, bool is_joined);
     void receive(const quota_message& message);
 
+    /// Hands over the tenants that this daemon coordinates, since it drains.
+    void leave();
+
     /// @return true if requests of @p tenant need a token.
     bool is_limited(const std::string& tenant) const {
         return m_node && m_node->is_limited(tenant);
     }
 
-    /// Waits for a token for a tenth of a second at most.
+    /// Waits for a token for some 0.3 s at most.
     /// @param waiter identifies the request.
     asio::awaitable<quota_verdict> acquire(std::string tenant, std::uint64_t waiter);
 
@@ -64,6 +67,7 @@
     void start_if_needed();
     void flush();
     void wake(std::uint64_t waiter, const quota_verdict& verdict);
+    void log_none_reports();
     void log_refusal(const std::string& tenant, const quota_verdict& verdict);
 
     asio::io_context& m_context;
--- a/src/http/request_proxy.cpp
+++ b/src/http/request_proxy.cpp
@@ -85,6 +85,7 @@
                                              absl::ToInt64Milliseconds(notice),
                                              absl::ToInt64Milliseconds(m_options.drain_timeout), m_sessions.size(),
                                              std::ranges::count_if(m_sessions, &inbound_session::is_serving)));
+                m_state.quotas.leave();
                 asio::co_spawn(m_state.context, drain_connections(notice), asio::detached);
             }
         });
--- a/src/quota/quota_bucket.cpp
+++ b/src/quota/quota_bucket.cpp
@@ -58,6 +58,18 @@
     return absl::Seconds(std::max(0.0, count - m_tokens) / rate);
 }
 
+void quota_bucket::subtract(double count) {
+    // A debt of a second at most, so that repeated messages do not stop the tenant.
+    m_tokens = std::max(std::min(m_tokens, -m_allowance.rate), m_tokens - count);
+}
+
+void quota_bucket::take_over(double fraction, double tokens, absl::Time now) {
+    m_fraction = std::max(m_fraction, fraction);
+    m_tokens = std::max(m_tokens, 0.0) + tokens;
+    m_updated = now;
+    cap();
+}
+
 void quota_bucket::clear(absl::Time now) {
     m_tokens = 0;
     m_reserve = 0;
--- a/src/quota/quota_bucket.h
+++ b/src/quota/quota_bucket.h
@@ -36,6 +36,12 @@
     /// @return the time until the bucket will have given out @p count tokens more than it holds.
     absl::Duration time_until(double count) const;
 
+    /// Another daemon has granted @p count tokens in place of this one.
+    void subtract(double count);
+
+    /// Takes the bucket of the daemon that was in charge and has ceased to grant, so the fraction need not rise slowly.
+    void take_over(double fraction, double tokens, absl::Time now);
+
     /// Empties bucket and reserve, e.g. after a pause of this process.
     void clear(absl::Time now);
 
@@ -43,6 +49,10 @@
         return m_allowance;
     }
 
+    double tokens() const {
+        return m_tokens;
+    }
+
     double fraction() const {
         return m_fraction;
     }
--- a/src/quota/quota_client.cpp
+++ b/src/quota/quota_client.cpp
@@ -16,9 +16,22 @@
 /// Below this part of a batch, the next one is asked for, so that requests need not wait.
 constexpr double refill_share = 0.4;
 /// A host with a tenth of a core stalls for up to 0.1 s, most for less. Requests lose no value up to an eighth of their
-/// target latency, 125 ms for the shortest target of the deployment with quotas.
-constexpr absl::Duration coordinator_timeout = absl::Milliseconds(70);
-constexpr absl::Duration fallback_timeout = absl::Milliseconds(50);
+/// target latency, 125 ms for the shortest target of the deployment with quotas. With 70 ms, entries left coordinators
+/// that were only slow.
+constexpr absl::Duration answer_timeout = absl::Milliseconds(125);
+/// Time until an ask is repeated with the same number, since a datagram may be lost.
+constexpr absl::Duration repeat_time = absl::Milliseconds(75);
+/// Longest wait of a request: a late answer is worth more than a refusal.
+constexpr absl::Duration max_wait = absl::Milliseconds(300);
+/// Time between two asks while no daemon can decide.
+constexpr absl::Duration retry_interval = absl::Milliseconds(75);
+/// A longer time between two events of this process is a stall, in which answers may have come unread. Longer than the
+/// tick interval with an open ask.
+constexpr absl::Duration max_event_gap = absl::Milliseconds(30);
+/// Time for which the word of another daemon on who keeps a bucket holds.
+constexpr absl::Duration moved_memory = quota_view::newcomer_time;
+/// Daemons that point at each other do so until the message between them arrives.
+constexpr int max_moves = 3;
 /// Time for which an entry stays with the second-ranked daemon. At least as long as that one counts the entry as its
 /// own, so that an entry is not counted by two daemons.
 constexpr absl::Duration avoid_time = absl::Seconds(1);
@@ -35,6 +48,7 @@
     : m_view(view), m_reach(reach), m_next_id(first_id) {}
 
 quota_verdict quota_client::acquire(const std::string& tenant, std::uint64_t waiter, absl::Time now) {
+    advance(now);
     tenant_state& state = m_tenants[tenant];
     update_demand(state, now);
     if (usable_tokens(state, now) > 0) {
@@ -48,7 +62,7 @@
     if (now < state.refused_until) {
         return make_refusal(state, quota_verdict::kind::refused_over, now);
     }
-    state.waiters.push_back({waiter, now});
+    state.waiters.push_back({waiter, m_run_time});
     ++m_counters.waited;
     ask_if_needed(tenant, state, now);
     return {quota_verdict::kind::wait, now, absl::ZeroDuration()};
@@ -73,6 +87,7 @@
 }
 
 void quota_client::receive(const quota_answer& answer, absl::Time now) {
+    advance(now);
     const auto found = m_asks.find(answer.id);
     if (found == m_asks.end()) {
         return;
@@ -91,24 +106,63 @@
         state.stock.insert(position, {std::min(answer.granted, ended.wanted), expires});
         serve_waiters(state, now);
     }
+    const bool is_decided = answer.status == quota_status::granted || answer.status == quota_status::none;
+    if (!ended.is_fallback && is_decided && now < state.avoids_coordinator_until) {
+        // The coordinator was only late. What another daemon has granted meanwhile, it subtracts.
+        state.avoids_coordinator_until = now;
+        state.checks_coordinator_until = now;
+        choose_fallback(ended.tenant, state, std::nullopt, now);
+    }
     if (answer.status == quota_status::none) {
         const absl::Duration retry = absl::Milliseconds(answer.retry_ms);
         state.retry_at = now + retry;
         state.refused_until = now + std::clamp(retry, min_refusal_time, max_refusal_time);
         refuse_waiters(state, quota_verdict::kind::refused_over, now);
+    } else if (answer.status == quota_status::moved && !ended.is_overdue) {
+        follow(ended, answer.moved_to, now);
     } else if (answer.status == quota_status::unknown && !ended.is_overdue) {
         handle_no_answer(ended, now);
-    } else if (!state.waiters.empty()) {
+    } else if (answer.status == quota_status::granted && !state.waiters.empty()) {
         ask_if_needed(ended.tenant, state, now);
     }
 }
 
+void quota_client::follow(const open_ask& ended, const endpoint& to, absl::Time now) {
+    tenant_state& state = m_tenants.at(ended.tenant);
+    if (ended.is_fallback || !m_view.is_member(to) || to == ended.to) {
+        handle_no_answer(ended, now);
+        return;
+    }
+    state.moved_to = to;
+    state.moved_until = now + moved_memory;
+    if (ended.moves >= max_moves) {
+        retry_later(ended.tenant, now);
+        return;
+    }
+    ask(ended.tenant, state, ended.wanted, false, now, ended.moves + 1);
+}
+
+endpoint quota_client::coordinator(const std::string& tenant, absl::Time now) const {
+    const auto found = m_tenants.find(tenant);
+    if (found != m_tenants.end() && found->second.moved_to && now < found->second.moved_until &&
+        m_view.is_member(*found->second.moved_to)) {
+        return *found->second.moved_to;
+    }
+    return *m_view.candidates(tenant).coordinator;
+}
+
 void quota_client::tick(absl::Time now) {
+    advance(now);
     std::vector<std::uint64_t> overdue;
     for (auto& [id, open] : m_asks) {
-        const absl::Duration limit = open.is_fallback ? fallback_timeout : coordinator_timeout;
-        if (now - open.sent > limit && !open.is_overdue) {
+        const absl::Duration waited = m_run_time - open.started;
+        if (open.is_overdue) {
+            continue;
+        }
+        if (waited >= answer_timeout) {
             overdue.push_back(id);
+        } else if (waited >= repeat_time && !open.is_repeated) {
+            repeat(id, open, now);
         }
     }
     for (const std::uint64_t id : overdue) {
@@ -121,9 +175,48 @@
             refuse_overdue_waiters(state, now);
         }
     }
+    run_retries(now);
     absl::erase_if(m_asks, [now](const auto& entry) { return now - entry.second.sent > token_lifetime; });
 }
 
+void quota_client::repeat(std::uint64_t id, open_ask& open, absl::Time now) {
+    open.is_repeated = true;
+    if (m_tenants.at(open.tenant).waiters.empty() || !m_view.is_alive(open.to)) {
+        return;
+    }
+    const absl::Duration spent = std::min(now - open.sent, absl::Milliseconds(open.fallback_ms));
+    const auto left = open.fallback_ms - static_cast<std::uint32_t>(absl::ToInt64Milliseconds(spent));
+    m_outgoing.push_back({open.to, {id, open.tenant, open.wanted, open.is_fallback ? std::max(left, 1U) : 0}});
+}
+
+void quota_client::retry_later(const std::string& tenant, absl::Time now) {
+    m_retries.try_emplace(tenant, now + retry_interval);
+}
+
+void quota_client::run_retries(absl::Time now) {
+    std::vector<std::string> due;
+    for (const auto& [tenant, at] : m_retries) {
+        if (now >= at) {
+            due.push_back(tenant);
+        }
+    }
+    for (const std::string& tenant : due) {
+        m_retries.erase(tenant);
+        tenant_state& state = m_tenants.at(tenant);
+        refuse_overdue_waiters(state, now);
+        if (!state.waiters.empty()) {
+            ask_if_needed(tenant, state, now);
+        }
+    }
+}
+
+void quota_client::advance(absl::Time now) {
+    if (m_last_event != absl::InfinitePast()) {
+        m_run_time += std::clamp(now - m_last_event, absl::ZeroDuration(), max_event_gap);
+    }
+    m_last_event = std::max(m_last_event, now);
+}
+
 void quota_client::drop_tokens(const std::string& tenant, absl::Time now) {
     const auto found = m_tenants.find(tenant);
     if (found == m_tenants.end()) {
@@ -175,7 +268,7 @@
     if (!is_avoided && now < state.checks_coordinator_until) {
         // The coordinator was silent when last asked. It is told of each ask to another daemon, so its answer ends
         // this.
-        is_avoided = m_reach.is_silent(*m_view.candidates(tenant).coordinator, now);
+        is_avoided = m_reach.is_silent(coordinator(tenant, now), now);
         state.avoids_coordinator_until = is_avoided ? now + avoid_time : state.avoids_coordinator_until;
         state.checks_coordinator_until = is_avoided ? now + silence_check_time : state.checks_coordinator_until;
     }
@@ -183,27 +276,28 @@
 }
 
 void quota_client::ask(const std::string& tenant, tenant_state& state, std::uint32_t wanted, bool is_fallback,
-                       absl::Time now) {
-    const quota_candidates candidates = m_view.candidates(
-        tenant, [&](const endpoint& member) { return is_fallback && m_reach.is_silent(member, now); });
+                       absl::Time now, int moves) {
+    const endpoint first = coordinator(tenant, now);
+    const quota_candidates candidates = m_view.candidates(tenant, [&](const endpoint& member) {
+        return member == first || (is_fallback && m_reach.is_silent(member, now));
+    });
     choose_fallback(tenant, state, is_fallback ? candidates.second : std::nullopt, now);
     if (is_fallback && !state.fallback) {
         refuse_waiters(state, quota_verdict::kind::refused_unknown, now);
         return;
     }
     const std::uint64_t id = m_next_id++;
-    m_asks[id] = {tenant, now, wanted, is_fallback, false};
+    const absl::Duration left = std::max(absl::Milliseconds(1), state.avoids_coordinator_until - now);
+    const auto fallback_ms = is_fallback ? static_cast<std::uint32_t>(absl::ToInt64Milliseconds(left)) : 0;
+    const endpoint to = is_fallback ? *state.fallback : first;
+    m_asks[id] = {tenant, to, now, m_run_time, wanted, fallback_ms, moves, is_fallback, false, false};
     state.asked += wanted;
     ++m_counters.asks;
-    if (!is_fallback) {
-        m_outgoing.push_back({*candidates.coordinator, {id, tenant, wanted, 0}});
-        return;
+    m_outgoing.push_back({to, {id, tenant, wanted, fallback_ms}});
+    if (is_fallback) {
+        ++m_counters.fallback_asks;
+        m_outgoing.push_back({first, {m_next_id++, tenant, 0, fallback_ms}});
     }
-    ++m_counters.fallback_asks;
-    const absl::Duration left = std::max(absl::Milliseconds(1), state.avoids_coordinator_until - now);
-    const auto fallback_ms = static_cast<std::uint32_t>(absl::ToInt64Milliseconds(left));
-    m_outgoing.push_back({*state.fallback, {id, tenant, wanted, fallback_ms}});
-    m_outgoing.push_back({*candidates.coordinator, {m_next_id++, tenant, 0, fallback_ms}});
 }
 
 void quota_client::choose_fallback(const std::string& tenant, tenant_state& state,
@@ -225,25 +319,13 @@
         return;
     }
     if (overdue.is_fallback) {
-        if (m_reach.is_silent(*m_view.candidates(overdue.tenant).coordinator, now)) {
-            refuse_waiters(state, quota_verdict::kind::refused_unknown, now);
-            return;
+        // Requests that wait for too long are refused by refuse_overdue_waiters().
+        if (!m_reach.is_silent(coordinator(overdue.tenant, now), now)) {
+            state.avoids_coordinator_until = now;
         }
-        // The coordinator answers, only late: on a host whose link is full, datagrams wait behind the bodies of
-        // responses. Requests that wait for too long are refused by refuse_overdue_waiters().
-        state.avoids_coordinator_until = now;
-        const std::string tenant = overdue.tenant;
-        ask(tenant, state, std::max(batch(state), static_cast<std::uint32_t>(state.waiters.size())), false, now);
+        retry_later(overdue.tenant, now);
         return;
     }
-    // From now on the second-ranked daemon grants for this entry, so late answers of the coordinator are not used.
-    absl::erase_if(m_asks, [&](auto& entry) {
-        if (entry.second.tenant != overdue.tenant || entry.second.is_fallback) {
-            return false;
-        }
-        close(state, entry.second);
-        return true;
-    });
     state.avoids_coordinator_until = now + avoid_time;
     state.checks_coordinator_until = now + silence_check_time;
     const std::string tenant = overdue.tenant;
@@ -268,7 +350,7 @@
 }
 
 void quota_client::refuse_overdue_waiters(tenant_state& state, absl::Time now) {
-    while (!state.waiters.empty() && now - state.waiters.front().since > coordinator_timeout + fallback_timeout) {
+    while (!state.waiters.empty() && m_run_time - state.waiters.front().since >= max_wait) {
         m_resolved.push_back(
             {state.waiters.front().id, make_refusal(state, quota_verdict::kind::refused_unknown, now)});
         state.waiters.pop_front();
--- a/src/quota/quota_client.h
+++ b/src/quota/quota_client.h
@@ -12,6 +12,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <deque>
+#include <map>
 #include <optional>
 #include <string>
 #include <utility>
@@ -73,7 +74,11 @@
 
     void receive(const quota_answer& answer, absl::Time now);
 
-    /// Asks the second-ranked daemon where the coordinator is silent, and refuses requests that have waited too long.
+    /// @return the daemon that this entry takes for the coordinator of a tenant.
+    endpoint coordinator(const std::string& tenant, absl::Time now) const;
+
+    /// Repeats unanswered asks, asks the second-ranked daemon where the coordinator is silent, and refuses requests
+    /// that have waited too long.
     void tick(absl::Time now);
 
     /// Drops the tokens of a tenant whose limit was lowered or removed.
@@ -92,7 +97,7 @@
     }
 
     bool has_open_asks() const {
-        return !m_asks.empty();
+        return !m_asks.empty() || !m_retries.empty();
     }
 
 private:
@@ -103,7 +108,7 @@
 
     struct waiting {
         std::uint64_t id = 0;
-        absl::Time since;
+        absl::Duration since; ///< In time that this process has run.
     };
 
     struct tenant_state {
@@ -116,14 +121,21 @@
         absl::Time retry_at = absl::InfinitePast();
         absl::Time avoids_coordinator_until = absl::InfinitePast();
         absl::Time checks_coordinator_until = absl::InfinitePast();
+        std::optional<endpoint> moved_to; ///< The daemon that keeps the bucket, as told by another one.
+        absl::Time moved_until = absl::InfinitePast();
         std::optional<endpoint> fallback; ///< The daemon asked until then, so that only one counts this entry.
     };
 
     struct open_ask {
         std::string tenant;
+        endpoint to;
         absl::Time sent;
+        absl::Duration started; ///< In time that this process has run.
         std::uint32_t wanted = 0;
+        std::uint32_t fallback_ms = 0;
+        int moves = 0; ///< Answers quota_status::moved that led to this ask.
         bool is_fallback = false;
+        bool is_repeated = false;
         bool is_overdue = false; ///< Its time is over, but the tokens of a late answer can still be used.
     };
 
@@ -131,12 +143,18 @@
     static std::uint32_t batch(const tenant_state& state);
     std::uint32_t usable_tokens(tenant_state& state, absl::Time now);
     void ask_if_needed(const std::string& tenant, tenant_state& state, absl::Time now);
-    void ask(const std::string& tenant, tenant_state& state, std::uint32_t wanted, bool is_fallback, absl::Time now);
+    void ask(const std::string& tenant, tenant_state& state, std::uint32_t wanted, bool is_fallback, absl::Time now,
+             int moves = 0);
+    void follow(const open_ask& ended, const endpoint& to, absl::Time now);
+    void retry_later(const std::string& tenant, absl::Time now);
+    void run_retries(absl::Time now);
+    void advance(absl::Time now);
     void choose_fallback(const std::string& tenant, tenant_state& state, const std::optional<endpoint>& second,
                          absl::Time now);
     void handle_no_answer(const open_ask& overdue, absl::Time now);
     void serve_waiters(tenant_state& state, absl::Time now);
     void refuse_overdue_waiters(tenant_state& state, absl::Time now);
+    void repeat(std::uint64_t id, open_ask& open, absl::Time now);
     void refuse_waiters(tenant_state& state, quota_verdict::kind reason, absl::Time now);
     quota_verdict make_refusal(const tenant_state& state, quota_verdict::kind reason, absl::Time now);
     static void close(tenant_state& state, const open_ask& ended);
@@ -146,6 +164,9 @@
     std::uint64_t m_next_id;
     absl::flat_hash_map<std::string, tenant_state> m_tenants;
     absl::flat_hash_map<std::uint64_t, open_ask> m_asks;
+    std::map<std::string, absl::Time> m_retries; ///< Tenants for which no daemon could decide, and when to ask again.
+    absl::Duration m_run_time;                   ///< Time that this process has run, without its stalls.
+    absl::Time m_last_event = absl::InfinitePast();
     std::vector<outgoing_ask> m_outgoing;
     std::vector<resolved> m_resolved;
     quota_request_counters m_counters;
--- a/src/quota/quota_node.cpp
+++ b/src/quota/quota_node.cpp
@@ -14,6 +14,8 @@
 constexpr absl::Duration settle_time = absl::Seconds(2);
 /// A longer time between two ticks is a pause, in which others may have taken over: a member is suspected after 1 s.
 constexpr absl::Duration max_tick_gap = absl::Seconds(1);
+/// A longer time between two ticks is a stall: answers may wait unread behind this tick. quota_gate ticks each 100 ms.
+constexpr absl::Duration stall_threshold = absl::Milliseconds(150);
 /// Recent contacts with different daemons that the reach estimate needs.
 constexpr std::size_t wanted_samples = 6;
 constexpr absl::Duration probe_interval = absl::Milliseconds(150);
@@ -23,13 +25,17 @@
 
 /// Appends @p message, divided into messages of at most max_message_items.
 void append(std::vector<quota_node::outgoing>& result, const endpoint& to, quota_message message) {
-    while (message.asks.size() > max_message_items || message.answers.size() > max_message_items) {
+    const auto size = [&message] { return message.asks.size() + message.transfers.size(); };
+    while (size() > max_message_items || message.answers.size() > max_message_items) {
         quota_message part{message.from, {}, {}};
         const auto move_items = [](auto& from, auto& into) {
             const auto count = static_cast<std::ptrdiff_t>(std::min(from.size(), max_message_items));
             into.assign(std::make_move_iterator(from.begin()), std::make_move_iterator(from.begin() + count));
             from.erase(from.begin(), from.begin() + count);
         };
+        if (message.asks.empty()) {
+            move_items(message.transfers, part.transfers);
+        }
         move_items(message.asks, part.asks);
         move_items(message.answers, part.answers);
         result.push_back({to, std::move(part)});
@@ -42,7 +48,8 @@
 } // namespace
 
 quota_node::quota_node(const endpoint& self, const quota_limits& limits, std::uint64_t first_id)
-    : m_self(self), m_view(self), m_coordinator(limits, m_view, m_reach), m_client(m_view, m_reach, first_id) {}
+    : m_self(self), m_view(self), m_coordinator(limits, m_view, m_reach, ~first_id),
+      m_client(m_view, m_reach, first_id) {}
 
 void quota_node::set_configuration(std::shared_ptr<const intended_state> configuration, absl::Time now) {
     if (m_configuration != nullptr) {
@@ -64,6 +71,7 @@
     m_view.update(members, now);
     if (is_joined && !m_joined_at) {
         m_joined_at = now;
+        m_coordinator.join(now);
     }
 }
 
@@ -92,6 +100,9 @@
     for (const quota_ask& ask : message.asks) {
         handle_ask(ask, message.from, now);
     }
+    for (const quota_transfer& transfer : message.transfers) {
+        m_coordinator.receive(transfer, message.from, now);
+    }
     if (!message.answers.empty()) {
         m_reach.on_answer(message.from, now);
     }
@@ -103,6 +114,8 @@
 void quota_node::tick(absl::Time now, absl::BitGenRef random) {
     if (m_last_tick && now - *m_last_tick > max_tick_gap) {
         m_coordinator.on_pause(now);
+    } else if (m_last_tick && now - *m_last_tick > stall_threshold) {
+        m_reach.on_stall(now - *m_last_tick);
     }
     m_last_tick = now;
     if (m_joined_at && now - *m_joined_at >= settle_time) {
@@ -128,6 +141,16 @@
             }
         }
     }
+    for (const quota_coordinator::outgoing_transfer& out : m_coordinator.take_transfers()) {
+        const endpoint to = out.to.address.empty() ? m_client.coordinator(out.transfer.tenant, now) : out.to;
+        if (to == m_self) {
+            continue;
+        }
+        std::vector<quota_transfer>& transfers = m_outgoing[to].transfers;
+        if (std::ranges::find(transfers, out.transfer) == transfers.end()) {
+            transfers.push_back(out.transfer);
+        }
+    }
     std::vector<outgoing> result;
     result.reserve(m_outgoing.size());
     for (auto& [to, message] : m_outgoing) {
--- a/src/quota/quota_node.h
+++ b/src/quota/quota_node.h
@@ -55,6 +55,11 @@
     /// @param is_joined this daemon has compared its tables with a peer, so it knows the fleet.
     void set_members(const std::vector<member>& members, bool is_joined, absl::Time now);
 
+    /// Hands over the buckets of the tenants that this daemon coordinates, since its process will end.
+    void leave(absl::Time now) {
+        m_coordinator.leave(now);
+    }
+
     /// @return true if requests of @p tenant need a token.
     bool is_limited(const std::string& tenant) const;
 
@@ -69,6 +74,9 @@
     std::vector<outgoing> take_messages(absl::Time now);
     std::vector<quota_client::resolved> take_resolved();
     std::vector<quota_role_change> take_role_changes();
+    std::vector<quota_none_report> take_none_reports() {
+        return m_coordinator.take_none_reports();
+    }
 
     /// @return true if tick() must be called every tick_interval, to notice in time that there is no answer.
     bool has_open_asks() const {
--- a/src/quota/quota_view.h
+++ b/src/quota/quota_view.h
@@ -11,6 +11,7 @@
 #include <array>
 #include <cstddef>
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <set>
 #include <string>
@@ -31,8 +32,13 @@
     struct rival {
         endpoint address;
         member_state state = member_state::alive;
+        absl::Time joined_at = absl::InfinitePast(); ///< When this daemon learned of it, if it has joined since.
     };
 
+    /// Time after which a daemon that has joined counts as the coordinator even if it has not claimed the bucket: it
+    /// has learned the fleet after settle_time of quota_node, and gossip takes up to a second.
+    static constexpr absl::Duration newcomer_time = absl::Seconds(5);
+
     /// @param self peer address of this daemon, which always counts as alive.
     explicit quota_view(const endpoint& self);
 
@@ -43,6 +49,19 @@
     quota_candidates candidates(const std::string& tenant,
                                 absl::FunctionRef<bool(const endpoint&)> is_silent = never) const;
 
+    /// @return the highest-ranked other member that is alive and not new; the one that a joining or leaving daemon
+    /// takes for the tenant's coordinator without itself.
+    std::optional<endpoint> successor(const std::string& tenant, absl::Time now) const;
+
+    /// @return the highest-ranked other members that are alive, at most @p count.
+    std::vector<endpoint> best_others(const std::string& tenant, std::size_t count) const;
+
+    /// @return true if @p other, a member or not, ranks above this daemon.
+    bool is_above(const endpoint& other, const std::string& tenant) const;
+
+    /// @return true if @p address is a member that is neither dead nor has left.
+    bool is_member(const endpoint& address) const;
+
     /// @return all members that rank above this daemon, dead ones included, but not those that have left.
     std::vector<rival> rivals(const std::string& tenant) const;
 
@@ -68,7 +87,7 @@
         return m_version;
     }
 
-    /// @return when this daemon last learned that a member is not alive any more, which may make it a coordinator.
+    /// @return when this daemon last learned that a member is suspected or dead, which may make it a coordinator.
     absl::Time last_loss() const {
         return m_last_loss;
     }
@@ -82,6 +101,7 @@
         endpoint address;
         std::uint64_t hash = 0;
         member_state state = member_state::alive;
+        absl::Time joined_at = absl::InfinitePast();
 
         friend bool operator==(const ranked&, const ranked&) = default;
     };
@@ -97,11 +117,15 @@
     std::uint64_t m_self_hash;
     std::vector<ranked> m_members;
     std::set<endpoint> m_lost; ///< Members that are suspected or dead.
+    std::set<endpoint> m_dead;
+    /// When this daemon learned of each member that has not left; in the infinite past if it may have run for long.
+    std::map<endpoint, absl::Time> m_known;
     /// By tenant, until the members change. Without it each ask costs 36 us at 12,000 members.
     mutable absl::flat_hash_map<std::string, ranking> m_rankings;
     std::size_t m_size = 1;
     std::size_t m_alive = 1;
     std::uint64_t m_version = 0;
+    std::optional<absl::Time> m_first_update;      ///< With other members.
     absl::Time m_size_time = absl::InfinitePast(); ///< When m_size was last as large.
     absl::Time m_last_loss = absl::InfinitePast();
 };
--- a/src/quota/reach_estimator.cpp
+++ b/src/quota/reach_estimator.cpp
@@ -48,6 +48,12 @@
            now - found->second.last_sent <= silence_memory;
 }
 
+void reach_estimator::on_stall(absl::Duration time) {
+    for (auto& [address, known] : m_contacts) {
+        known.unanswered_since += time;
+    }
+}
+
 void reach_estimator::expire(absl::Time now) {
     std::erase_if(m_contacts, [&](const auto& entry) {
         return now - std::max(entry.second.answered_at, entry.second.last_sent) > silence_memory;
--- a/src/quota/reach_estimator.h
+++ b/src/quota/reach_estimator.h
@@ -40,6 +40,9 @@
     /// @return true if @p other has not answered an ask of the last seconds for longer than answer_timeout.
     bool is_silent(const endpoint& other, absl::Time now) const;
 
+    /// This process did not run for @p time, so answers may wait unread: that time does not count as silence.
+    void on_stall(absl::Duration time);
+
     /// Forgets old samples.
     void expire(absl::Time now);
 
--- a/src/tests/fakes/quota_fleet.cpp
+++ b/src/tests/fakes/quota_fleet.cpp
@@ -107,6 +107,10 @@
         start(m_options.daemons + m_replaced++);
         m_daemons[index].redirected_at = m_now + redirect_time;
         m_daemons[index].left_at = m_now + drain_time;
+        if (m_daemons[index].node) {
+            m_daemons[index].node->leave(m_now);
+            flush(index);
+        }
     }
 
     void kill(std::size_t index) {
