Test handovers, repeated asks and reports of granted tokens

One case for each failure that the handover of buckets guards against, on five nodes: a lost ask, a repeated one, a daemon that leaves with and without a handover, one that joins above the coordinator, and one that fails after its claim.

--- a/src/tests/quota_bucket_test.cpp
+++ b/src/tests/quota_bucket_test.cpp
@@ -85,4 +85,27 @@
     BOOST_TEST(bucket.take(1) == 0U);
 }
 
+// Guards against tokens that two daemons grant for the same entry.
+BOOST_AUTO_TEST_CASE(tokens_granted_by_others_are_subtracted) {
+    quota_bucket bucket(make_quota_allowance(100, 100, {}), 1, start - absl::Seconds(60), start);
+    const double before = bucket.tokens();
+    bucket.subtract(before + 10);
+    BOOST_TEST(bucket.take(1) == 0U);
+    bucket.advance(1, start + absl::Milliseconds(50));
+    BOOST_TEST(bucket.take(1) == 0U);
+    bucket.subtract(100000);
+    bucket.advance(1, start + absl::Seconds(2));
+    BOOST_TEST(bucket.take(1) == 1U);
+}
+
+// Guards against a slow rise after a planned change of the daemon in charge.
+BOOST_AUTO_TEST_CASE(a_bucket_that_is_taken_over_fills_at_the_full_fraction) {
+    quota_bucket bucket(make_quota_allowance(100, 100, {}), 0, start, start);
+    bucket.take_over(1, 7, start);
+    BOOST_TEST(bucket.fraction() == 1);
+    BOOST_TEST(bucket.take(100) == 7U);
+    bucket.take_over(1, 100000, start);
+    BOOST_TEST(bucket.tokens() <= bucket.allowance().capacity);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/tests/quota_message_test.cpp
+++ b/src/tests/quota_message_test.cpp
@@ -32,6 +32,20 @@
     }
 }
 
+// Guards against transfers that earlier versions cannot skip: they follow what those read.
+BOOST_AUTO_TEST_CASE(transfers_follow_the_items_of_earlier_versions) {
+    quota_message message = make_message();
+    const std::string earlier = message.encode();
+    message.transfers = {{quota_transfer::kind::spent, 5, "acme", 3}, {quota_transfer::kind::hand_over, 6, "basil", 0}};
+    message.answers.push_back({9, quota_status::moved, 0, 0, {"10.0.0.2", 7000}});
+    const std::string bytes = message.encode();
+    BOOST_TEST((quota_message::decode(bytes) == message));
+    BOOST_TEST(bytes.starts_with(earlier));
+    for (std::size_t length = earlier.size() + 1; length < bytes.size(); ++length) {
+        BOOST_CHECK_THROW(quota_message::decode(bytes.substr(0, length)), error);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(refuses_a_list_that_no_datagram_holds) {
     quota_message large = make_message();
     large.asks.resize(300);
--- a/src/tests/quota_node_test.cpp
+++ b/src/tests/quota_node_test.cpp
@@ -59,6 +59,22 @@
         return result;
     }
 
+    /// Starts a daemon that ranks above all others for the tenant. @return its address.
+    endpoint join_first() {
+        for (int index = 1;; ++index) {
+            const endpoint added{fmt::format("10.0.1.{}", index), 7000};
+            quota_view view(added);
+            view.update(members(), now);
+            if (*view.candidates(tenant_name).coordinator == added) {
+                addresses.push_back(added);
+                nodes[added] = std::make_unique<quota_node>(added, quota_limits(), random());
+                nodes[added]->set_configuration(configuration(100, 100), now);
+                tell_members();
+                return added;
+            }
+        }
+    }
+
     void tell_members() {
         for (auto& [address, node] : nodes) {
             node->set_members(members(), true, now);
@@ -111,6 +127,16 @@
         return verdict;
     }
 
+    /// Makes 40 requests a second. @return how many of them run.
+    int run_requests(int count) {
+        int run = 0;
+        for (int left = count; left > 0; --left) {
+            run += request().result == quota_verdict::kind::run ? 1 : 0;
+            run_for(quota_node::tick_interval);
+        }
+        return run;
+    }
+
     std::mt19937_64 random{1};
     absl::Time now = absl::UnixEpoch() + absl::Hours(1);
     absl::Time started;
@@ -215,6 +241,108 @@
     BOOST_TEST((entry.acquire(tenant_name, 99, fleet.now).result == kind::wait));
 }
 
+// Guards against tokens that are granted twice because the entry repeats its ask.
+BOOST_AUTO_TEST_CASE(a_repeated_ask_is_granted_once) {
+    mesh fleet;
+    quota_node& entry = *fleet.nodes.at(fleet.entry);
+    quota_node& coordinator = *fleet.nodes.at(fleet.coordinator);
+    entry.acquire(tenant_name, 98, fleet.now);
+    const quota_message ask = entry.take_messages(fleet.now).at(0).message;
+    coordinator.receive(ask, fleet.now);
+    const quota_message first = coordinator.take_messages(fleet.now).at(0).message;
+    coordinator.receive(ask, fleet.now + absl::Milliseconds(75));
+    BOOST_TEST((coordinator.take_messages(fleet.now).at(0).message.answers == first.answers));
+    BOOST_TEST(coordinator.report().grants.granted == 1U);
+}
+
+// Guards against entries that leave a coordinator because one datagram was lost.
+BOOST_AUTO_TEST_CASE(a_lost_ask_is_repeated) {
+    mesh fleet;
+    quota_node& entry = *fleet.nodes.at(fleet.entry);
+    entry.acquire(tenant_name, 98, fleet.now);
+    entry.take_messages(fleet.now);
+    fleet.run_for(absl::Milliseconds(125));
+    BOOST_TEST((fleet.verdicts.at(98).result == kind::run));
+    BOOST_TEST(entry.report().requests.fallback_asks == 0U);
+}
+
+// Guards against two daemons that grant the same tokens: the coordinator subtracts what others granted in its place.
+BOOST_AUTO_TEST_CASE(the_second_daemon_tells_what_it_granted) {
+    mesh fleet;
+    fleet.cut[fleet.coordinator] = true;
+    BOOST_TEST((fleet.request().result == kind::run));
+    fleet.cut.clear();
+    quota_node& second = *fleet.nodes.at(fleet.second);
+    second.receive({fleet.entry, {{77, tenant_name, 1, 900}}, {}}, fleet.now + absl::Seconds(20));
+    bool is_told = false;
+    for (const quota_node::outgoing& out : second.take_messages(fleet.now + absl::Seconds(20))) {
+        for (const quota_transfer& transfer : out.message.transfers) {
+            is_told = is_told || (out.to == fleet.coordinator && transfer.what == quota_transfer::kind::spent &&
+                                  transfer.tokens == 1);
+        }
+    }
+    BOOST_TEST(is_told);
+}
+
+// Guards against the refusals of a rolling release: the next daemon's fraction started at 0.
+BOOST_AUTO_TEST_CASE(a_leaving_coordinator_hands_its_bucket_over) {
+    mesh fleet;
+    BOOST_TEST(fleet.run_requests(40) == 40);
+    fleet.nodes.at(fleet.coordinator)->leave(fleet.now);
+    fleet.deliver();
+    BOOST_TEST(fleet.run_requests(40) == 40);
+    BOOST_TEST(fleet.nodes.at(fleet.coordinator)->report().coordinated_tenants == 0U);
+    BOOST_TEST(fleet.nodes.at(fleet.second)->report().coordinated_tenants == 1U);
+    BOOST_TEST(fleet.nodes.at(fleet.second)->report().grants.reserve_granted == 0U);
+}
+
+// Guards against a daemon that leaves without a handover, e.g. because the datagram was lost.
+BOOST_AUTO_TEST_CASE(the_successor_of_a_daemon_that_left_serves_the_full_fraction) {
+    mesh fleet;
+    fleet.request();
+    std::erase(fleet.addresses, fleet.coordinator);
+    fleet.nodes.erase(fleet.coordinator);
+    std::vector<member> members = fleet.members();
+    members.push_back({fleet.coordinator, {}, "", member_state::left, 0});
+    for (auto& [address, node] : fleet.nodes) {
+        node->set_members(members, true, fleet.now);
+    }
+    fleet.run_for(absl::Milliseconds(500));
+    BOOST_TEST(fleet.nodes.at(fleet.second)->report().members_known == 4U);
+    fleet.request();
+    fleet.run_for(absl::Milliseconds(100));
+    BOOST_TEST(fleet.run_requests(40) == 40);
+}
+
+// Guards against a joined daemon that replaces the coordinator before it can grant.
+BOOST_AUTO_TEST_CASE(a_joined_daemon_claims_the_bucket_before_it_grants) {
+    mesh fleet;
+    fleet.request();
+    const endpoint joined = fleet.join_first();
+    fleet.run_for(absl::Seconds(1));
+    BOOST_TEST((fleet.request().result == kind::run));
+    BOOST_TEST(fleet.nodes.at(fleet.coordinator)->report().coordinated_tenants == 1U);
+    BOOST_TEST(fleet.nodes.at(joined)->report().grants.granted == 0U);
+    fleet.run_for(absl::Seconds(2));
+    BOOST_TEST(fleet.nodes.at(fleet.coordinator)->report().coordinated_tenants == 0U);
+    BOOST_TEST(fleet.run_requests(40) == 40);
+    BOOST_TEST(fleet.nodes.at(joined)->report().coordinated_tenants == 1U);
+    BOOST_TEST(fleet.nodes.at(fleet.entry)->report().requests.fallback_asks == 0U);
+}
+
+// Guards against a claim that is lost with its daemon: the rules for a dead coordinator apply.
+BOOST_AUTO_TEST_CASE(a_daemon_that_fails_after_its_claim_is_replaced) {
+    mesh fleet;
+    fleet.request();
+    const endpoint joined = fleet.join_first();
+    fleet.run_for(absl::Seconds(1));
+    fleet.request();
+    fleet.run_for(absl::Seconds(2));
+    fleet.cut[joined] = true;
+    // The reserve, then a fraction that rises.
+    BOOST_TEST(fleet.run_requests(40) >= 20);
+}
+
 // Guards against daemons that start together and each take themselves for the coordinator.
 BOOST_AUTO_TEST_CASE(a_started_daemon_grants_nothing_at_first) {
     mesh fleet;
