Read the load in health checks like that in responses

X-Server-Load of a health check was ignored, so an owner knew nothing of the speed and load of its upstream while no responses arrived. The answer of a health check now carries the header to server_load, which uses its counts and its speed. A health check has no work time, so it does not judge the reports. A malformed header is counted with those of responses. The log line upstream-load states what was read.

cold_state_checks_test sends the header in a health check only; server_load_test covers the decision.

--- a/src/daemon/cold_state_checks.cpp
+++ b/src/daemon/cold_state_checks.cpp
@@ -34,14 +34,15 @@
     try {
         const absl::Time asked_at = m_clock.now();
         const upstream_identity answered = m_query(address);
-        const bool is_used = answered.id == id && answered.remaining_cold.has_value();
+        const bool is_used =
+            answered.id == id && (answered.remaining_cold.has_value() || !answered.server_load.empty());
         m_log.info(
             fmt::format("cold-check upstream={} is_used={} answered={} status={} failure={} cold_ms={} after_ms={}", id,
                         is_used, answered.id, answered.status, name(answered.failure),
                         answered.remaining_cold ? absl::ToInt64Milliseconds(*answered.remaining_cold) : -1,
                         absl::ToInt64Milliseconds(m_clock.now() - asked_at)));
         if (is_used) {
-            m_on_answer(id, *answered.remaining_cold, asked_at);
+            m_on_answer(answered, asked_at);
         }
     } catch (const std::exception& problem) {
         m_log.error(fmt::format("task-failed part=cold-check reason=\"{}\"", problem.what()));
--- a/src/daemon/mesh_daemon.cpp
+++ b/src/daemon/mesh_daemon.cpp
@@ -87,8 +87,8 @@
             serve_platform();
             m_cold_checks.emplace(
                 m_platform->query_upstream_id,
-                [this](const std::string& id, absl::Duration remaining, absl::Time asked_at) {
-                    m_proxy.report_cold(id, remaining, asked_at);
+                [this](const upstream_identity& answered, absl::Time asked_at) {
+                    m_proxy.report_health_check(answered.id, answered.remaining_cold, answered.server_load, asked_at);
                 },
                 m_clock, m_log);
             m_store_client = m_platform->connect_store(make_intent_store_callbacks(), m_clock, m_log);
@@ -349,8 +349,8 @@
                                saved_announcement.id, is_same, answered.id, answered.status, name(answered.failure),
                                absl::ToInt64Milliseconds(m_clock.now() - asked_at)));
         if (is_same) {
-            if (process_announcement(saved_announcement) && answered.remaining_cold) {
-                m_proxy.report_cold(saved_announcement.id, *answered.remaining_cold, asked_at);
+            if (process_announcement(saved_announcement)) {
+                m_proxy.report_health_check(answered.id, answered.remaining_cold, answered.server_load, asked_at);
             }
         }
     }
--- a/src/daemon/platform_interface.h
+++ b/src/daemon/platform_interface.h
@@ -47,6 +47,7 @@
     http_call_failure failure = http_call_failure::none; ///< Why there was none.
     /// Time for which the upstream is still cold, zero if it is warm; empty if the response does not say so.
     std::optional<absl::Duration> remaining_cold = {};
+    std::string server_load = {}; ///< Its load as parse_server_load reads it; empty if the response does not state it.
 };
 
 /// Everything that depends on the platform's interfaces. Created by the platform's adapter.
--- a/src/http/request_proxy.cpp
+++ b/src/http/request_proxy.cpp
@@ -184,18 +184,36 @@
         }
     }
 
-    void report_cold(const std::string& id, absl::Duration remaining, std::optional<absl::Time> asked_at) {
+    void report_cold(const std::string& id, absl::Duration remaining) {
+        if (local_upstream* const known = m_state.find_local_upstream(id)) {
+            known->semaphore->cold_starts().on_heartbeat(remaining, m_state.clock.now());
+            m_state.observe_cold(*known, "heartbeat");
+        }
+    }
+
+    void report_health_check(const std::string& id, std::optional<absl::Duration> remaining, const std::string& load,
+                             absl::Time asked_at) {
         local_upstream* const known = m_state.find_local_upstream(id);
         if (known == nullptr) {
             return;
         }
-        cold_start_limit& cold = known->semaphore->cold_starts();
-        if (asked_at) {
-            cold.on_health_check(remaining, *asked_at, m_state.clock.now());
+        const absl::Time now = m_state.clock.now();
+        if (remaining) {
+            known->semaphore->cold_starts().on_health_check(*remaining, asked_at, now);
+            m_state.observe_cold(*known, "health-check");
+        }
+        if (load.empty()) {
+            return;
+        }
+        if (const std::optional<server_load_report> report = parse_server_load(load)) {
+            known->load.observe_health_check(*report, known->semaphore->limiter().running(), now);
+            m_state.log.info(fmt::format(
+                "upstream-load upstream={} source=health-check running={} waiting={} slots={} speed={:.2f} is_used={}",
+                id, report->running, report->waiting, report->slots, report->work_factor.value_or(1),
+                known->load.uses_reported_speed(now)));
         } else {
-            cold.on_heartbeat(remaining, m_state.clock.now());
+            ++m_state.counters.malformed_server_loads;
         }
-        m_state.observe_cold(*known, asked_at ? "health-check" : "heartbeat");
     }
 
 private:
@@ -421,8 +439,15 @@
         [this, names = std::move(names)]() mutable { m_implementation->set_evacuated_data_centers(std::move(names)); });
 }
 
-void request_proxy::report_cold(const std::string& id, absl::Duration remaining, std::optional<absl::Time> asked_at) {
-    m_implementation->post([this, id, remaining, asked_at] { m_implementation->report_cold(id, remaining, asked_at); });
+void request_proxy::report_cold(const std::string& id, absl::Duration remaining) {
+    m_implementation->post([this, id, remaining] { m_implementation->report_cold(id, remaining); });
+}
+
+void request_proxy::report_health_check(const std::string& id, std::optional<absl::Duration> remaining,
+                                        const std::string& load, absl::Time asked_at) {
+    m_implementation->post([this, id, remaining, load, asked_at] {
+        m_implementation->report_health_check(id, remaining, load, asked_at);
+    });
 }
 
 void request_proxy::start_quota(quota_transport transport) {
--- a/src/http/request_proxy.h
+++ b/src/http/request_proxy.h
@@ -80,10 +80,16 @@
     /// @param queue_limit number of requests that may wait for a slot.
     void set_local_upstream(upstream_record record, int queue_limit);
 
-    /// Records what a local upstream has reported of its state.
+    /// Records what a local upstream has reported of its state in a heartbeat.
     /// @param remaining time for which it is still cold; zero: it is warm.
-    /// @param asked_at when the health check was sent; without a value it was a heartbeat.
-    void report_cold(const std::string& id, absl::Duration remaining, std::optional<absl::Time> asked_at = {});
+    void report_cold(const std::string& id, absl::Duration remaining);
+
+    /// Records what a local upstream has reported of its state in a health check.
+    /// @param remaining time for which it is still cold; nothing if the response does not say so.
+    /// @param load its load as parse_server_load reads it; empty if the response does not state it.
+    /// @param asked_at when the health check was sent.
+    void report_health_check(const std::string& id, std::optional<absl::Duration> remaining, const std::string& load,
+                             absl::Time asked_at);
 
     /// Sets whether requests of other daemons for a local upstream are refused because its version was rolled back. The
     /// refusals say that the request was not executed, so the entries retry at another upstream.
--- a/src/routing/server_load.cpp
+++ b/src/routing/server_load.cpp
@@ -87,9 +87,7 @@
         observe_speed(report, times, work_time, now);
     }
     if (report) {
-        observe_counts(*report, own_running);
-        m_report = report;
-        m_reported_at = now;
+        observe_counts(*report, own_running, now);
     }
     const double factor = work_factor(now);
     times.recent_factor += (factor - times.recent_factor) * m_policy.service_weight;
@@ -117,7 +115,16 @@
     }
 }
 
-void server_load::observe_counts(const server_load_report& report, int own_running) {
+void server_load::observe_health_check(const server_load_report& report, int own_running, absl::Time now) {
+    if (report.work_factor) {
+        m_reported_speed.observe(std::log(*report.work_factor), now);
+    }
+    observe_counts(report, own_running, now);
+}
+
+void server_load::observe_counts(const server_load_report& report, int own_running, absl::Time now) {
+    m_report = report;
+    m_reported_at = now;
     if (own_running < min_contradicting) {
         return;
     }
--- a/src/routing/server_load.h
+++ b/src/routing/server_load.h
@@ -59,6 +59,10 @@
     void observe(const std::optional<server_load_report>& report, const std::string& route, absl::Duration work_time,
                  int own_running, absl::Time now);
 
+    /// Records the figures in the response to a health check, which says nothing of the time that work takes.
+    /// @param own_running requests that the owner has at the upstream.
+    void observe_health_check(const server_load_report& report, int own_running, absl::Time now);
+
     /// @return time that work takes now, relative to the usual one; above 1: slower. 1 if nothing is known.
     double work_factor(absl::Time now) const;
 
@@ -89,7 +93,7 @@
     double measured_deviation(absl::Time now) const;
     void observe_speed(const std::optional<server_load_report>& report, route_times& times, absl::Duration work_time,
                        absl::Time now);
-    void observe_counts(const server_load_report& report, int own_running);
+    void observe_counts(const server_load_report& report, int own_running, absl::Time now);
 
     server_load_policy m_policy;
     absl::flat_hash_map<std::string, route_times> m_routes;
--- a/src/tests/cold_state_checks_test.cpp
+++ b/src/tests/cold_state_checks_test.cpp
@@ -49,8 +49,11 @@
                 }
                 return result;
             },
-            [&](const std::string& id, absl::Duration remaining, absl::Time asked_at) {
-                answered += id == "i-1" && remaining == absl::Milliseconds(700) && asked_at <= clock.now() ? 1 : 100;
+            [&](const upstream_identity& answer, absl::Time asked_at) {
+                answered +=
+                    answer.id == "i-1" && answer.remaining_cold == absl::Milliseconds(700) && asked_at <= clock.now()
+                        ? 1
+                        : 100;
             },
             clock, log);
         for (int number = 0; number < 5; ++number) {
@@ -66,8 +69,9 @@
     BOOST_TEST(answered == 1);
 }
 
-// Guards against an upstream that counts as warm after its connections were reset, and against one that stays limited
-// although its health check says that it is warm. Plays it with real processes.
+// Guards against an upstream that counts as warm after its connections were reset, against one that stays limited
+// although its health check says that it is warm, and against a load in a health check that is not read. Plays it with
+// real processes.
 BOOST_AUTO_TEST_CASE(reset_connection_is_followed_by_one_check) {
     platform_store store;
     store.put("op/config", configuration);
@@ -79,9 +83,14 @@
     resetting.reset_at = "after-body";
     host.upstream.set_behavior(resetting);
     host.client().Get("/reads/reset");
-    host.upstream.set_behavior(healthy(host));
+    fake_upstream_behavior loaded = healthy(host);
+    loaded.headers["X-Server-Load"] = "3,1,12,250";
+    host.upstream.set_behavior(loaded); // Only the health check gets this response.
     BOOST_TEST(host.wait_for_log("cold=true unknown=true reason=event"), host.log());
     BOOST_TEST(host.wait_for_log("cold=false unknown=false reason=health-check"), host.log());
+    BOOST_TEST(host.wait_for_log("upstream-load upstream=" + host.upstream_id() +
+                                 " source=health-check running=3 waiting=1 slots=12 speed=2.50 is_used=true"),
+               host.log());
     const std::string log = host.log();
     const std::size_t first = log.find(" cold-check ");
     BOOST_REQUIRE(first != std::string::npos);
--- a/src/tests/server_load_test.cpp
+++ b/src/tests/server_load_test.cpp
@@ -131,6 +131,26 @@
     BOOST_TEST(load.work_factor(slow + absl::Seconds(10)) < 1.05);
 }
 
+// Guards against figures of a health check that are ignored while no responses arrive, and against false ones that are
+// believed because a health check states them.
+BOOST_AUTO_TEST_CASE(reads_health_checks) {
+    server_load load;
+    for (int number = 0; number < 50; ++number) {
+        load.observe(server_load_report{1, 0, 12, 1}, "lookup", absl::Milliseconds(40), 1,
+                     start + absl::Milliseconds(20) * number);
+    }
+    const absl::Time checked = start + absl::Seconds(4);
+    BOOST_TEST(!load.uses_reported_speed(checked)); // The last report is 3 s old.
+    load.observe_health_check({6, 6, 6, 2.5}, 1, checked);
+    BOOST_TEST(load.uses_reported_speed(checked));
+    BOOST_TEST(load.work_factor(checked) > 1.2);
+    BOOST_TEST(load.load(1, checked) > 1.9);
+    for (int number = 0; number < 50; ++number) {
+        load.observe_health_check({0, 0, 12, 1}, 12, checked);
+    }
+    BOOST_TEST(load.is_load_false());
+}
+
 // Guards against service times that contain the speed of the moment, which the work factor would count again.
 BOOST_AUTO_TEST_CASE(normalises_service_times) {
     server_load load;
