Reserve slots for nested calls ahead of new work

Requests of a service may hold all its slots while they wait for nested calls to that same service, through another one. Going first in the queue does not help these calls: no slot is freed before their parents end. slot_limiter now keeps as many slots free of new work as nested calls have needed lately (nested_reserve), at most half of them. Nothing is reserved without nested calls; nested_reserve_test compares the decisions with and without the reserve for such a load.

nested_goodput_test plays chains two services deep with slot_limiter, service_shortage and nested_route_detector.

Open: new work of a service that nested calls alone can fill is served rarely, as before; see docs/design/uneven-load.md.

--- a/src/http/private/owner_call.cpp
+++ b/src/http/private/owner_call.cpp
@@ -134,14 +134,16 @@
     const std::optional<double> limit = known == nullptr ? std::nullopt : known->rate_limit.value();
     m_proxy.log.info(fmt::format(
         "admission request={} upstream={} route={} result={} attempt={} running={} queued={} limit_per_s={} "
-        "limit_age_ms={} cold={} priority={} nested={} waited_ms={} target_in_ms={} deadline_in_ms={} service_ms={}",
+        "limit_age_ms={} cold={} priority={} nested={} waited_ms={} target_in_ms={} deadline_in_ms={} service_ms={} "
+        "reserved={}",
         m_request.info.request_id, m_upstream.id, m_route, name(granted), m_request.info.attempt, limiter.running(),
         limiter.queued(), rate_limit_text(limit),
         limit ? absl::ToInt64Milliseconds(now - known->rate_limit.named_at()) : 0,
         limiter.cold_starts().is_limiting(now), wanted.priority, m_request.info.is_nested,
         absl::ToInt64Milliseconds(now - m_request.received_at),
         m_request.info.target_time_left ? absl::ToInt64Milliseconds(wanted.target_time - now) : 0,
-        absl::ToInt64Milliseconds(m_deadline - now), absl::ToInt64Milliseconds(limiter.service_time(m_route))));
+        absl::ToInt64Milliseconds(m_deadline - now), absl::ToInt64Milliseconds(limiter.service_time(m_route)),
+        limiter.reserved_slots(now)));
 }
 
 asio::awaitable<exchange_status> owner_call::send_request() {
--- a/src/routing/slot_limiter.cpp
+++ b/src/routing/slot_limiter.cpp
@@ -45,7 +45,14 @@
                                   .is_nested = request.is_nested};
     m_balance.on_offered(offered.priority, now);
     m_tenants.on_offered(offered.tenant, now);
-    if (running() < m_slots && m_queue.empty() && may_start(now)) {
+    if (offered.is_nested) {
+        m_nested_reserve.on_offered(service_time_of(offered.kind), now);
+    }
+    // New work that waits for a slot outside the reserve does not delay a nested call.
+    const bool is_first = offered.is_nested && reserved_slots(now) > 0
+                              ? std::ranges::none_of(m_queue, &waiting_request::is_nested)
+                              : m_queue.empty();
+    if (is_slot_free(offered.is_nested, now) && is_first && may_start(now)) {
         start(offered, now);
         return {admission::verdict::run, result_code::ok};
     }
@@ -206,7 +213,7 @@
 absl::Duration slot_limiter::wait_of(int priority, absl::Time now) const {
     const auto ahead = std::ranges::count_if(
         m_queue, [&](const waiting_request& waiting) { return waiting.is_nested || waiting.priority <= priority; });
-    if (running() < m_slots && m_queue.empty()) {
+    if (is_slot_free(false, now) && m_queue.empty()) {
         return wait_for_start(0, now);
     }
     const absl::Duration wait = wait_behind(ahead, now);
@@ -228,6 +235,19 @@
     return cold && requested ? std::min(cold, requested) : (cold ? cold : requested);
 }
 
+int slot_limiter::reserved_slots(absl::Time now) const {
+    const bool is_reserved = m_policy.reserves_for_nested && m_policy.order == queue_order::target_first;
+    return is_reserved ? m_nested_reserve.reserved(m_slots, now) : 0;
+}
+
+bool slot_limiter::is_slot_free(bool is_nested, absl::Time now) const {
+    if (running() >= m_slots) {
+        return false;
+    }
+    const int reserved = is_nested ? 0 : reserved_slots(now);
+    return reserved == 0 || std::ranges::count(m_running, false, &running_request::is_nested) < m_slots - reserved;
+}
+
 bool slot_limiter::may_start(absl::Time now) const {
     return m_start_rate.may_start(now) && m_cold_starts.may_start(now);
 }
@@ -352,7 +372,7 @@
 void slot_limiter::start(const waiting_request& started, absl::Time now) {
     m_tenants.on_started(started.tenant, now);
     m_balance.on_started(started.priority, service_time_of(started.kind), now);
-    m_running.push_back({started.id, now, started.kind});
+    m_running.push_back({started.id, now, started.kind, started.is_nested});
     m_start_rate.on_start(now);
     m_cold_starts.on_start(now);
 }
@@ -360,7 +380,11 @@
 slot_change slot_limiter::start_queued(absl::Time now) {
     slot_change change;
     while (running() < m_slots && !m_queue.empty() && may_start(now)) {
-        const auto position = m_queue.begin() + static_cast<std::ptrdiff_t>(next_position(now));
+        const std::size_t index = next_position(now, !is_slot_free(false, now));
+        if (index == m_queue.size()) {
+            break;
+        }
+        const auto position = m_queue.begin() + static_cast<std::ptrdiff_t>(index);
         const waiting_request next = *position;
         m_queue.erase(position);
         if (now >= latest_start(next)) {
@@ -374,7 +398,10 @@
     return change;
 }
 
-std::size_t slot_limiter::next_position(absl::Time now) const {
+std::size_t slot_limiter::next_position(absl::Time now, bool takes_nested_only) const {
+    if (takes_nested_only && std::ranges::none_of(m_queue, &waiting_request::is_nested)) {
+        return m_queue.size();
+    }
     switch (m_policy.order) {
     case queue_order::lifo:
         return m_queue.size() - 1;
@@ -385,6 +412,9 @@
         return static_cast<std::size_t>(
             std::ranges::min_element(m_queue,
                                      [&](const waiting_request& left, const waiting_request& right) {
+                                         if (takes_nested_only && left.is_nested != right.is_nested) {
+                                             return left.is_nested;
+                                         }
                                          return is_before(left, right, now);
                                      }) -
             m_queue.begin());
--- a/src/routing/slot_limiter.h
+++ b/src/routing/slot_limiter.h
@@ -3,6 +3,7 @@
 #include "common/result_code.h"
 #include "routing/cold_start_limit.h"
 #include "routing/fair_order.h"
+#include "routing/nested_reserve.h"
 #include "routing/priority_balance.h"
 #include "routing/start_rate.h"
 
@@ -55,6 +56,9 @@
     double target_margin = 1.25;
     /// Requests that can no longer meet their deadlines are dropped. False: only expired ones; for comparisons.
     bool drops_unmeetable = true;
+    /// While nested calls are offered, some slots are kept free of new work (nested_reserve); for target_first. False:
+    /// nested calls only go first in the queue; for comparisons.
+    bool reserves_for_nested = true;
     cold_start_policy cold = {}; ///< What a cold upstream may get.
 };
 
@@ -211,6 +215,9 @@
         return m_slots;
     }
 
+    /// @return slots that new work may not use, since nested calls need them.
+    int reserved_slots(absl::Time now) const;
+
     /// @return running and queued requests per slot, which the owner reports with responses. If the rate limit makes a
     ///         new request wait longer than the slots do, the load at which the slots would do so.
     double load(absl::Time now) const;
@@ -238,9 +245,12 @@
         request_id id;
         absl::Time started;
         std::size_t kind;
+        bool is_nested = false;
     };
 
     bool may_start(absl::Time now) const;
+    /// @return true if a slot is free for new work or, if @p is_nested, for a nested call.
+    bool is_slot_free(bool is_nested, absl::Time now) const;
     absl::Duration wait_for_start(std::ptrdiff_t ahead, absl::Time now) const;
     absl::Time latest_start(const waiting_request& waiting) const;
     absl::Duration service_time_of(std::size_t kind) const;
@@ -263,7 +273,9 @@
     absl::Duration wait_behind(std::ptrdiff_t ahead, absl::Time now) const;
     void start(const waiting_request& started, absl::Time now);
     slot_change start_queued(absl::Time now);
-    std::size_t next_position(absl::Time now) const;
+    /// @param takes_nested_only new work may not start now.
+    /// @return position of the queued request that starts next; the queue's size if none may.
+    std::size_t next_position(absl::Time now, bool takes_nested_only = false) const;
     bool displace_for(const waiting_request& offered);
     void report_displaced(std::vector<request_id>& dropped);
     bool is_known(request_id id) const;
@@ -278,6 +290,7 @@
     start_rate m_start_rate;
     fair_order m_tenants;
     priority_balance m_balance;
+    nested_reserve m_nested_reserve;
     cold_start_limit m_cold_starts;
     std::vector<running_request> m_running; // Small, so a scan is faster than a tree.
     std::vector<waiting_request> m_queue;   // In order of arrival.
