--- a/src/quota/quota_coordinator.cpp
+++ b/src/quota/quota_coordinator.cpp
@@ -297,7 +297,9 @@
 
 void quota_coordinator::report_spent(const std::string& name, const tenant_state& state, std::uint32_t tokens) {
     const quota_transfer transfer{quota_transfer::kind::spent, m_next_transfer++, name, tokens};
-    m_transfers.push_back({{}, transfer});
+    outgoing_transfer to_coordinator; // Not as one expression, for which GCC 12 reports a false uninitialized use.
+    to_coordinator.transfer = transfer;
+    m_transfers.push_back(std::move(to_coordinator));
     // On this side of a partition another one may be in charge than the first-ranked, which this daemon still suspects.
     std::size_t sent = 0;
     for (const quota_view::rival& other : state.rivals) {
