Let daemons settle early and end waits for tokens at the deadline

After a restart of all daemons nothing was granted for 2 s after joining. The bound does not ask for that, since the buckets are empty; only the daemons must know each other first. One that has learned of no other member for 0.7 s now settles 1 s after joining.

A request waits for a token until its route's deadline at most, since the wait of 0.3 s does not count the stalls of the entry.

--- a/src/http/private/entry_call.cpp
+++ b/src/http/private/entry_call.cpp
@@ -226,7 +226,7 @@
     const request_id waiter = m_proxy.next_request_id++;
     m_cancel_attempt = [this, waiter] { m_proxy.quotas.cancel(m_request.info.tenant, waiter); };
     const absl::Cleanup forget = [this] { m_cancel_attempt = nullptr; };
-    const quota_verdict verdict = co_await m_proxy.quotas.acquire(tenant, waiter);
+    const quota_verdict verdict = co_await m_proxy.quotas.acquire(tenant, waiter, m_deadline);
     if (verdict.result == quota_verdict::kind::run) {
         m_quota_token_expires = verdict.token_expires;
         co_return result_code::ok;
--- a/src/http/private/quota_gate.cpp
+++ b/src/http/private/quota_gate.cpp
@@ -68,10 +68,13 @@
     }
 }
 
-asio::awaitable<quota_verdict> quota_gate::acquire(std::string tenant, std::uint64_t waiter) {
+asio::awaitable<quota_verdict> quota_gate::acquire(std::string tenant, std::uint64_t waiter, absl::Time deadline) {
     quota_verdict verdict = m_node->acquire(tenant, waiter, m_clock.now());
     if (verdict.result == quota_verdict::kind::wait) {
         asio::steady_timer timer(m_context, asio::steady_timer::time_point::max());
+        if (deadline != absl::InfiniteFuture()) {
+            timer.expires_after(absl::ToChronoNanoseconds(deadline - m_clock.now()));
+        }
         m_waiters[waiter].timer = &timer;
         const absl::Cleanup forget = [this, waiter] { m_waiters.erase(waiter); };
         flush();
@@ -80,6 +83,9 @@
         }
         while (!m_waiters[waiter].verdict) {
             co_await timer.async_wait(as_result);
+            if (m_clock.now() >= deadline) {
+                cancel(tenant, waiter);
+            }
         }
         verdict = *m_waiters[waiter].verdict;
     } else {
--- a/src/http/private/quota_gate.h
+++ b/src/http/private/quota_gate.h
@@ -45,7 +45,9 @@
 
     /// Waits for a token for some 0.3 s at most.
     /// @param waiter identifies the request.
-    asio::awaitable<quota_verdict> acquire(std::string tenant, std::uint64_t waiter);
+    /// @param deadline end of the wait at the latest.
+    asio::awaitable<quota_verdict> acquire(std::string tenant, std::uint64_t waiter,
+                                           absl::Time deadline = absl::InfiniteFuture());
 
     /// Ends the wait of a request whose caller has left.
     void cancel(const std::string& tenant, std::uint64_t waiter);
--- a/src/quota/quota_coordinator.cpp
+++ b/src/quota/quota_coordinator.cpp
@@ -250,7 +250,7 @@
         return;
     }
     tenant_state& state = state_of(found->second, now);
-    if (transfer.what != quota_transfer::kind::claim) {
+    if (transfer.what != quota_transfer::kind::claim && m_recent.size() < max_recent_answers) {
         m_recent[{from, transfer.id}] = {now, {}};
         m_recent_order.emplace_back(from, transfer.id);
     }
@@ -287,6 +287,7 @@
         if (m_is_leaving) {
             forward(transfer, state, from, now);
         } else if (m_settled_at) {
+            std::erase_if(state.leaving, [now](const auto& entry) { return now - entry.second > handover_memory; });
             state.leaving[from] = now;
             state.yielded_to.reset();
             take_over(transfer.tenant, state, transfer.tokens, now);
--- a/src/quota/quota_node.cpp
+++ b/src/quota/quota_node.cpp
@@ -9,9 +9,12 @@
 
 namespace {
 
-/// Time from joining the mesh until this daemon grants tokens. A fleet that starts at once knows all members after 1.3
-/// s at 100 daemons (docs/CAPACITY.md, S2); before that, each daemon could take itself for the coordinator.
+/// Longest time from joining the mesh until this daemon grants tokens. A fleet that starts at once knows all members
+/// after 1.3 s at 100 daemons (docs/CAPACITY.md, S2); before that, each daemon could take itself for the coordinator.
 constexpr absl::Duration settle_time = absl::Seconds(2);
+/// The same if it has learned of no other member for stable_time: gossip then has reached it, several rounds ago.
+constexpr absl::Duration min_settle_time = absl::Seconds(1);
+constexpr absl::Duration stable_time = absl::Milliseconds(700);
 /// A longer time between two ticks is a pause, in which others may have taken over: a member is suspected after 1 s.
 constexpr absl::Duration max_tick_gap = absl::Seconds(1);
 /// A longer time between two ticks is a stall: answers may wait unread behind this tick. quota_gate ticks each 100 ms.
@@ -118,7 +121,8 @@
         m_reach.on_stall(now - *m_last_tick);
     }
     m_last_tick = now;
-    if (m_joined_at && now - *m_joined_at >= settle_time) {
+    if (m_joined_at && now - *m_joined_at >= min_settle_time &&
+        (now - *m_joined_at >= settle_time || now - m_view.last_new() >= stable_time)) {
         m_coordinator.settle(now);
     }
     m_reach.expire(now);
--- a/src/quota/quota_view.cpp
+++ b/src/quota/quota_view.cpp
@@ -51,6 +51,7 @@
             continue;
         }
         const absl::Time joined_at = found != m_known.end() ? found->second : may_join ? now : absl::InfinitePast();
+        m_last_new = found == m_known.end() ? now : m_last_new;
         m_known[known.address] = joined_at;
         if (known.state != member_state::alive) {
             lost.insert(known.address);
--- a/src/quota/quota_view.h
+++ b/src/quota/quota_view.h
@@ -87,6 +87,11 @@
         return m_version;
     }
 
+    /// @return when this daemon last learned of a member that it did not know.
+    absl::Time last_new() const {
+        return m_last_new;
+    }
+
     /// @return when this daemon last learned that a member is suspected or dead, which may make it a coordinator.
     absl::Time last_loss() const {
         return m_last_loss;
@@ -128,6 +133,7 @@
     std::optional<absl::Time> m_first_update;      ///< With other members.
     absl::Time m_size_time = absl::InfinitePast(); ///< When m_size was last as large.
     absl::Time m_last_loss = absl::InfinitePast();
+    absl::Time m_last_new = absl::InfinitePast();
 };
 
 } // namespace amaranthladder
--- a/src/tests/quota_gate_test.cpp
+++ b/src/tests/quota_gate_test.cpp
@@ -30,10 +30,12 @@
         gate.set_members({{{"10.0.0.2", 7000}, {}, "", member_state::alive, 0}}, true);
     }
 
-    void request(std::uint64_t waiter) {
+    void request(std::uint64_t waiter, absl::Time deadline = absl::InfiniteFuture()) {
         asio::co_spawn(
             context,
-            [this, waiter]() -> asio::awaitable<void> { verdict = co_await gate.acquire(tenant_name, waiter); },
+            [this, waiter, deadline]() -> asio::awaitable<void> {
+                verdict = co_await gate.acquire(tenant_name, waiter, deadline);
+            },
             asio::detached);
     }
 
@@ -67,6 +69,19 @@
     BOOST_TEST(gate.report().requests.refused_unknown == 1U);
 }
 
+// Guards against requests that wait for a token past their route's timeout.
+BOOST_FIXTURE_TEST_CASE(a_wait_ends_at_the_deadline, gate_fixture) {
+    const absl::Time started = clock.now();
+    request(1, started + absl::Milliseconds(50));
+    while (!verdict && clock.now() - started < absl::Seconds(5)) {
+        context.run_one_for(std::chrono::milliseconds(100));
+    }
+    BOOST_REQUIRE(verdict.has_value());
+    BOOST_TEST((verdict->result == quota_verdict::kind::refused_unknown));
+    BOOST_TEST(clock.now() - started >= absl::Milliseconds(50));
+    BOOST_TEST(clock.now() - started < absl::Milliseconds(300));
+}
+
 // Guards against requests that wait on after their caller has left.
 BOOST_FIXTURE_TEST_CASE(a_wait_ends_when_it_is_cancelled, gate_fixture) {
     request(1);
--- a/src/tests/quota_node_test.cpp
+++ b/src/tests/quota_node_test.cpp
@@ -62,7 +62,7 @@
     /// Starts a daemon that ranks above all others for the tenant. @return its address.
     endpoint join_first() {
         for (int index = 1;; ++index) {
-            const endpoint added{fmt::format("10.0.1.{}", index), 7000};
+            endpoint added{fmt::format("10.0.1.{}", index), 7000};
             quota_view view(added);
             view.update(members(), now);
             if (*view.candidates(tenant_name).coordinator == added) {
