--- a/src/tests/quota_random_failures_test.cpp
+++ b/src/tests/quota_random_failures_test.cpp
@@ -13,7 +13,7 @@
 #include <string>
 #include <vector>
 
-/// A suite of its own, apart from quota_fleet_test: see KNOWN-RED.txt.
+/// A suite of its own, apart from quota_fleet_test, since TEST_SEED chooses the failures as well.
 BOOST_AUTO_TEST_SUITE(quota_random_failures_test)
 
 using namespace amaranthladder;
