Cancel the wait of a body when its sender leaves

An owner that had not yet asked for the body of an upload did not watch the entry's connection. The request waited for the link until its deadline, held its connection, and was then asked for or counted as a refusal. A disconnect_watch now cancels the wait.

--- a/src/http/private/body_gate.cpp
+++ b/src/http/private/body_gate.cpp
@@ -40,6 +40,16 @@
     co_return *m_waiters[offered.id].result;
 }
 
+void body_gate::cancel(request_id id) {
+    const auto found = m_waiters.find(id);
+    if (found == m_waiters.end() || found->second.result) {
+        return;
+    }
+    m_admission.cancel(id); // At once, since it could be started before its coroutine resumes.
+    found->second.result = result_code::caller_disconnected;
+    found->second.timer->cancel();
+}
+
 void body_gate::on_transferred(request_id id) {
     m_admission.on_transferred(id);
     wake_started();
--- a/src/http/private/body_gate.h
+++ b/src/http/private/body_gate.h
@@ -18,9 +18,12 @@
     body_gate(asio::io_context& context, const steady_clock& clock, body_admission_policy policy);
 
     /// Waits until the body may be received. After ok, on_transferred() and release() must follow.
-    /// @return ok, or queue_full if the body would come too late.
+    /// @return ok; queue_full if the body would come too late; caller_disconnected after cancel().
     asio::awaitable<result_code> acquire(const body_offer& offered);
 
+    /// Stops the wait of a request whose sender has disconnected.
+    void cancel(request_id id);
+
     /// Records that a body is complete or that its transfer has failed.
     void on_transferred(request_id id);
 
--- a/src/http/private/inbound_session.cpp
+++ b/src/http/private/inbound_session.cpp
@@ -477,8 +477,12 @@
     const absl::Time started_at = m_proxy.clock.now();
     const local_upstream* const upstream = m_proxy.find_local_upstream(request.info.upstream);
     const body_offer offered = upstream == nullptr ? body_offer{} : make_body_offer(request, *upstream);
-    const result_code admitted =
-        upstream == nullptr ? result_code::no_upstream : co_await m_proxy.bodies.acquire(offered);
+    result_code admitted = result_code::no_upstream;
+    if (upstream != nullptr) {
+        // The entry sends nothing until it is asked for the body, so that only a disconnect can be noticed.
+        const disconnect_watch watch(m_stream, [this, id = offered.id] { m_proxy.bodies.cancel(id); });
+        admitted = co_await m_proxy.bodies.acquire(offered);
+    }
     const absl::Duration waited = m_proxy.clock.now() - started_at;
     if (m_proxy.log.is_enabled(log_level::info)) {
         const body_admission& admission = m_proxy.bodies.admission();
@@ -487,6 +491,10 @@
                                      request.info.request_id, request.info.upstream, name(admitted), offered.bytes,
                                      absl::ToInt64Milliseconds(waited), admission.transfers(), admission.waiting()));
     }
+    if (admitted == result_code::caller_disconnected) {
+        request.keeps_connection = false;
+        co_return serve_result{admitted, 0};
+    }
     if (admitted != result_code::ok) {
         ++m_proxy.counters.bodies_refused;
         // The rest of the connection would be taken for the body.
--- a/src/tests/upload_test.cpp
+++ b/src/tests/upload_test.cpp
@@ -74,4 +74,34 @@
     BOOST_TEST(mesh.upstream.execution_counts().at("upload-2") == 1);
 }
 
+// Guards against bodies whose senders have left, which wait in front of others, are counted as refusals and keep the
+// owner's connection until their deadlines. Pattern: a slow upload fills the link of the owner's host, and the caller
+// of one that waits for it disconnects.
+BOOST_AUTO_TEST_CASE(wait_for_a_body_ends_with_its_sender) {
+    two_daemons mesh(4, 4, [](proxy_options& options) {
+        options.link_mbps = upload_bytes * 8 / 4.0 / 1e6;
+        options.first_byte_timeout = absl::Seconds(30);
+        options.default_timeout = absl::Seconds(30);
+        options.body_idle_timeout = absl::Seconds(30);
+    });
+    const auto wait_for = [&mesh](const auto& condition) {
+        const auto until = std::chrono::steady_clock::now() + std::chrono::seconds(6);
+        while (!condition(mesh.owner->counters()) && std::chrono::steady_clock::now() < until) {
+            std::this_thread::sleep_for(std::chrono::milliseconds(20));
+        }
+        return condition(mesh.owner->counters());
+    };
+    raw_connection slow(mesh.entry->address());
+    BOOST_REQUIRE(slow.send(upload_head(upload_bytes) + std::string(upload_bytes / 2, 'a')));
+    BOOST_REQUIRE(wait_for([](const proxy_counters& counters) { return counters.bodies_received == 1; }));
+    {
+        raw_connection waiting(mesh.entry->address());
+        BOOST_REQUIRE(waiting.send(upload_head(20'000) + std::string(20'000, 'b')));
+        BOOST_REQUIRE(wait_for([](const proxy_counters& counters) { return counters.requests_in_flight == 2; }));
+    }
+    BOOST_TEST(wait_for([](const proxy_counters& counters) { return counters.requests_in_flight == 1; }));
+    BOOST_TEST(mesh.owner->counters().bodies_refused == 0U);
+    BOOST_TEST(mesh.owner->counters().bodies_received == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
