Count executions by the platform's request id in the fake upstream

Cause: the fake upstream counted requests by the header of the plain mesh only. Effect: with the platform's headers execution_counts() stayed empty, so the checks of evacuation_test and cold_state_checks_test that compare it could not fail. Both suites pass with real counts.

--- a/bench/fake_upstream.cpp
+++ b/bench/fake_upstream.cpp
@@ -376,7 +376,10 @@
         ++m_running_requests;
         // The caller's own id, if present, also reveals executions under two different request ids of the mesh.
         const auto caller_id = request["x-caller-id"];
-        const auto id = caller_id.empty() ? request["x-amaranthladder-request-id"] : caller_id;
+        const auto mesh_id = request["x-amaranthladder-request-id"];
+        // The platform's name of the same header.
+        const auto own_id = mesh_id.empty() ? request["x-request-id"] : mesh_id;
+        const auto id = caller_id.empty() ? own_id : caller_id;
         if (!id.empty() && m_execution_counts.size() < max_recorded_ids) {
             ++m_execution_counts[std::string(id)];
         }
