Send one request at a time until a recalled upstream's limit is known

Cause: a daemon that restarts beside an upstream with a rate limit did not know it and admitted as many requests as the upstream has slots. Effect: an upstream that started before its owner, or that was removed for its silence, gets one request at a time until a response has been read. The health check that recalls it reads the limit as well.

is_watcher_lease_taken moves out of mesh_daemon.cpp.

--- a/src/daemon/cold_state_checks.cpp
+++ b/src/daemon/cold_state_checks.cpp
@@ -5,6 +5,7 @@
 #include <fmt/format.h>
 
 #include <exception>
+#include <optional>
 #include <utility>
 
 namespace amaranthladder {
@@ -34,14 +35,17 @@
     try {
         const absl::Time asked_at = m_clock.now();
         const upstream_identity answered = m_query(address);
-        const bool is_used = answered.id == id && answered.remaining_cold.has_value();
+        const std::optional<absl::Duration>& cold = answered.signals.remaining_cold;
+        const std::optional<double>& limit = answered.signals.rate_limit;
+        const bool is_used = answered.id == id;
         m_log.info(
-            fmt::format("cold-check upstream={} is_used={} answered={} status={} failure={} cold_ms={} after_ms={}", id,
-                        is_used, answered.id, answered.status, name(answered.failure),
-                        answered.remaining_cold ? absl::ToInt64Milliseconds(*answered.remaining_cold) : -1,
+            fmt::format("cold-check upstream={} is_used={} answered={} status={} failure={} cold_ms={} limit_per_s={} "
+                        "after_ms={}",
+                        id, is_used, answered.id, answered.status, name(answered.failure),
+                        cold ? absl::ToInt64Milliseconds(*cold) : -1, limit ? fmt::format("{:g}", *limit) : "none",
                         absl::ToInt64Milliseconds(m_clock.now() - asked_at)));
         if (is_used) {
-            m_on_answer(id, *answered.remaining_cold, asked_at);
+            m_on_answer(id, answered.signals, asked_at);
         }
     } catch (const std::exception& problem) {
         m_log.error(fmt::format("task-failed part=cold-check reason=\"{}\"", problem.what()));
--- a/src/daemon/cold_state_checks.h
+++ b/src/daemon/cold_state_checks.h
@@ -14,12 +14,14 @@
 
 namespace amaranthladder {
 
-/// Sends health checks to the upstream beside this daemon to learn whether it is cold. Checks are rare and block, so
+/// Sends health checks to the upstream beside this daemon to learn whether it is cold, and whether
+/// it limits the rate of requests. Checks are rare and block, so
 /// each runs on a thread of its own, at most one at a time.
 class cold_state_checks {
 public:
-    /// Called with the time for which the upstream is still cold and the time at which it was asked.
-    using answer_handler = std::function<void(const std::string& id, absl::Duration remaining, absl::Time asked_at)>;
+    /// Called with what the upstream has said and the time at which it was asked.
+    using answer_handler =
+        std::function<void(const std::string& id, const health_signals& signals, absl::Time asked_at)>;
 
     /// @param query sends a health check, see platform_interface::query_upstream_id.
     /// @param on_answer called on the thread of the check.
--- a/src/daemon/mesh_daemon.cpp
+++ b/src/daemon/mesh_daemon.cpp
@@ -87,8 +87,8 @@
             serve_platform();
             m_cold_checks.emplace(
                 m_platform->query_upstream_id,
-                [this](const std::string& id, absl::Duration remaining, absl::Time asked_at) {
-                    m_proxy.report_cold(id, remaining, asked_at);
+                [this](const std::string& id, const health_signals& signals, absl::Time asked_at) {
+                    m_proxy.report_health_check(id, signals, asked_at);
                 },
                 m_clock, m_log);
             m_store_client = m_platform->connect_store(make_intent_store_callbacks(), m_clock, m_log);
@@ -205,7 +205,10 @@
 
     store_follower_callbacks make_store_follower_callbacks() {
         store_follower_callbacks callbacks;
-        callbacks.is_watcher_lease_taken = [this](int lease_number) { return is_watcher_lease_taken(lease_number); };
+        callbacks.is_watcher_lease_taken = [this](int lease_number) {
+            return is_watcher_lease_taken(watcher_lease_record_key(m_settings.daemon.data_center, lease_number),
+                                          m_peers.opaque_records(), m_peers.members(), m_peers.address());
+        };
         callbacks.candidate_count = [this] {
             int count = 0;
             for (const auto& peer : m_peers.members(member_state::alive)) {
@@ -349,9 +352,11 @@
                                saved_announcement.id, is_same, answered.id, answered.status, name(answered.failure),
                                absl::ToInt64Milliseconds(m_clock.now() - asked_at)));
         if (is_same) {
-            if (process_announcement(saved_announcement) && answered.remaining_cold) {
-                m_proxy.report_cold(saved_announcement.id, *answered.remaining_cold, asked_at);
+            health_signals signals = answered.signals;
+            if (!process_announcement(saved_announcement)) {
+                signals.remaining_cold.reset(); // A heartbeat may have said something newer; none says a limit.
             }
+            m_proxy.report_health_check(saved_announcement.id, signals, asked_at);
         }
     }
 
@@ -466,28 +471,6 @@
         return m_report_collector.collect(moves, bytes, m_clock.now());
     }
 
-    /// @return true if the watcher lease's record names another daemon that is alive or suspected.
-    bool is_watcher_lease_taken(int lease_number) const {
-        const std::string key = watcher_lease_record_key(m_settings.daemon.data_center, lease_number);
-        for (const auto& record : m_peers.opaque_records()) {
-            if (record.key != key) {
-                continue;
-            }
-            const watcher_lease_record known = watcher_lease_record::decode(record.bytes);
-            return known.holder && *known.holder != m_peers.address() && is_alive_or_suspected(*known.holder);
-        }
-        return false;
-    }
-
-    bool is_alive_or_suspected(const endpoint& address) const {
-        for (const auto& peer : m_peers.members()) {
-            if (peer.address == address) {
-                return peer.state == member_state::alive || peer.state == member_state::suspected;
-            }
-        }
-        return false;
-    }
-
     void on_applied(const std::shared_ptr<const snapshot>& applied) {
         // Aliasing pointer: keeps the snapshot alive.
         m_proxy.set_configuration({applied, &applied->state()});
@@ -570,7 +553,7 @@
 
     void handle_announcement(const upstream_announcement& announcement) {
         if (process_announcement(announcement)) {
-            m_proxy.report_cold(announcement.id, announcement.remaining_warm_up);
+            m_proxy.report_heartbeat(announcement.id, announcement.remaining_warm_up);
         }
     }
 
--- a/src/daemon/platform_interface.h
+++ b/src/daemon/platform_interface.h
@@ -5,6 +5,7 @@
 #include "http/control_request.h"
 #include "http/header_names.h"
 #include "quota/quota_limits.h"
+#include "routing/upstream_signals.h"
 #include "settings/daemon_settings.h"
 #include "store/store_connection_pool.h"
 
@@ -45,8 +46,7 @@
     std::string id; ///< Empty if the upstream does not answer, is unhealthy or is leaving.
     int status = 0; ///< HTTP status; 0 if there was no complete response.
     http_call_failure failure = http_call_failure::none; ///< Why there was none.
-    /// Time for which the upstream is still cold, zero if it is warm; empty if the response does not say so.
-    std::optional<absl::Duration> remaining_cold = {};
+    health_signals signals = {};
 };
 
 /// Everything that depends on the platform's interfaces. Created by the platform's adapter.
--- a/src/daemon/status_text.cpp
+++ b/src/daemon/status_text.cpp
@@ -257,6 +257,10 @@
     add_metric(text, "upstreams_cold", "gauge", "", static_cast<double>(status.requests.upstreams_cold));
     add_metric(text, "upstream_cold_periods_total", "counter", "", static_cast<double>(status.requests.cold_periods));
     add_metric(text, "upstream_cold_checks_total", "counter", "", static_cast<double>(status.requests.cold_checks));
+    add_metric(text, "upstream_unknown_limits_total", "counter", "",
+               static_cast<double>(status.requests.unknown_rate_limits));
+    add_metric(text, "upstream_limit_checks_total", "counter", "",
+               static_cast<double>(status.requests.rate_limit_checks));
     add_metric(text, "refusals_cold_total", "counter", "", static_cast<double>(status.requests.refusals_cold));
     add_quota_metrics(text, status.quotas);
     add_metric(text, "connections", "gauge", "", static_cast<double>(status.requests.connections_open));
--- a/src/daemon/watcher_lease_record.cpp
+++ b/src/daemon/watcher_lease_record.cpp
@@ -41,6 +41,21 @@
     return fmt::format("{}{}/{}", watcher_lease_record_prefix, data_center, number);
 }
 
+bool is_watcher_lease_taken(const std::string& key, const std::vector<opaque_record>& records,
+                            const std::vector<member>& members, const endpoint& self) {
+    const auto record = std::ranges::find(records, key, &opaque_record::key);
+    if (record == records.end()) {
+        return false;
+    }
+    const watcher_lease_record known = watcher_lease_record::decode(record->bytes);
+    if (!known.holder || *known.holder == self) {
+        return false;
+    }
+    const auto holder = std::ranges::find(members, *known.holder, &member::address);
+    return holder != members.end() &&
+           (holder->state == member_state::alive || holder->state == member_state::suspected);
+}
+
 std::string merge_watcher_lease_records(const std::string& held, const std::string& heard) {
     try {
         const watcher_lease_record heard_record = watcher_lease_record::decode(heard);
--- a/src/daemon/watcher_lease_record.h
+++ b/src/daemon/watcher_lease_record.h
@@ -1,11 +1,14 @@
 #pragma once
 
 #include "common/endpoint.h"
+#include "peers/member.h"
+#include "peers/opaque_record.h"
 
 #include <cstdint>
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace amaranthladder {
 
@@ -31,6 +34,15 @@
 /// @return the key of the record of watcher lease @p number of @p data_center.
 std::string watcher_lease_record_key(const std::string& data_center, int number);
 
+/// @param key of the record of a watcher lease.
+/// @param records the opaque table.
+/// @param members all known daemons.
+/// @param self peer address of this daemon.
+/// @return true if the record names another daemon that is alive or suspected.
+/// @throws error with result_code::message_malformed.
+bool is_watcher_lease_taken(const std::string& key, const std::vector<opaque_record>& records,
+                            const std::vector<member>& members, const endpoint& self);
+
 /// Merges two states of one record; daemons agree whatever the order of the merges.
 /// @param held the state that this daemon has; may be empty.
 /// @param heard the state that a peer sent.
--- a/src/http/private/owner_call.cpp
+++ b/src/http/private/owner_call.cpp
@@ -24,10 +24,6 @@
 /// The owner streams larger responses; the entry buffers them, so that it can replace a truncated one.
 constexpr std::size_t owner_buffer_bytes = std::size_t{64} * 1024;
 
-std::string rate_limit_text(std::optional<double> limit) {
-    return limit ? fmt::format("{:g}", *limit) : "none";
-}
-
 upstream_call_result::outcome outcome_of(unsigned status) {
     if (status == static_cast<unsigned>(http::status::service_unavailable)) {
         return upstream_call_result::outcome::refused;
@@ -136,7 +132,7 @@
         "admission request={} upstream={} route={} result={} attempt={} running={} queued={} limit_per_s={} "
         "limit_age_ms={} cold={} priority={} nested={} waited_ms={} target_in_ms={} deadline_in_ms={} service_ms={}",
         m_request.info.request_id, m_upstream.id, m_route, name(granted), m_request.info.attempt, limiter.running(),
-        limiter.queued(), rate_limit_text(limit),
+        limiter.queued(), limiter.rate_limit_knowledge().is_unknown() ? "unknown" : proxy_state::rate_limit_text(limit),
         limit ? absl::ToInt64Milliseconds(now - known->rate_limit.named_at()) : 0,
         limiter.cold_starts().is_limiting(now), wanted.priority, m_request.info.is_nested,
         absl::ToInt64Milliseconds(now - m_request.received_at),
@@ -255,15 +251,10 @@
         ++m_proxy.counters.malformed_rate_limits;
         m_proxy.log.warning(fmt::format("upstream-limit-ignored upstream={} request={} code={}", m_upstream.id,
                                         m_request.info.request_id, name(result_code::response_malformed)));
+        // As for an upstream that names none; otherwise one that always does so would get one request at a time.
+        m_proxy.end_unknown_rate_limit(*known, "malformed");
     } else if (signals.rate_limit || is_complete) {
-        const std::optional<double> previous = known->rate_limit.value();
-        if (known->rate_limit.observe(signals.rate_limit, m_started_at, m_proxy.clock.now())) {
-            m_semaphore->set_rate_limit(signals.rate_limit);
-            ++m_proxy.counters.rate_limit_changes;
-            m_proxy.log.info(fmt::format("upstream-limit upstream={} request={} limit_per_s={} previous={}",
-                                         m_upstream.id, m_request.info.request_id, rate_limit_text(signals.rate_limit),
-                                         rate_limit_text(previous)));
-        }
+        m_proxy.observe_rate_limit(*known, signals.rate_limit, m_started_at, m_request.info.request_id);
     }
     observe_server_load(*known, signals, is_complete);
     if (signals.is_leaving && !std::exchange(known->has_said_leaving, true)) {
--- a/src/http/private/proxy_state.h
+++ b/src/http/private/proxy_state.h
@@ -30,6 +30,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -89,6 +90,48 @@
                              cold.limit(clock.now()).value_or(0), cold.recent_starts()));
     }
 
+    static std::string rate_limit_text(std::optional<double> limit) {
+        return limit ? fmt::format("{:g}", *limit) : "none";
+    }
+
+    /// @return true if an upstream that is new to this daemon may have named a rate limit before: to a previous run of
+    ///         this daemon, or before it was removed for its silence. Upstreams that do not state their start count as
+    ///         new.
+    bool may_have_named_rate_limit(const upstream_record& record) const {
+        return record.started_at != absl::UnixEpoch() &&
+               (record.started_at < started_at ||
+                (last_removed && last_removed->id == record.id && is_same_start(*last_removed, record)));
+    }
+
+    /// Records which rate limit a local upstream has named, and applies it.
+    /// @param named requests per second; nothing if the response names none.
+    /// @param sent_at when the request was sent.
+    /// @param request its id, for the log.
+    void observe_rate_limit(local_upstream& observed, std::optional<double> named, absl::Time sent_at,
+                            std::string_view request) {
+        const std::optional<double> previous = observed.rate_limit.value();
+        const bool was_unknown = observed.semaphore->limiter().rate_limit_knowledge().is_unknown();
+        if (observed.rate_limit.observe(named, sent_at, clock.now())) {
+            observed.semaphore->set_rate_limit(named);
+            ++counters.rate_limit_changes;
+            log.info(fmt::format("upstream-limit upstream={} request={} limit_per_s={} previous={}", observed.record.id,
+                                 request, rate_limit_text(named), was_unknown ? "unknown" : rate_limit_text(previous)));
+        } else {
+            end_unknown_rate_limit(observed, request);
+        }
+    }
+
+    /// Starts the requests that wait for a local upstream whose rate limit was unknown, and has none.
+    /// @param request id of the request that showed it, for the log.
+    void end_unknown_rate_limit(local_upstream& observed, std::string_view request) {
+        if (observed.semaphore->limiter().rate_limit_knowledge().is_unknown()) {
+            const int queued = observed.semaphore->limiter().queued();
+            observed.semaphore->set_rate_limit(observed.rate_limit.value());
+            log.info(fmt::format("upstream-limit upstream={} request={} limit_per_s={} previous=unknown queued={}",
+                                 observed.record.id, request, rate_limit_text(observed.rate_limit.value()), queued));
+        }
+    }
+
     /// Refuses the requests of a local upstream if its data centre is evacuated.
     void apply_evacuation(local_upstream& affected) {
         const bool is_evacuated = evacuated.contains(affected.record.data_center);
@@ -130,6 +173,8 @@
     link_meter link;
     response_relay relay;
     std::map<std::string, local_upstream> local_upstreams;
+    const absl::Time started_at = clock.now();                  ///< Start of the daemon.
+    std::optional<upstream_record> last_removed;                ///< Record of the local upstream that was removed last.
     std::map<std::string, first_byte_latency> latency_by_route; ///< Of calls to local upstreams.
     std::shared_ptr<const intended_state> configuration = std::make_shared<intended_state>();
     tenant_directory tenants;           ///< Of the configuration.
--- a/src/http/private/slot_semaphore.h
+++ b/src/http/private/slot_semaphore.h
@@ -53,6 +53,11 @@
     /// Refuses all requests, also waiting ones; see slot_limiter::set_refusal.
     void set_refusal(result_code code);
 
+    /// @copydoc slot_limiter::rate_limit_knowledge
+    unknown_rate_limit& rate_limit_knowledge() {
+        return m_limiter.rate_limit_knowledge();
+    }
+
     /// @copydoc slot_limiter::cold_starts
     cold_start_limit& cold_starts() {
         return m_limiter.cold_starts();
--- a/src/http/proxy_statistics.h
+++ b/src/http/proxy_statistics.h
@@ -67,6 +67,8 @@
     std::uint64_t refusals_evacuated = 0;    ///< Of the owner, since its data centre is evacuated.
     std::uint64_t refusals_cold = 0;         ///< Of the owner, while its upstream is cold.
     std::uint64_t cold_periods = 0;          ///< Times at which a local upstream became cold or unknown.
+    std::uint64_t unknown_rate_limits = 0;   ///< Local upstreams whose rate limit was unknown when they were recalled.
+    std::uint64_t rate_limit_checks = 0;     ///< Health checks because the first response of such an upstream was late.
     std::uint64_t cold_checks = 0;           ///< Health checks to find out whether a local upstream is cold.
     std::uint64_t upstreams_cold = 0;        ///< Local upstreams that are cold now.
     std::uint64_t refusals_for_shortage = 0; ///< At once, since the service is short; also in refusals_not_run.
--- a/src/http/request_proxy.cpp
+++ b/src/http/request_proxy.cpp
@@ -124,7 +124,8 @@
 
     void set_local_upstream(upstream_record record, int queue_limit) {
         local_upstream* known = m_state.find_local_upstream(record.id);
-        if (known == nullptr) {
+        const bool is_new = known == nullptr;
+        if (is_new) {
             known = &m_state.local_upstreams[record.id];
             known->semaphore = std::make_shared<slot_semaphore>(m_state.context, m_state.clock, record.slots,
                                                                 queue_limit, m_options.waiting_order, m_options.cold);
@@ -137,6 +138,12 @@
             known->rate_limit = {};
             known->load = server_load();
             known->semaphore->set_rate_limit(std::nullopt);
+            if (is_new && m_state.may_have_named_rate_limit(record)) {
+                known->semaphore->rate_limit_knowledge().begin();
+                ++m_state.counters.unknown_rate_limits;
+                m_state.log.info(fmt::format("upstream-limit-unknown upstream={} started_ms={}", record.id,
+                                             absl::ToUnixMillis(record.started_at)));
+            }
             known->semaphore->cold_starts().on_new_start(m_state.clock.now());
         }
         known->record = std::move(record);
@@ -159,6 +166,7 @@
             const bool still_serves = reason == upstream_removal::withdrawn;
             m_state.set_leaving(*known, name(reason),
                                 still_serves ? m_options.upstream_drain_time : absl::ZeroDuration());
+            m_state.last_removed = std::move(known->record);
             m_state.local_upstreams.erase(id);
         }
     }
@@ -184,28 +192,39 @@
         }
     }
 
-    void report_cold(const std::string& id, absl::Duration remaining, std::optional<absl::Time> asked_at) {
+    void report_heartbeat(const std::string& id, absl::Duration remaining_cold) {
+        if (local_upstream* const known = m_state.find_local_upstream(id)) {
+            known->semaphore->cold_starts().on_heartbeat(remaining_cold, m_state.clock.now());
+            m_state.observe_cold(*known, "heartbeat");
+        }
+    }
+
+    void report_health_check(const std::string& id, const health_signals& signals, absl::Time asked_at) {
         local_upstream* const known = m_state.find_local_upstream(id);
         if (known == nullptr) {
             return;
         }
-        cold_start_limit& cold = known->semaphore->cold_starts();
-        if (asked_at) {
-            cold.on_health_check(remaining, *asked_at, m_state.clock.now());
-        } else {
-            cold.on_heartbeat(remaining, m_state.clock.now());
+        if (signals.remaining_cold) {
+            known->semaphore->cold_starts().on_health_check(*signals.remaining_cold, asked_at, m_state.clock.now());
+            m_state.observe_cold(*known, "health-check");
+        }
+        if (signals.rate_limit) {
+            m_state.observe_rate_limit(*known, signals.rate_limit, asked_at, "health-check");
+        } else if (known->semaphore->limiter().rate_limit_knowledge().ends_with_check(asked_at)) {
+            m_state.end_unknown_rate_limit(*known, "health-check");
         }
-        m_state.observe_cold(*known, asked_at ? "health-check" : "heartbeat");
     }
 
 private:
     /// Sends due health checks of local upstreams and notices those that are not cold any more.
     void check_local_upstreams() {
         for (auto& [id, known] : m_state.local_upstreams) {
-            const bool is_due = known.semaphore->cold_starts().take_due_check(m_state.clock.now());
+            const bool is_cold_due = known.semaphore->cold_starts().take_due_check(m_state.clock.now());
             m_state.observe_cold(known, "event");
-            if (is_due && m_state.upstreams.on_check_due) {
-                ++m_state.counters.cold_checks;
+            const bool is_limit_due = known.semaphore->rate_limit_knowledge().take_due_check(m_state.clock.now());
+            if ((is_cold_due || is_limit_due) && m_state.upstreams.on_check_due) {
+                m_state.counters.cold_checks += is_cold_due ? 1 : 0;
+                m_state.counters.rate_limit_checks += is_limit_due ? 1 : 0;
                 m_state.upstreams.on_check_due(id, known.record.address);
             }
         }
@@ -421,8 +440,13 @@
         [this, names = std::move(names)]() mutable { m_implementation->set_evacuated_data_centers(std::move(names)); });
 }
 
-void request_proxy::report_cold(const std::string& id, absl::Duration remaining, std::optional<absl::Time> asked_at) {
-    m_implementation->post([this, id, remaining, asked_at] { m_implementation->report_cold(id, remaining, asked_at); });
+void request_proxy::report_heartbeat(const std::string& id, absl::Duration remaining_cold) {
+    m_implementation->post([this, id, remaining_cold] { m_implementation->report_heartbeat(id, remaining_cold); });
+}
+
+void request_proxy::report_health_check(const std::string& id, const health_signals& signals, absl::Time asked_at) {
+    m_implementation->post(
+        [this, id, signals, asked_at] { m_implementation->report_health_check(id, signals, asked_at); });
 }
 
 void request_proxy::start_quota(quota_transport transport) {
--- a/src/http/request_proxy.h
+++ b/src/http/request_proxy.h
@@ -13,6 +13,7 @@
 #include "quota/quota_node.h"
 #include "routing/retry_budget.h"
 #include "routing/router.h"
+#include "routing/upstream_signals.h"
 
 #include <functional>
 #include <memory>
@@ -80,10 +81,13 @@
     /// @param queue_limit number of requests that may wait for a slot.
     void set_local_upstream(upstream_record record, int queue_limit);
 
-    /// Records what a local upstream has reported of its state.
-    /// @param remaining time for which it is still cold; zero: it is warm.
-    /// @param asked_at when the health check was sent; without a value it was a heartbeat.
-    void report_cold(const std::string& id, absl::Duration remaining, std::optional<absl::Time> asked_at = {});
+    /// Records a heartbeat of a local upstream.
+    /// @param remaining_cold time for which it is still cold; zero: it is warm.
+    void report_heartbeat(const std::string& id, absl::Duration remaining_cold);
+
+    /// Records the response of a local upstream to a health check.
+    /// @param asked_at when the health check was sent.
+    void report_health_check(const std::string& id, const health_signals& signals, absl::Time asked_at);
 
     /// Sets whether requests of other daemons for a local upstream are refused because its version was rolled back. The
     /// refusals say that the request was not executed, so the entries retry at another upstream.
--- a/src/routing/slot_limiter.cpp
+++ b/src/routing/slot_limiter.cpp
@@ -45,7 +45,7 @@
                                   .is_nested = request.is_nested};
     m_balance.on_offered(offered.priority, now);
     m_tenants.on_offered(offered.tenant, now);
-    if (running() < m_slots && m_queue.empty() && may_start(now)) {
+    if (has_free_slot() && m_queue.empty() && may_start(now)) {
         start(offered, now);
         return {admission::verdict::run, result_code::ok};
     }
@@ -152,6 +152,7 @@
 }
 
 slot_change slot_limiter::set_rate_limit(std::optional<double> per_second, absl::Time now) {
+    m_rate_limit_knowledge.end();
     m_start_rate.set_limit(per_second, now);
     return start_queued(now);
 }
@@ -353,13 +354,14 @@
     m_tenants.on_started(started.tenant, now);
     m_balance.on_started(started.priority, service_time_of(started.kind), now);
     m_running.push_back({started.id, now, started.kind});
+    m_rate_limit_knowledge.on_start(now);
     m_start_rate.on_start(now);
     m_cold_starts.on_start(now);
 }
 
 slot_change slot_limiter::start_queued(absl::Time now) {
     slot_change change;
-    while (running() < m_slots && !m_queue.empty() && may_start(now)) {
+    while (has_free_slot() && !m_queue.empty() && may_start(now)) {
         const auto position = m_queue.begin() + static_cast<std::ptrdiff_t>(next_position(now));
         const waiting_request next = *position;
         m_queue.erase(position);
--- a/src/routing/slot_limiter.h
+++ b/src/routing/slot_limiter.h
@@ -5,6 +5,7 @@
 #include "routing/fair_order.h"
 #include "routing/priority_balance.h"
 #include "routing/start_rate.h"
+#include "routing/unknown_rate_limit.h"
 
 #include <absl/container/flat_hash_map.h>
 #include <absl/time/time.h>
@@ -165,12 +166,22 @@
     /// @return requests to start or refuse now.
     slot_change set_limits(int slots, int queue_limit, absl::Time now);
 
-    /// Limits the rate at which requests start, whatever slots are free.
+    /// Limits the rate at which requests start, whatever slots are free. The limit is known from then on.
     /// @param per_second starts per second; nothing lifts the limit.
     /// @param now current time.
     /// @return requests to start or refuse now.
     slot_change set_rate_limit(std::optional<double> per_second, absl::Time now);
 
+    /// @return whether the upstream's rate limit is known. Its changes take effect with the next start_permitted().
+    unknown_rate_limit& rate_limit_knowledge() {
+        return m_rate_limit_knowledge;
+    }
+
+    /// @copydoc rate_limit_knowledge
+    const unknown_rate_limit& rate_limit_knowledge() const {
+        return m_rate_limit_knowledge;
+    }
+
     /// @return the limit of a cold upstream. Its changes take effect with the next start_permitted().
     cold_start_limit& cold_starts() {
         return m_cold_starts;
@@ -240,6 +251,9 @@
         std::size_t kind;
     };
 
+    bool has_free_slot() const {
+        return running() < m_rate_limit_knowledge.usable_slots(m_slots);
+    }
     bool may_start(absl::Time now) const;
     absl::Duration wait_for_start(std::ptrdiff_t ahead, absl::Time now) const;
     absl::Time latest_start(const waiting_request& waiting) const;
@@ -276,6 +290,7 @@
     absl::Time m_serves_until = absl::InfiniteFuture(); ///< Nothing is sent to a leaving upstream after this time.
     result_code m_refusal = result_code::ok;            ///< Unless ok, the code with which all requests are refused.
     start_rate m_start_rate;
+    unknown_rate_limit m_rate_limit_knowledge;
     fair_order m_tenants;
     priority_balance m_balance;
     cold_start_limit m_cold_starts;
--- a/src/routing/upstream_signals.h
+++ b/src/routing/upstream_signals.h
@@ -18,6 +18,13 @@
     bool is_leaving = false; ///< It accepts no new requests and ends soon.
 };
 
+/// What an upstream says of itself in the response to a health check.
+struct health_signals {
+    /// Time for which it is still cold, zero if it is warm; empty if the response does not say so.
+    std::optional<absl::Duration> remaining_cold = {};
+    std::optional<double> rate_limit = {}; ///< Requests per second that it takes from all callers together.
+};
+
 /// @param text a decimal number of requests per second.
 /// @return the rate, or nothing if the text is not a finite number of at least 0.
 std::optional<double> parse_rate_limit(std::string_view text);
--- a/src/tests/cold_start_limit_test.cpp
+++ b/src/tests/cold_start_limit_test.cpp
@@ -276,7 +276,7 @@
     }
     absl::SleepFor(absl::Seconds(2));
     const std::size_t cold_count = mesh.upstream.execution_counts().size();
-    mesh.owner->report_cold("tienda-1", warm);
+    mesh.owner->report_heartbeat("tienda-1", warm);
     absl::SleepFor(absl::Seconds(1));
     const std::size_t warm_count = mesh.upstream.execution_counts().size() - cold_count;
     is_over = true;
--- a/src/tests/cold_state_checks_test.cpp
+++ b/src/tests/cold_state_checks_test.cpp
@@ -7,6 +7,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include <atomic>
+#include <optional>
 #include <string>
 
 using namespace amaranthladder;
@@ -45,12 +46,14 @@
                 result.id = "i-1";
                 result.status = 200;
                 if (address.port == 1) {
-                    result.remaining_cold = absl::Milliseconds(700);
+                    result.signals.remaining_cold = absl::Milliseconds(700);
                 }
                 return result;
             },
-            [&](const std::string& id, absl::Duration remaining, absl::Time asked_at) {
-                answered += id == "i-1" && remaining == absl::Milliseconds(700) && asked_at <= clock.now() ? 1 : 100;
+            [&](const std::string& id, const health_signals& signals, absl::Time asked_at) {
+                // The first answer says how long the upstream is cold, the second one does not.
+                const auto expected = answered == 0 ? std::optional(absl::Milliseconds(700)) : std::nullopt;
+                answered += id == "i-1" && signals.remaining_cold == expected && asked_at <= clock.now() ? 1 : 100;
             },
             clock, log);
         for (int number = 0; number < 5; ++number) {
@@ -63,7 +66,7 @@
         checks.start("i-2", {"127.0.0.1", 1});
     }
     BOOST_TEST(asked == 3);
-    BOOST_TEST(answered == 1);
+    BOOST_TEST(answered == 2);
 }
 
 // Guards against an upstream that counts as warm after its connections were reset, and against one that stays limited
--- a/src/tests/fakes/platform_store.cpp
+++ b/src/tests/fakes/platform_store.cpp
@@ -82,6 +82,12 @@
     return m_contents.items.contains(key);
 }
 
+std::string platform_store::value_of(const std::string& key) const {
+    const absl::MutexLock lock(&m_mutex);
+    const auto found = m_contents.items.find(key);
+    return found == m_contents.items.end() ? "" : found->second.value;
+}
+
 int platform_store::writes_of(const std::string& key) const {
     const absl::MutexLock lock(&m_mutex);
     const auto found = m_writes.find(key);
--- a/src/tests/fakes/platform_store.h
+++ b/src/tests/fakes/platform_store.h
@@ -43,6 +43,9 @@
 
     bool has(const std::string& key) const;
 
+    /// @return the value of a key; empty if there is none.
+    std::string value_of(const std::string& key) const;
+
     /// @return number of writes of a key by calls.
     int writes_of(const std::string& key) const;
 
