Apply the first configuration after the orders to evacuate

Cause: a daemon that started in an evacuated data centre applied a configuration as soon as it had it. The order came later: with the rest of the list of the store's keys, or with the first repair of tables with a peer. Effect: from the store, the first configuration is applied at the end of its list, or after 2 s. From a peer, the opaque records are exchanged with the same peer first, for at most the time-outs of the calls, and evacuations and departures are applied before the configuration.

--- a/src/daemon/intent_store_client.h
+++ b/src/daemon/intent_store_client.h
@@ -22,6 +22,7 @@
 #include <atomic>
 #include <exception>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <set>
@@ -119,6 +120,8 @@
     /// Intervals at which registrations of other daemons are read: the shorter one while this daemon knows no peer.
     static constexpr absl::Duration isolated_contact_read_interval = absl::Milliseconds(700);
     static constexpr absl::Duration contact_read_interval = absl::Seconds(20);
+    /// A list whose later pages fail does not keep the daemon from serving for longer.
+    static constexpr absl::Duration max_configuration_hold = absl::Seconds(2);
     /// Bounds the calls and log lines of a task that fails again and again.
     static constexpr absl::Duration failure_retry_interval = absl::Seconds(1);
 
@@ -166,6 +169,9 @@
             return poll_interval;
         }
         const absl::Duration delay = m_follower.step(random);
+        if (m_held_configuration != nullptr && m_clock.now() - m_held_since >= max_configuration_hold) {
+            end_first_list();
+        }
         m_followed_era = era_of(m_follower.as_of());
         const bool is_first_list = !has_listed && m_follower.is_reachable();
         has_listed = has_listed || is_first_list;
@@ -196,9 +202,9 @@
         try {
             const intent_item decoded = m_format.decode(item);
             if (const auto* configuration = std::get_if<std::shared_ptr<const snapshot>>(&decoded)) {
-                m_callbacks.apply(*configuration);
+                apply_configuration(*configuration);
             } else if (const auto* order = std::get_if<order_request>(&decoded)) {
-                m_callbacks.accept_order(is_change ? make_order(*order) : restore_order(*order));
+                accept_order(item, *order, is_change);
             } else if (const auto* evacuation = std::get_if<evacuation_request>(&decoded)) {
                 m_callbacks.accept_evacuation(evacuation->data_center, {evacuation->introduced_in, true});
             }
@@ -208,6 +214,36 @@
         }
     }
 
+    /// Applies a configuration. That of the first list waits for the rest of the list, which may forbid requests.
+    void apply_configuration(const std::shared_ptr<const snapshot>& read) {
+        if (!m_is_first_list_read) {
+            m_held_since = m_held_configuration == nullptr ? m_clock.now() : m_held_since;
+            m_held_configuration = read;
+            return;
+        }
+        m_callbacks.apply(read);
+    }
+
+    /// Accepts an order. One of the first list waits for the configuration, since its state is read with further calls.
+    void accept_order(const stored_item& item, const order_request& order, bool is_change) {
+        if (!m_is_first_list_read) {
+            m_held_orders.insert_or_assign(item.key, item);
+            return;
+        }
+        m_callbacks.accept_order(is_change ? make_order(order) : restore_order(order));
+    }
+
+    /// Applies what was held until the end of the first list.
+    void end_first_list() {
+        m_is_first_list_read = true;
+        if (const auto held = std::exchange(m_held_configuration, nullptr)) {
+            m_callbacks.apply(held);
+        }
+        for (const auto& [key, item] : std::exchange(m_held_orders, {})) {
+            handle_item(item, false);
+        }
+    }
+
     void handle_removal(const std::string& key, revision removed_in) {
         m_log.info(fmt::format("intent-removed key={} revision={}", key, revision_text(removed_in)));
         if (const std::optional<std::string> data_center = m_format.evacuated_data_center(key)) {
@@ -223,6 +259,10 @@
             }
         }
         m_callbacks.accept_evacuation_list(data_centers, as_of);
+        if (!m_is_first_list_read) {
+            std::erase_if(m_held_orders, [&](const auto& held) { return !keys.contains(held.first); });
+            end_first_list();
+        }
     }
 
     move_order make_order(const order_request& request) const {
@@ -409,6 +449,10 @@
     std::optional<absl::Time> m_unreachable_since ABSL_GUARDED_BY(m_mutex);
     prefix_follower<Store> m_follower;
     bool m_follows_store = false;
+    bool m_is_first_list_read = false;                    ///< Used on the follow thread only, like those below.
+    std::shared_ptr<const snapshot> m_held_configuration; ///< Of a first list that is not complete.
+    std::map<std::string, stored_item> m_held_orders;     ///< The same; by key.
+    absl::Time m_held_since;
     bool m_has_read_registration = false; ///< The registration of the previous run has been looked up.
     leased_key<Store> m_registration;
     std::atomic<std::uint64_t> m_followed_era = 0; ///< Era up to which the follow thread has read the store.
--- a/src/daemon/mesh_daemon.cpp
+++ b/src/daemon/mesh_daemon.cpp
@@ -173,7 +173,12 @@
         callbacks.snapshot_bytes = [this](const configuration_digest& held) {
             return m_configuration.update_since(held);
         };
-        callbacks.apply_snapshot = [this](const std::string& bytes) { return m_configuration.apply_update(bytes); };
+        callbacks.apply_snapshot = [this](const std::string& bytes) {
+            if (m_configuration.current() == nullptr) {
+                apply_known_restrictions();
+            }
+            return m_configuration.apply_update(bytes);
+        };
         callbacks.on_change = [this](const node_output& changes) { on_peer_change(changes); };
         callbacks.on_failure = [this](const std::string& task, const std::string& reason) {
             log_failure("peers-" + task, reason);
@@ -518,6 +523,16 @@
         }
     }
 
+    /// Applies the records that forbid requests and that came before the first configuration. They may not have been
+    /// reported by on_peer_change yet.
+    void apply_known_restrictions() {
+        for (const opaque_record& record : m_peers.opaque_records()) {
+            if (record.key.starts_with(evacuation_key_prefix) || record.key.starts_with(departure_key_prefix)) {
+                handle_peer_record(record);
+            }
+        }
+    }
+
     void handle_peer_record(const opaque_record& record) {
         if (record.key.starts_with(watcher_lease_record_prefix) || m_quotas.handle_record(record)) {
             return;
--- a/src/peers/peer_server.cpp
+++ b/src/peers/peer_server.cpp
@@ -259,6 +259,9 @@
         if (bytes.empty()) {
             return pull_outcome::unreachable;
         }
+        if (task.base.version == 0) {
+            exchange_opaque_records(task.peer);
+        }
         try {
             return m_callbacks.apply_snapshot(bytes);
         } catch (const std::exception&) {
@@ -266,17 +269,31 @@
         }
     }
 
+    /// Gets the records that a peer knows beside its configuration, so that a daemon that has just started does not
+    /// apply its first configuration without them. A failure costs at most the time-outs of the calls.
+    void exchange_opaque_records(const endpoint& peer) {
+        repair_task task;
+        task.peer = peer;
+        task.is_differing[static_cast<std::size_t>(table_id::opaque)] = true;
+        try_repair(task);
+    }
+
     void repair(const repair_task& task) {
-        bool is_ok = true;
+        const bool is_ok = try_repair(task);
+        change([&](peer_node& node, absl::Time now) { node.finish_repair(task, is_ok, now, m_random); });
+    }
+
+    /// @return false if the peer is out of reach or has sent something malformed; the counter shows it, another repair
+    ///         follows.
+    bool try_repair(const repair_task& task) {
         try {
             run_repair(task);
+            return true;
         } catch (const std::exception&) {
-            // The peer is out of reach or has sent something malformed; the counter shows it, another repair follows.
-            is_ok = false;
             const absl::MutexLock lock(&m_counter_mutex);
             ++m_counters.failed_repairs;
+            return false;
         }
-        change([&](peer_node& node, absl::Time now) { node.finish_repair(task, is_ok, now, m_random); });
     }
 
     void run_repair(const repair_task& task) {
--- a/src/peers/peer_server.h
+++ b/src/peers/peer_server.h
@@ -23,7 +23,8 @@
     ///         configuration is not newer than @p base.
     std::function<std::string(const configuration_digest& base)> snapshot_bytes;
 
-    /// Applies pulled bytes. The daemon calls peer_server::set_configuration once the version is applied.
+    /// Applies pulled bytes. Before the first ones, the opaque records of the same peer are merged, unless that fails;
+    /// on_change may report them later. The daemon calls peer_server::set_configuration once the version is applied.
     std::function<pull_outcome(const std::string& bytes)> apply_snapshot;
 
     /// Called with changed members, upstream records and opaque records. May be empty.
--- a/src/tests/evacuation_test.cpp
+++ b/src/tests/evacuation_test.cpp
@@ -247,4 +247,45 @@
     BOOST_TEST(second.wait_for_status("/reads/x", 200, absl::Seconds(5)), second.log());
 }
 
+// Guards against a restarted daemon that gets its configuration from a peer and sends requests to its upstream before
+// it has heard of the order. Plays it with real processes.
+BOOST_AUTO_TEST_CASE(no_request_precedes_the_order_after_a_restart) {
+    platform_store store;
+    platform_store other_store;
+    put_test_configuration(store);
+    for (int change = 0; change < 100; ++change) {
+        store.put("other/key", "x"); // A list of the other store must be older than the order.
+    }
+    const platform_host first(store, 1);
+    platform_host second(other_store, 2);
+    const std::string contact = to_string(first.peer_address());
+    other_store.put("mesh/daemons/" + contact, contact + "\n");
+    BOOST_REQUIRE(second.start_upstream());
+    store.put("op/evacuate/rosario-a", "{}");
+    BOOST_REQUIRE(second.wait_for_status("/reads/x", 503, absl::Seconds(5)));
+    const auto before = second.upstream.execution_counts();
+    std::uint64_t sequence = 2;
+    for (int restart = 0; restart < 5; ++restart) {
+        second.kill();
+        second.start();
+        const absl::Time until = absl::Now() + absl::Seconds(15);
+        while (second.announce(sequence) != 200 && absl::Now() < until) {
+            absl::SleepFor(absl::Milliseconds(5));
+        }
+        ++sequence;
+        // Until it has its configuration, and for some time longer.
+        BOOST_REQUIRE(second.wait_for_status("/reads/x", 503));
+        absl::Time has_configuration = absl::InfiniteFuture();
+        while (absl::Now() < until && absl::Now() - has_configuration < absl::Milliseconds(500)) {
+            second.client().Get("/reads/x");
+            const auto answer = second.client().Get("/elsewhere");
+            if (has_configuration == absl::InfiniteFuture() && answer && answer->status == 404) {
+                has_configuration = absl::Now();
+            }
+        }
+        BOOST_REQUIRE(has_configuration != absl::InfiniteFuture());
+    }
+    BOOST_TEST((second.upstream.execution_counts() == before), second.log());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/tests/peer_server_test.cpp
+++ b/src/tests/peer_server_test.cpp
@@ -12,6 +12,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include <algorithm>
+#include <atomic>
 #include <functional>
 #include <memory>
 #include <string>
@@ -39,6 +40,20 @@
         return m_version;
     }
 
+    endpoint address() const {
+        return m_server.address();
+    }
+
+    std::uint64_t failed_repairs() const {
+        return m_server.counters().failed_repairs;
+    }
+
+    /// @return number of opaque records that this daemon knew when it applied its first version.
+    std::size_t records_at_first_version() const {
+        const absl::MutexLock lock(&m_mutex);
+        return m_records_at_first_version;
+    }
+
     void set_version(std::uint64_t version) {
         {
             const absl::MutexLock lock(&m_mutex);
@@ -82,6 +97,11 @@
             if (pulled <= version()) {
                 return pull_outcome::unreachable;
             }
+            if (version() == 0) {
+                const std::size_t known = m_server.opaque_records().size();
+                const absl::MutexLock lock(&m_mutex);
+                m_records_at_first_version = known;
+            }
             set_version(pulled);
             return pull_outcome::applied;
         };
@@ -90,6 +110,7 @@
 
     mutable absl::Mutex m_mutex;
     std::uint64_t m_version = 0;
+    std::size_t m_records_at_first_version = 0;
     peer_server m_server;
 };
 
@@ -112,6 +133,59 @@
     return out;
 }
 
+// Guards against a daemon that starts, gets its configuration from a peer and serves requests before it has the records
+// that this peer knows, such as the order to evacuate a data centre.
+BOOST_AUTO_TEST_CASE(first_version_comes_with_the_records_of_its_peer) {
+    test_daemon first({});
+    first.set_version(7);
+    // Too large for a datagram, so that only an exchange transfers it.
+    first.server().put_opaque({"evacuation/a", std::string(20'000, 'm')});
+    constexpr int starts = 10;
+    int starts_with_records = 0;
+    for (int number = 0; number < starts; ++number) {
+        const test_daemon started({first.server().address()});
+        BOOST_REQUIRE(eventually([&] { return started.version() == 7; }));
+        starts_with_records += started.records_at_first_version() == 1 ? 1 : 0;
+    }
+    BOOST_TEST(starts_with_records == starts);
+}
+
+// Guards against a daemon that never gets a configuration because the exchange of records with its peer fails.
+BOOST_AUTO_TEST_CASE(failed_exchange_of_records_does_not_delay_the_first_version) {
+    const test_daemon started({});
+    const udp_socket peer_socket({"127.0.0.1", 0});
+    peer_settings settings;
+    settings.mesh = "test";
+    settings.address = peer_socket.address();
+    rpc_handlers handlers;
+    handlers.pull = [](const configuration_digest&) { return "7 " + std::string(1000, 'x'); };
+    std::atomic<bool> is_asked_for_records = false;
+    handlers.compare = [&](const repair_offer& offered) -> repair_difference {
+        is_asked_for_records =
+            is_asked_for_records || (offered.tables.size() == 1 && offered.tables.front().id == table_id::opaque);
+        throw error(result_code::internal_error, "no repair");
+    };
+    handlers.exchange = [](const repair_exchange&) -> repair_records {
+        throw error(result_code::internal_error, "no repair");
+    };
+    rpc_server peer(settings, handlers, [](rpc_kind, std::size_t, std::size_t) {});
+    peer.start();
+    datagram message;
+    message.sender.address = peer_socket.address();
+    message.sender.http_address = {"127.0.0.9", 1};
+    message.sender.data_center = "dc";
+    message.sender.incarnation = 1;
+    message.digest.configuration = {7, std::string(64, 'a')};
+    const std::string bytes = message_codec::encode(message, message_codec::mesh_hash("test"));
+    BOOST_TEST(eventually([&] {
+        peer_socket.send(started.address(), bytes);
+        return started.version() == 7;
+    }));
+    BOOST_TEST(started.failed_repairs() > 0U);
+    BOOST_TEST(is_asked_for_records);
+    peer.stop();
+}
+
 // Guards against faults in sockets, threads or RPC calls that keep three daemons from converging.
 BOOST_AUTO_TEST_CASE(three_daemons_converge) {
     test_daemon first({});
