--- a/src/routing/slot_limiter.cpp
+++ b/src/routing/slot_limiter.cpp
@@ -167,6 +167,7 @@
 }
 
 slot_change slot_limiter::set_rate_limit(std::optional<double> per_second, absl::Time now) {
+    m_rate_limit_knowledge.end();
     m_start_rate.set_limit(per_second, now);
     return start_queued(now);
 }
@@ -249,7 +250,7 @@
 }
 
 bool slot_limiter::is_slot_free(bool is_nested, absl::Time now, int ending) const {
-    if (running() - ending >= m_slots) {
+    if (running() - ending >= m_rate_limit_knowledge.usable_slots(m_slots)) {
         return false;
     }
     const int reserved = is_nested ? 0 : reserved_slots(now);
@@ -384,13 +385,14 @@
     m_tenants.on_started(started.tenant, now);
     m_balance.on_started(started.priority, service_time_of(started.kind), now);
     m_running.push_back({started.id, now, started.kind, started.is_nested});
+    m_rate_limit_knowledge.on_start(now);
     m_start_rate.on_start(now);
     m_cold_starts.on_start(now);
 }
 
 slot_change slot_limiter::start_queued(absl::Time now) {
     slot_change change;
-    while (running() < m_slots && !m_queue.empty() && may_start(now)) {
+    while (has_free_slot() && !m_queue.empty() && may_start(now)) {
         const std::size_t index = next_position(now, !is_slot_free(false, now));
         if (index == m_queue.size()) {
             break;
--- a/src/routing/slot_limiter.h
+++ b/src/routing/slot_limiter.h
@@ -6,6 +6,7 @@
 #include "routing/nested_reserve.h"
 #include "routing/priority_balance.h"
 #include "routing/start_rate.h"
+#include "routing/unknown_rate_limit.h"
 
 #include <absl/container/flat_hash_map.h>
 #include <absl/time/time.h>
@@ -170,12 +171,22 @@
     /// @return requests to start or refuse now.
     slot_change set_limits(int slots, int queue_limit, absl::Time now);
 
-    /// Limits the rate at which requests start, whatever slots are free.
+    /// Limits the rate at which requests start, whatever slots are free. The limit is known from then on.
     /// @param per_second starts per second; nothing lifts the limit.
     /// @param now current time.
     /// @return requests to start or refuse now.
     slot_change set_rate_limit(std::optional<double> per_second, absl::Time now);
 
+    /// @return whether the upstream's rate limit is known. Its changes take effect with the next start_permitted().
+    unknown_rate_limit& rate_limit_knowledge() {
+        return m_rate_limit_knowledge;
+    }
+
+    /// @copydoc rate_limit_knowledge
+    const unknown_rate_limit& rate_limit_knowledge() const {
+        return m_rate_limit_knowledge;
+    }
+
     /// @return the limit of a cold upstream. Its changes take effect with the next start_permitted().
     cold_start_limit& cold_starts() {
         return m_cold_starts;
@@ -249,6 +260,9 @@
         bool is_nested = false;
     };
 
+    bool has_free_slot() const {
+        return running() < m_rate_limit_knowledge.usable_slots(m_slots);
+    }
     bool may_start(absl::Time now) const;
     /// @return true if a slot is free for new work or, if @p is_nested, for a nested call.
     bool is_slot_free(bool is_nested, absl::Time now, int ending = 0) const;
@@ -289,6 +303,7 @@
     absl::Time m_serves_until = absl::InfiniteFuture(); ///< Nothing is sent to a leaving upstream after this time.
     result_code m_refusal = result_code::ok;            ///< Unless ok, the code with which all requests are refused.
     start_rate m_start_rate;
+    unknown_rate_limit m_rate_limit_knowledge;
     fair_order m_tenants;
     priority_balance m_balance;
     nested_reserve m_nested_reserve;
