Wait for a response that says leaving in upstream_departure_test

Cause: the loop ended once the upstream had counted any request. Effect: it waits until a further request is counted.

--- a/src/tests/upstream_departure_test.cpp
+++ b/src/tests/upstream_departure_test.cpp
@@ -170,7 +170,8 @@
         fake_upstream_behavior says_leaving;
         says_leaving.headers = {{"X-Response-Signature", "test"}, {"Server-Leaving", "1"}};
         leaving.upstream.set_behavior(says_leaving);
-        for (int number = 0; leaving.upstream.execution_counts().empty() && number < 100; ++number) {
+        const std::size_t served = leaving.upstream.execution_counts().size();
+        for (int number = 0; leaving.upstream.execution_counts().size() == served && number < 100; ++number) {
             request(leaving, number);
         }
         break;
