Observe an order's version at the full share before completion

A version that fails only under load was reported as completed 0.3 s after it got all requests of its service: with the policy of configured moves, an order's move was completed on reaching the full share, and the old upstreams stop at completion.

Orders now use their own policy. The full share is stage 5 and is observed for 0.2 of the window, at least 1.5 s, before the move is completed; order_service reports completion and drains old upstreams only then. Call counts are sent every 100 ms, latencies are compared over shorter times, progress of orders is urgent, and daemons beside a faulty new upstream stop its calls on their own evidence until the verdict. Configured moves keep their policy.

--- a/bench/moves_bench_main.cpp
+++ b/bench/moves_bench_main.cpp
@@ -143,6 +143,40 @@
                100 * total.max_unproven_share);
 }
 
+/// Prints the rows of order_table() as a table in Markdown.
+void print_orders(int runs, std::uint64_t seed, const std::string& name_filter, const move_policy& policy) {
+    fmt::print("| Row | Runs | As stated | In time | Reported as completed | Calls of the new version, median / most | "
+               "Bound | Verdict, median / latest (s) |\n| --- | --- | --- | --- | --- | --- | --- | --- |\n");
+    for (const scenario& row : order_table()) {
+        if (row.name.find(name_filter) == std::string::npos) {
+            continue;
+        }
+        int as_expected = 0;
+        int in_time = 0;
+        int completed = 0;
+        std::vector<double> calls;
+        std::vector<double> verdict_seconds;
+        for (int run = 0; run < runs; ++run) {
+            run_options options;
+            options.order_policy = policy;
+            options.seed = seed + static_cast<std::uint64_t>(run);
+            const run_result result = run_move(row, options);
+            as_expected += has_expected_outcome(row, result) ? 1 : 0;
+            in_time += result.verdict == move_verdict::done ? 1 : 0;
+            completed += result.was_completed ? 1 : 0;
+            calls.push_back(result.new_version_calls);
+            verdict_seconds.push_back(std::max(result.completed_seconds, result.rollback_seconds));
+        }
+        const bool is_bad = row.expected == expected_outcome::rolled_back;
+        fmt::print("| {} | {} | {} | {} | {} | {} | {} | {:.1f} / {:.1f} |\n", row.name, runs, as_expected,
+                   is_bad ? "" : fmt::to_string(in_time), completed,
+                   is_bad ? fmt::format("{:.0f} / {:.0f}", quantile(calls, 0.5), quantile(calls, 1)) : "",
+                   is_bad ? fmt::format("{:.0f}", exposure_bound(row)) : "", quantile(verdict_seconds, 0.5),
+                   quantile(verdict_seconds, 1));
+        std::cout.flush();
+    }
+}
+
 } // namespace
 
 int main(int argc, char** argv) {
@@ -162,6 +196,8 @@
     add_option("gossip-only", "send urgent records only with probes, not directly");
     add_option("record", options::value(&recorded_rate),
                "print the calls of one run per row at this rate in calls/s, in the format of src/tests/traces");
+    add_option("orders", "run the rows of operators' orders instead of the fault table");
+    add_option("configured-policy", "with --orders: use the policy of configured moves, for comparison");
     add_option("trace", "print the state changes of one run per row");
     options::variables_map values;
     options::store(options::parse_command_line(argc, argv, description), values);
@@ -171,6 +207,11 @@
         return 0;
     }
     const bool sends_urgent_directly = !values.contains("gossip-only");
+    if (values.contains("orders")) {
+        print_orders(runs, seed, name_filter,
+                     values.contains("configured-policy") ? move_policy{} : order_move_policy());
+        return 0;
+    }
     std::string csv_lines =
         "row,mover,runs,as_expected,in_time,rolled_back,zero_median_s,zero_p95_s,exposed_median_calls,"
         "completed_median_part,unproven_share,bytes_per_daemon_s\n";
--- a/bench/moves_fault_table.cpp
+++ b/bench/moves_fault_table.cpp
@@ -71,9 +71,9 @@
 const version_behavior failing{0.95, 0, 1};
 const version_behavior slow{0.001, 0, 2};
 
-behavior_function only_under_load(version_behavior fault) {
+behavior_function only_under_load(version_behavior fault, double threshold = 0.3) {
     return [=](const call_context& call) {
-        return call.side == move_side::new_version && call.new_version_share > 0.3 ? fault : version_behavior{};
+        return call.side == move_side::new_version && call.new_version_share > threshold ? fault : version_behavior{};
     };
 }
 
@@ -195,6 +195,42 @@
 
 } // namespace
 
+std::vector<scenario> order_table() {
+    std::vector<scenario> rows;
+    for (const int seconds : {10, 12, 16}) {
+        const auto add = [&](scenario row, const std::string& detail) {
+            row.name += ", order of " + std::to_string(seconds) + " s" + detail;
+            row.is_order = true;
+            row.load_half_life_seconds = 0.1;
+            rows.push_back(with_traffic(std::move(row), 340, absl::Seconds(seconds)));
+        };
+        add(good_version("good"), "");
+        add(with_store_down(good_version("good, store down throughout")), "");
+        scenario both_fail = good_version("good, old fails 5% too");
+        both_fail.behavior = [](const call_context&) { return version_behavior{0.05, 0, 1}; };
+        add(both_fail, "");
+        scenario outage = good_version("good, both fail for 1 s");
+        outage.behavior = both_versions_between(0.4, 0.4 + 1.0 / seconds, failing);
+        add(outage, "");
+        add(with_interruption(
+                good_version("good, a deciding daemon killed"),
+                {interruption::fault_kind::restart, 0.3, 0.31, [](std::size_t daemon) { return daemon == 0; }}),
+            "");
+        add(bad_version("fails at once", new_version_from(0, failing)), "");
+        add(bad_version("fails 30% only under load", only_under_load({0.3, 0, 1}, 0.8)), ", from 80% of the load");
+        for (const double threshold : {0.4, 0.6, 0.8, 0.9}) {
+            const std::string detail = ", from " + std::to_string(static_cast<int>(100 * threshold)) + "% of the load";
+            add(bad_version("fails only under load", only_under_load({0.5, 0, 1}, threshold)), detail);
+            add(bad_version("slow only under load", only_under_load({0.001, 0, 8}, threshold), true), detail);
+        }
+        add(with_owners(bad_version("fails only under load", only_under_load({0.5, 0, 1}, 0.8)), 7, 3),
+            ", 3 upstreams for 7");
+        add(with_owners(bad_version("slow only under load", only_under_load({0.001, 0, 8}, 0.8), true), 7, 3),
+            ", 3 upstreams for 7");
+    }
+    return rows;
+}
+
 std::vector<scenario> fault_table() {
     std::vector<scenario> rows;
     add_good_rows(rows);
--- a/bench/moves_simulation.cpp
+++ b/bench/moves_simulation.cpp
@@ -18,10 +18,11 @@
 namespace {
 
 const std::string service_name = "werkbank";
-const std::string move_name = "kiln";
 const absl::Time start_time = absl::FromUnixSeconds(1'800'000'000);
 constexpr int route_count = 4;
-constexpr std::size_t max_piggyback_bytes = 1'000; ///< Space for records in a datagram of 1,200 bytes.
+constexpr absl::Duration order_margin = absl::Milliseconds(2'500); ///< As mesh_daemon's order_deadline_margin.
+constexpr std::size_t order_deciders = 3;                          ///< As select_collectors.
+constexpr std::size_t max_piggyback_bytes = 1'000;                 ///< Space for records in a datagram of 1,200 bytes.
 constexpr double loss_rate = 0.01;
 constexpr double median_latency_ms = 20;
 constexpr double latency_sigma = 0.5; ///< Standard deviation of the logarithm.
@@ -86,6 +87,7 @@
 public:
     simulation(const scenario& row, const run_options& options, bool is_traced)
         : m_scenario(row), m_options(options), m_is_traced(is_traced), m_random(options.seed),
+          m_move_name(row.is_order ? std::string(move_record::order_move_prefix) + service_name : "kiln"),
           m_step(std::clamp(row.window / 6'000, absl::Milliseconds(100), absl::Seconds(2))) {
         const std::size_t count = row.old_owners + row.new_owners;
         m_daemons.resize(count);
@@ -125,6 +127,10 @@
         return std::uniform_int_distribution<std::size_t>(0, bound - 1)(m_random);
     }
 
+    bool is_decider(std::size_t daemon) const {
+        return !m_scenario.is_order || daemon % (m_daemons.size() / order_deciders) == 0;
+    }
+
     bool runs_new_version(std::size_t daemon) const {
         return daemon >= m_scenario.old_owners;
     }
@@ -139,17 +145,19 @@
         if (m_options.controller == controller_kind::baseline) {
             return;
         }
-        daemon.engine =
-            std::make_unique<move_engine>(fmt::format("host-{}", index), daemon.incarnation, m_options.policy);
+        daemon.engine = std::make_unique<move_engine>(fmt::format("host-{}", index), daemon.incarnation,
+                                                      m_options.policy, m_options.order_policy);
+        daemon.engine->set_is_decider(is_decider(index));
         move declared;
-        declared.name = move_name;
+        declared.name = m_move_name;
         declared.service = service_name;
-        declared.from_version = "1";
+        declared.from_version = m_scenario.is_order ? "" : "1";
         declared.to_version = "2";
-        declared.deadline = start_time + m_scenario.window;
+        declared.deadline =
+            start_time + m_scenario.window - (m_scenario.is_order ? order_margin : absl::ZeroDuration());
         declared.introduced_in = 7;
         daemon.engine->set_upstream(service_name, runs_new_version(index) ? "2" : "1", local_time(daemon, now));
-        daemon.engine->set_moves({{move_name, declared}}, local_time(daemon, now));
+        daemon.engine->set_moves({{m_move_name, declared}}, local_time(daemon, now));
         if (!m_scenario.is_store_down && m_stored_progress) {
             daemon.engine->merge_remote(*m_stored_progress, local_time(daemon, now));
         }
@@ -252,7 +260,7 @@
                 complete_call(*owner, to_new_version, now + uniform() * m_step);
             }
         }
-        const double decay = std::exp2(-absl::ToDoubleSeconds(m_step));
+        const double decay = std::exp2(-absl::ToDoubleSeconds(m_step) / m_scenario.load_half_life_seconds);
         m_recent_calls = decay * m_recent_calls + calls;
         m_recent_new_calls = decay * m_recent_new_calls + new_version_calls;
     }
@@ -323,6 +331,10 @@
                 continue;
             }
             for (const move_record& record : daemon.engine->tick(local_time(daemon, now))) {
+                if (m_scenario.is_order && std::holds_alternative<move_call_counts>(record.content)) {
+                    send_to_deciders(index, record, now);
+                    continue;
+                }
                 enqueue(daemon, record);
                 store_progress(record);
                 if (record.is_urgent() && m_options.sends_urgent_directly) {
@@ -341,9 +353,10 @@
 
     void record_state(std::size_t index, absl::Time now) {
         simulated_daemon& daemon = m_daemons[index];
-        const auto status = daemon.engine->status(move_name, local_time(daemon, now));
+        const auto status = daemon.engine->status(m_move_name, local_time(daemon, now));
         m_result.has_reverted = m_result.has_reverted || (status->verdict < daemon.verdict && daemon.incarnation == 1);
         daemon.verdict = status->verdict;
+        m_result.was_completed = m_result.was_completed || status->stage >= move_policy::completed_stage;
         const std::string state = fmt::format("{} stage {}", status->state, status->stage);
         if (m_is_traced && state != daemon.state) {
             daemon.state = state;
@@ -370,6 +383,14 @@
         }
     }
 
+    void send_to_deciders(std::size_t from, const move_record& record, absl::Time now) {
+        for (std::size_t to = 0; to < m_daemons.size(); ++to) {
+            if (to != from && is_decider(to)) {
+                deliver(from, to, {record.encode()}, now);
+            }
+        }
+    }
+
     void gossip(absl::Time now) {
         if (m_options.controller == controller_kind::baseline) {
             return;
@@ -436,7 +457,7 @@
 
     void receive(simulated_daemon& daemon, const move_record& record, absl::Time now) {
         if (daemon.engine->merge_remote(record, local_time(daemon, now)) &&
-            std::holds_alternative<move_call_counts>(record.content)) {
+            std::holds_alternative<move_call_counts>(record.content) && !m_scenario.is_order) {
             enqueue(daemon, record); // The engine's next tick forwards progress records itself.
         }
     }
@@ -462,7 +483,7 @@
                 return now < start_time + fault.to * m_scenario.window;
             });
         return !has_pending_interruption && std::ranges::all_of(m_daemons, [&](const simulated_daemon& daemon) {
-            const auto status = daemon.engine->status(move_name, local_time(daemon, now));
+            const auto status = daemon.engine->status(m_move_name, local_time(daemon, now));
             return status->is_final && status->verdict == m_daemons[0].verdict;
         });
     }
@@ -472,7 +493,7 @@
         if (m_options.controller == controller_kind::baseline) {
             fill_baseline_result();
         } else {
-            const auto status = m_daemons[0].engine->status(move_name, start_time);
+            const auto status = m_daemons[0].engine->status(m_move_name, start_time);
             m_result.verdict = status->verdict;
             m_result.reason = status->reason;
             m_result.route = status->route;
@@ -505,6 +526,7 @@
     const run_options& m_options;
     bool m_is_traced;
     std::mt19937_64 m_random;
+    std::string m_move_name;
     absl::Duration m_step;
     std::vector<simulated_daemon> m_daemons;
     baseline_controller m_baseline;
@@ -524,7 +546,15 @@
     return simulation(row, options, is_traced).run();
 }
 
+double exposure_bound(const scenario& row) {
+    return 0.1 * row.calls_per_second * absl::ToDoubleSeconds(row.window) + 50;
+}
+
 bool has_expected_outcome(const scenario& row, const run_result& result) {
+    if (row.is_order && row.expected == expected_outcome::rolled_back &&
+        (result.was_completed || result.new_version_calls > exposure_bound(row))) {
+        return false;
+    }
     if (!result.verdicts_agree || result.has_reverted) {
         return false;
     }
--- a/bench/moves_simulation.h
+++ b/bench/moves_simulation.h
@@ -55,6 +55,8 @@
     bool is_store_down = false;
     double clock_offset_seconds = 0; ///< Largest offset of a daemon's clock from the true time.
     std::vector<interruption> interruptions;
+    bool is_order = false;             ///< An operator's order: three daemons decide, evidence goes to these only.
+    double load_half_life_seconds = 1; ///< Of the calls counted in call_context::new_version_share.
     bool is_slow_fault = false; ///< Counts towards the goal for slow versions instead of the one for failing versions.
 };
 
@@ -64,6 +66,7 @@
 struct run_options {
     controller_kind controller = controller_kind::engine;
     move_policy policy;
+    move_policy order_policy = order_move_policy();
     std::uint64_t seed = 1;
     std::string* recorded_calls = nullptr; ///< If set, gets one line per call, in the format of src/tests/traces.
     bool sends_urgent_directly = true;     ///< Urgent records also go directly to all daemons of the service.
@@ -74,6 +77,7 @@
     move_verdict verdict = move_verdict::under_way;
     bool verdicts_agree = false;   ///< All daemons ended with the same verdict.
     bool has_reverted = false;     ///< A daemon's verdict changed to a lower value.
+    bool was_completed = false;    ///< A daemon has seen the move as completed, also if it was rolled back later.
     double completed_seconds = -1; ///< From the declaration to the completion; -1 if the move was not completed.
     double fault_seconds = -1;    ///< From the declaration to the first response that showed the fault; -1 if none did.
     double rollback_seconds = -1; ///< From the declaration to the rollback; -1 if there was none.
@@ -98,6 +102,12 @@
 /// reverted.
 bool has_expected_outcome(const scenario& row, const run_result& result);
 
+/// @return the most calls that a bad version may get in an order's window: 0.1 of the service's calls and 50.
+double exposure_bound(const scenario& row);
+
+/// @return rows for orders of 10 to 16 s in a service with 340 calls/s.
+std::vector<scenario> order_table();
+
 /// @return the fault table: the scenarios that moves must handle.
 std::vector<scenario> fault_table();
 
--- a/src/daemon/order_service.cpp
+++ b/src/daemon/order_service.cpp
@@ -72,7 +72,8 @@
         progress& known = m_progress[service];
         known.state.report_rank = rank;
         known.state.is_rolled_back = status->verdict == move_verdict::rolled_back;
-        const bool has_full_share = status->share >= 1;
+        // The full share is observed for faults before the completion; the old upstreams must run until then.
+        const bool has_full_share = status->share >= 1 && status->stage >= move_policy::completed_stage;
         known.state.full_share_since =
             has_full_share ? std::min(known.state.full_share_since, now) : absl::InfiniteFuture();
         known.state.is_old_version_idle = has_full_share && are_old_upstreams_idle(order, upstreams);
--- a/src/moves/move_engine.cpp
+++ b/src/moves/move_engine.cpp
@@ -18,12 +18,18 @@
     bool is_changed = true;
 };
 
+/// @return true if the move comes from an operator's order in the store.
+bool is_order(const move& declared) {
+    return declared.from_version.empty();
+}
+
 } // namespace
 
 class move_engine::implementation {
 public:
-    implementation(std::string daemon_id, std::uint64_t incarnation, const move_policy& policy)
-        : m_daemon_id(std::move(daemon_id)), m_incarnation(incarnation), m_policy(policy),
+    implementation(std::string daemon_id, std::uint64_t incarnation, const move_policy& policy,
+                   const move_policy& order_policy)
+        : m_daemon_id(std::move(daemon_id)), m_incarnation(incarnation), m_policy(policy), m_order_policy(order_policy),
           m_chart(state_chart::embedded("move")) {
         for (const char* state :
              {"waiting", "trial", "growing", "suspended", "held", "watched", "finished", "rolled_back", "replaced"}) {
@@ -47,9 +53,10 @@
             if (m_controllers.contains(identity)) {
                 continue;
             }
-            move_controller& controller =
-                m_controllers.try_emplace(identity, declared, m_chart, m_daemon_id, m_incarnation, m_policy, now)
-                    .first->second;
+            move_controller& controller = m_controllers
+                                              .try_emplace(identity, declared, m_chart, m_daemon_id, m_incarnation,
+                                                           is_order(declared) ? m_order_policy : m_policy, now)
+                                              .first->second;
             m_is_declared[identity] = true;
             controller.set_upstream(m_service, m_version);
             const auto earlier = m_undeclared.find(identity);
@@ -183,6 +190,7 @@
     std::string m_daemon_id;
     std::uint64_t m_incarnation;
     move_policy m_policy;
+    move_policy m_order_policy;
     state_chart m_chart;
     std::string m_service;
     std::string m_version;
@@ -194,8 +202,9 @@
     absl::Time m_decisions_resume_at = absl::InfinitePast();
 };
 
-move_engine::move_engine(std::string daemon_id, std::uint64_t incarnation, const move_policy& policy)
-    : m_implementation(std::make_unique<implementation>(std::move(daemon_id), incarnation, policy)) {}
+move_engine::move_engine(std::string daemon_id, std::uint64_t incarnation, const move_policy& policy,
+                         const move_policy& order_policy)
+    : m_implementation(std::make_unique<implementation>(std::move(daemon_id), incarnation, policy, order_policy)) {}
 
 move_engine::~move_engine() = default;
 
--- a/src/moves/move_engine.h
+++ b/src/moves/move_engine.h
@@ -39,9 +39,11 @@
 public:
     /// @param daemon_id name of this daemon, unique in the mesh, at most move_call_counts::max_id_length bytes.
     /// @param incarnation grows with each start of the daemon, for example the start time.
-    /// @param policy parameters.
+    /// @param policy parameters of configured moves.
+    /// @param order_policy parameters of operators' orders.
     /// @throws error if charts/move.ini is missing or lacks a state that the engine uses.
-    move_engine(std::string daemon_id, std::uint64_t incarnation, const move_policy& policy = {});
+    move_engine(std::string daemon_id, std::uint64_t incarnation, const move_policy& policy = {},
+                const move_policy& order_policy = order_move_policy());
     ~move_engine();
     move_engine(const move_engine&) = delete;
     move_engine& operator=(const move_engine&) = delete;
--- a/src/moves/move_record.cpp
+++ b/src/moves/move_record.cpp
@@ -299,7 +299,7 @@
     if (const auto* counts = std::get_if<move_call_counts>(&content)) {
         return counts->is_urgent;
     }
-    return std::get<move_progress>(content).rollback.has_value();
+    return std::get<move_progress>(content).rollback.has_value() || identity.name.starts_with(order_move_prefix);
 }
 
 std::string move_record::encode() const {
--- a/src/moves/move_record.h
+++ b/src/moves/move_record.h
@@ -129,14 +129,18 @@
 ///
 /// Progress goes to every daemon, call counts only to daemons beside upstreams of the service.
 struct move_record {
+    /// Start of the names of moves that come from operators' orders.
+    static constexpr std::string_view order_move_prefix = "order-";
+
     move_identity identity;
     std::variant<move_progress, move_call_counts> content;
 
     /// @return the key of the record; records with the same key are merged.
     std::string key() const;
 
-    /// @return true for records that must not wait for the next periodic message: rollbacks and the call counts of a
-    /// daemon that suspects a fault.
+    /// @return true for records that must not wait for the next periodic message: rollbacks, the call counts of a
+    /// daemon that suspects a fault, and the progress of orders. An order's share rises within a second, and daemons
+    /// that learn of it late would spend the exposure on shares at which a fault under load does not show.
     bool is_urgent() const;
 
     /// @return the record in the format read by `decode`, at most max_encoded_size bytes.
--- a/src/moves/order_table.cpp
+++ b/src/moves/order_table.cpp
@@ -1,5 +1,7 @@
 #include "moves/order_table.h"
 
+#include "moves/move_record.h"
+
 #include <algorithm>
 
 namespace amaranthladder {
@@ -53,7 +55,7 @@
             continue;
         }
         move under_way;
-        under_way.name = "order-" + service;
+        under_way.name = std::string(move_record::order_move_prefix) + service;
         under_way.service = service;
         under_way.to_version = order.to_version;
         under_way.deadline = order.deadline - m_margin;
--- a/src/moves/private/call_count_table.h
+++ b/src/moves/private/call_count_table.h
@@ -50,6 +50,12 @@
     /// @return true if this daemon or a contributor that is not timed out has an upstream of @p side.
     bool has_recent_upstream(move_side side, absl::Time now) const;
 
+    /// @return true if the upstream beside this daemon is of @p side.
+    bool has_own_upstream(move_side side) const {
+        const auto found = m_has_upstream.find(side);
+        return found != m_has_upstream.end() && found->second;
+    }
+
     /// @return true if any daemon, including this one, has ever reported rows of @p side.
     bool has_seen(move_side side) const;
 
--- a/src/moves/private/move_controller.cpp
+++ b/src/moves/private/move_controller.cpp
@@ -64,7 +64,7 @@
     if (has_stage_changed) {
         // Calls count towards a stage from the time at which this daemon learned of it.
         m_stage_since = now;
-        m_calls_before_stage = new_version_calls();
+        begin_stage();
     }
     sync_state();
     return true;
@@ -101,6 +101,9 @@
         return;
     }
     if (!is_decider) {
+        if (m_policy.suspends_at_owner && m_call_counts.has_own_upstream(move_side::new_version)) {
+            check_own_upstream(now);
+        }
         return;
     }
     evaluate(may_decide, now);
@@ -144,7 +147,7 @@
     if (is_in("held") && is_completed) {
         return m_policy.held_watch_share;
     }
-    return move_policy::stage_shares.at(static_cast<std::size_t>(m_progress.stage));
+    return m_policy.shares.at(static_cast<std::size_t>(m_progress.stage));
 }
 
 bool move_controller::refuses_new_version() const {
@@ -217,7 +220,7 @@
     }
     if (m_progress.stage >= move_policy::completed_stage && !is_in("watched") && !is_in("suspended")) {
         fire("remote-completed");
-    } else if (m_progress.stage > move_policy::last_unproven_stage && (is_in("waiting") || is_in("trial"))) {
+    } else if (m_progress.stage > m_policy.last_trial_stage && (is_in("waiting") || is_in("trial"))) {
         fire("remote-progress");
     } else if (m_progress.stage >= move_policy::first_stage && is_in("waiting")) {
         fire("start");
@@ -242,8 +245,10 @@
 }
 
 void move_controller::evaluate(bool may_decide, absl::Time now) {
-    for (auto& [route, evaluator] : m_evaluators) {
-        evaluator.tick(m_progress.stage >= move_policy::completed_stage, now);
+    if (!is_in("suspended") || !m_policy.freezes_latencies_when_suspended) {
+        for (auto& [route, evaluator] : m_evaluators) {
+            evaluator.tick(share_of(m_progress.stage) >= 1, now);
+        }
     }
     m_fault_suspected_since =
         is_fault_suspected() && !is_in("held") ? std::min(m_fault_suspected_since, now) : absl::InfiniteFuture();
@@ -275,6 +280,34 @@
     }
 }
 
+void move_controller::check_own_upstream(absl::Time now) {
+    if (is_in("suspended")) {
+        if (now - m_suspended_since >= m_policy.owner_suspension_max) {
+            end_suspension(now);
+        }
+        return;
+    }
+    if (is_in("held")) {
+        check_recovery(now);
+        return;
+    }
+    if (!is_in("trial") && !is_in("growing")) {
+        return;
+    }
+    for (auto& [route, evaluator] : m_evaluators) {
+        evaluator.tick_without_old_version(now);
+        const suspected_fault fault = evaluator.strongest_fault();
+        const bool is_slow = fault.reason == result_code::move_taken_back_slow;
+        if (fault.threshold_ratio >= 1 && (!is_slow || evaluator.slow_ratio() >= m_policy.owner_slow_ratio)) {
+            m_suspected_fault = fault;
+            m_suspected_route = route;
+            m_suspended_since = now;
+            fire("suspect");
+            return;
+        }
+    }
+}
+
 void move_controller::check_for_fault(absl::Time now) {
     // Without the old version there is no alternative for the calls and nothing to compare with.
     if (!m_call_counts.has_recent_upstream(move_side::old_version, now)) {
@@ -313,13 +346,7 @@
                             (now >= m_progress.deadline && m_progress.stage < move_policy::completed_stage &&
                              suspended_for >= m_policy.suspension_min);
     if (result == confirmation::refuted) {
-        for (auto& [route, evaluator] : m_evaluators) {
-            evaluator.reset_after_false_alarm();
-        }
-        m_suspected_fault = {};
-        m_suspended_since = absl::InfiniteFuture();
-        m_last_degraded_at = now;
-        fire("refute");
+        end_suspension(now);
         return;
     }
     if (may_decide && (result == confirmation::confirmed || is_overdue)) {
@@ -327,6 +354,16 @@
     }
 }
 
+void move_controller::end_suspension(absl::Time now) {
+    for (auto& [route, evaluator] : m_evaluators) {
+        evaluator.reset_after_false_alarm();
+    }
+    m_suspected_fault = {};
+    m_suspended_since = absl::InfiniteFuture();
+    m_last_degraded_at = now;
+    fire("refute");
+}
+
 void move_controller::check_recovery(absl::Time now) {
     if (m_evaluators.at("").are_both_versions_degraded(now)) {
         m_last_degraded_at = now;
@@ -337,7 +374,7 @@
     if (m_progress.stage >= move_policy::completed_stage) {
         fire("recover-watched");
     } else {
-        fire(m_progress.stage > move_policy::last_unproven_stage ? "recover-growing" : "recover-trial");
+        fire(m_progress.stage > m_policy.last_trial_stage ? "recover-growing" : "recover-trial");
     }
 }
 
@@ -348,9 +385,8 @@
     }
     const double rate = m_evaluators.at("").call_rate(now);
     int stage = move_policy::first_stage;
-    while (stage < move_policy::last_unproven_stage &&
-           rate * move_policy::stage_shares.at(static_cast<std::size_t>(stage) + 1) <=
-               m_policy.first_stage_max_calls_per_second) {
+    while (stage < m_policy.last_trial_stage && rate * m_policy.shares.at(static_cast<std::size_t>(stage) + 1) <=
+                                                    m_policy.first_stage_max_calls_per_second) {
         ++stage;
     }
     fire("start");
@@ -365,7 +401,7 @@
     if (next >= move_policy::completed_stage) {
         m_progress.completed_at = std::min(m_progress.completed_at, to_record_precision(now));
         fire("complete");
-    } else if (is_in("trial") && next > move_policy::last_unproven_stage) {
+    } else if (is_in("trial") && next > m_policy.last_trial_stage) {
         fire("proven");
     }
     enter_stage(next, now);
@@ -374,14 +410,24 @@
 void move_controller::enter_stage(int stage, absl::Time now) {
     m_progress.stage = stage;
     m_stage_since = now;
-    m_calls_before_stage = new_version_calls();
+    begin_stage();
     m_has_unsent_progress = true;
 }
 
+void move_controller::begin_stage() {
+    m_calls_before_stage = new_version_calls();
+    for (auto& [route, evaluator] : m_evaluators) {
+        evaluator.begin_stage();
+    }
+}
+
 bool move_controller::may_leave_stage(absl::Time now) const {
     if (!has_both_versions(now) || has_signs_of_fault()) {
         return false;
     }
+    if (share_of(m_progress.stage) >= 1 && now - m_stage_since < m_policy.full_share_observation) {
+        return false;
+    }
     const bool is_proven = new_version_calls() - m_calls_before_stage >= m_policy.min_stage_calls &&
                            now - m_stage_since >= dwell(m_progress.stage);
     const bool is_forced =
@@ -487,7 +533,7 @@
     absl::Time entered = m_stage_since;
     double needed = m_policy.min_stage_calls - (new_version_calls() - m_calls_before_stage);
     for (int stage = m_progress.stage; stage < move_policy::completed_stage; ++stage) {
-        const double calls_per_second = rate * move_policy::stage_shares.at(static_cast<std::size_t>(stage));
+        const double calls_per_second = rate * m_policy.shares.at(static_cast<std::size_t>(stage));
         const absl::Duration collection_time =
             calls_per_second > 0 ? absl::Seconds(std::max(0.0, needed) / calls_per_second) : absl::InfiniteDuration();
         const absl::Time proven = std::max({exit, entered + dwell(stage), exit + collection_time});
--- a/src/moves/private/move_controller.h
+++ b/src/moves/private/move_controller.h
@@ -94,14 +94,21 @@
     void sync_state();
     void add(const call_count_delta& delta, absl::Time now);
     void evaluate(bool may_decide, absl::Time now);
+    /// Looks for a fault of the upstream beside a daemon that does not decide, on its own evidence.
+    void check_own_upstream(absl::Time now);
     void check_for_fault(absl::Time now);
     void check_confirmation(bool may_decide, absl::Time now);
+    void end_suspension(absl::Time now);
     void check_recovery(absl::Time now);
     void check_deadline(absl::Time now);
     void check_watch(absl::Time now);
     void start_if_ready(absl::Time now);
     void advance_if_ready(absl::Time now);
     void enter_stage(int stage, absl::Time now);
+    void begin_stage();
+    double share_of(int stage) const {
+        return m_policy.shares.at(static_cast<std::size_t>(stage));
+    }
     bool may_leave_stage(absl::Time now) const;
     bool has_signs_of_fault() const;
     bool is_fault_suspected() const;
--- a/src/moves/private/route_evaluator.cpp
+++ b/src/moves/private/route_evaluator.cpp
@@ -119,6 +119,10 @@
     m_slowness.close_stratum(now, is_old_idle ? &m_old_long.latency : nullptr);
 }
 
+void route_evaluator::tick_without_old_version(absl::Time now) {
+    m_slowness.close_stratum(now, &m_new_before_stage);
+}
+
 suspected_fault route_evaluator::strongest_fault() const {
     suspected_fault result{result_code::move_taken_back_failures, m_failures.change_point(),
                            m_failures.rate_since_change(), m_failures.threshold_ratio(m_policy.log_false_alarm_odds)};
--- a/src/moves/private/route_evaluator.h
+++ b/src/moves/private/route_evaluator.h
@@ -57,6 +57,20 @@
     /// @param now current time.
     void tick(bool is_old_idle, absl::Time now);
 
+    /// Updates the slowness test of a daemon that knows only its own calls of the new version: compares them with those
+    /// before the present stage.
+    void tick_without_old_version(absl::Time now);
+
+    /// Called when the stage changes.
+    void begin_stage() {
+        m_new_before_stage = m_new_total.latency;
+    }
+
+    /// @return ratio of the median latencies in the slowness test.
+    double slow_ratio() const {
+        return m_slowness.ratio();
+    }
+
     /// @return the fault with the highest threshold_ratio, even if it is low.
     suspected_fault strongest_fault() const;
 
@@ -112,6 +126,7 @@
     decayed_calls m_rate;                       ///< Calls of both versions.
     std::deque<call_count_delta> m_old_periods; ///< Calls of the old version, for check().
     totals m_new_total;
+    latency_histogram m_new_before_stage; ///< Of the new version, before the present stage.
     totals m_old_total;
     absl::Time m_first_call = absl::InfiniteFuture();
 };
--- a/src/moves/private/slowdown_detector.cpp
+++ b/src/moves/private/slowdown_detector.cpp
@@ -7,18 +7,15 @@
 
 namespace {
 
-// Half-lives of the sums in seconds. The last one keeps everything, for services with few calls.
-constexpr std::array<double, 5> half_life_seconds{1.5, 8, 60, 600, 1e9};
+// Half-lives of the sums in seconds, after move_policy::shortest_half_life. The last one keeps everything, for services
+// with few calls.
+constexpr std::array<double, 4> longer_half_lives{8, 60, 600, 1e9};
 
-// Minimum size of a stratum. Strata are kept short, so that their calls saw the same conditions; the minimum duration
-// follows the exchange of call counts between daemons.
-constexpr absl::Duration stratum_min = absl::Seconds(1);
+// Minimum size of a stratum. Strata are kept short, so that their calls saw the same conditions; their minimum duration
+// (move_policy::stratum_min) follows the exchange of call counts between daemons.
 constexpr double stratum_new_calls = 4;
 constexpr double stratum_old_calls = 8;
 
-// Minimum duration of a stratum that is compared with the reference for lack of old calls.
-constexpr absl::Duration reference_stratum_min = absl::Seconds(1);
-
 // Each false alarm raises the logarithm of the required odds by this much.
 constexpr double log_odds_per_false_alarm = 2;
 
@@ -30,13 +27,12 @@
 }
 
 void slowdown_detector::close_stratum(absl::Time now, const latency_histogram* reference) {
-    if (m_open_new.total() < stratum_new_calls || now - m_open_since < stratum_min) {
+    if (m_open_new.total() < stratum_new_calls || now - m_open_since < m_policy.stratum_min) {
         return;
     }
     const latency_histogram* old_calls = &m_open_old;
     if (m_open_old.total() < stratum_old_calls) {
-        if (reference == nullptr || reference->total() < stratum_old_calls ||
-            now - m_open_since < reference_stratum_min) {
+        if (reference == nullptr || reference->total() < stratum_old_calls) {
             return;
         }
         old_calls = reference;
@@ -45,7 +41,7 @@
     const double seconds = m_last_closed_at == absl::InfinitePast() ? 0 : absl::ToDoubleSeconds(now - m_last_closed_at);
     for (std::size_t index = 0; index < half_life_count; ++index) {
         strata_sums& sum = m_sums[index];
-        const double decay_factor = std::exp2(-seconds / half_life_seconds[index]);
+        const double decay_factor = std::exp2(-seconds / half_life_seconds(index));
         sum.excess = decay_factor * sum.excess + comparison.excess;
         sum.variance = decay_factor * decay_factor * sum.variance + comparison.variance;
         sum.new_calls.scale(decay_factor);
@@ -96,9 +92,13 @@
     });
 }
 
+double slowdown_detector::half_life_seconds(std::size_t index) const {
+    return index == 0 ? absl::ToDoubleSeconds(m_policy.shortest_half_life) : longer_half_lives.at(index - 1);
+}
+
 absl::Duration slowdown_detector::half_life() const {
     const auto index = static_cast<std::size_t>(&strongest() - m_sums.data());
-    return absl::Seconds(half_life_seconds.at(index));
+    return absl::Seconds(half_life_seconds(index));
 }
 
 const slowdown_detector::strata_sums& slowdown_detector::strongest() const {
--- a/src/moves/private/slowdown_detector.h
+++ b/src/moves/private/slowdown_detector.h
@@ -44,6 +44,11 @@
     /// @return true if the new version is not clearly slower, so its share may grow.
     bool allows_growth() const;
 
+    /// @return ratio of the median latencies (new to old) in the strongest sum.
+    double ratio() const {
+        return strongest().ratio();
+    }
+
     /// @return the new version's latencies in the strongest sum.
     const latency_histogram& latencies() const {
         return strongest().new_calls;
@@ -66,6 +71,7 @@
 
     static constexpr std::size_t half_life_count = 5;
 
+    double half_life_seconds(std::size_t index) const;
     double threshold_ratio(const strata_sums& sum) const;
     const strata_sums& strongest() const;
 
--- a/src/tests/move_engine_test.cpp
+++ b/src/tests/move_engine_test.cpp
@@ -120,6 +120,31 @@
     }
 }
 
+// Guards against orders whose bad version gets more calls than allowed, or is reported as completed although it fails
+// only under the full load, and against good versions that miss an order's deadline.
+BOOST_DATA_TEST_CASE(order_reaches_expected_outcome, order_table(), row) {
+    for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+        run_options options;
+        options.seed = seed;
+        const run_result result = run_move(row, options);
+        BOOST_TEST(has_expected_outcome(row, result), "seed " << seed << " verdict " << name(result.verdict)
+                                                              << " completed " << result.was_completed << " calls "
+                                                              << result.new_version_calls);
+        BOOST_TEST(result.max_unproven_share <= 0.05);
+    }
+}
+
+// Guards against an order table that passes although the full share is not observed before completion.
+BOOST_AUTO_TEST_CASE(order_table_detects_policy_of_configured_moves) {
+    for (const scenario& row : order_table()) {
+        if (row.expected == expected_outcome::rolled_back && row.name.find("from 90%") != std::string::npos) {
+            run_options options;
+            options.order_policy = move_policy{};
+            BOOST_TEST(!has_expected_outcome(row, run_move(row, options)), row.name);
+        }
+    }
+}
+
 struct broken_policy_case {
     const char* name;
     const char* scenario_name;
--- a/src/tests/order_test.cpp
+++ b/src/tests/order_test.cpp
@@ -2,6 +2,8 @@
 #include "moves/order_table.h"
 
 #include "common/error.h"
+#include "daemon/order_service.h"
+#include "moves/move_policy.h"
 
 #include <boost/test/data/monomorphic.hpp>
 #include <boost/test/data/test_case.hpp>
@@ -131,6 +133,32 @@
     BOOST_TEST((outcome_of(tested, state, start) == row.expected));
 }
 
+// Guards against reporting "completed", after which the old upstreams stop, while the full share is still observed for
+// faults.
+BOOST_AUTO_TEST_CASE(observed_full_share_is_not_completed) {
+    order_service orders(absl::Seconds(2));
+    orders.merge(order(7, 16, order_report::running));
+    move_status status;
+    status.identity = {"order-werkbank", 7};
+    status.service = "werkbank";
+    status.share = 1;
+    status.stage = move_policy::completed_stage - 1;
+    const auto update = [&](int after_ms) {
+        const absl::Time now = start + absl::Milliseconds(after_ms);
+        orders.update_progress({status}, {}, 0, now);
+        return orders.due_reports(now);
+    };
+    update(0);
+    BOOST_TEST(update(1'000).empty());
+    BOOST_TEST(!orders.superseding_order("werkbank", "v1").has_value());
+    status.stage = move_policy::completed_stage;
+    update(1'100);
+    BOOST_TEST(orders.superseding_order("werkbank", "v1").has_value());
+    const std::vector<move_order> due = update(1'500);
+    BOOST_REQUIRE(due.size() == 1U);
+    BOOST_TEST((due[0].reported == order_report::completed));
+}
+
 // Guards against all daemons reporting at once, and against no report when the daemons with lower ranks are cut off.
 BOOST_AUTO_TEST_CASE(daemons_report_in_turn) {
     order_state state;
