--- a/src/daemon/report_collector.cpp
+++ b/src/daemon/report_collector.cpp
@@ -18,7 +18,8 @@
     outcome.reason = static_cast<int>(status.reason);
     outcome.time_to_verdict_s = std::max(0.0, absl::ToDoubleSeconds(status.ended_at - status.started_at));
     const auto stage = static_cast<std::size_t>(std::clamp(status.stage, 0, move_policy::finished_stage));
-    outcome.new_version_share = move_policy::stage_shares[stage];
+    const bool is_order = status.identity.name.starts_with(move_record::order_move_prefix);
+    outcome.new_version_share = (is_order ? order_move_policy() : move_policy()).shares[stage];
     outcome.new_version_calls = status.new_version.calls;
     return make_outcome_record(std::move(outcome), status.ended_at);
 }
