--- a/src/routing/fair_order.cpp
+++ b/src/routing/fair_order.cpp
@@ -13,9 +13,6 @@
 constexpr double max_unit = 1e12;
 /// A tenant is short if less than this part of the share served of all is served of it. R-FAIR states 0.25.
 constexpr double short_share = 0.4;
-/// A tenant has used much less than another one below this part of its relative use. An upstream starts about 40
-/// requests a second, so that with 20 tenants their counts differ by a fifth by chance.
-constexpr double much_less_use = 0.5;
 /// With fewer recent requests, a tenant's share is chance.
 constexpr double min_offered = 4;
 
@@ -59,11 +56,6 @@
     return relative_use(m_tenants[left]) < relative_use(m_tenants[right]);
 }
 
-bool fair_order::is_far_before(tenant_index left, tenant_index right) const {
-    return is_before(left, right) && (is_short(m_tenants[left]) != is_short(m_tenants[right]) ||
-                                      relative_use(m_tenants[left]) < much_less_use * relative_use(m_tenants[right]));
-}
-
 void fair_order::advance(absl::Time now) {
     if (m_updated_at != absl::InfinitePast() && now > m_updated_at) {
         m_unit *= std::exp(absl::FDivDuration(now - m_updated_at, use_decay));
--- a/src/routing/fair_order.h
+++ b/src/routing/fair_order.h
@@ -33,10 +33,6 @@
     ///         all goes first, then the one with the least use relative to its allowance.
     bool is_before(tenant_index left, tenant_index right) const;
 
-    /// As is_before, but among tenants of which enough is served, only much less use counts: small differences are
-    /// chance, and a request behind all later ones of the others would wait until it is late.
-    bool is_far_before(tenant_index left, tenant_index right) const;
-
 private:
     struct tenant_use {
         double weight = 0;
--- a/src/routing/slot_limiter.cpp
+++ b/src/routing/slot_limiter.cpp
@@ -3,7 +3,6 @@
 #include "common/error.h"
 
 #include <algorithm>
-#include <cmath>
 #include <utility>
 
 namespace amaranthladder {
@@ -12,13 +11,6 @@
 
 /// A less urgent request waits for at most 20 times its turn in the queue before it counts as never served.
 constexpr double max_more_urgent_share = 0.95;
-/// While requests are refused, a request is queued if it meets its target even after this multiple of its expected
-/// wait. Others arrive and go before it, so that a queue up to the target drops what it held: 0.11 to 0.18 of the
-/// refusals of load_shedding_test come after an eighth of the target without it, 0.02 to 0.08 with it.
-constexpr double shortage_wait_factor = 5;
-/// It applies if more than this multiple of the square root of the slots is queued: the requests that end in a while
-/// vary by about the root, and a shorter queue would leave slots idle.
-constexpr double min_queued_per_root_of_slots = 1;
 
 } // namespace
 
@@ -302,8 +294,8 @@
     if (is_left_in_time != is_right_in_time) {
         return is_left_in_time;
     }
-    if (m_tenants.is_far_before(left.tenant, right.tenant) || m_tenants.is_far_before(right.tenant, left.tenant)) {
-        return m_tenants.is_far_before(left.tenant, right.tenant);
+    if (m_tenants.is_before(left.tenant, right.tenant) || m_tenants.is_before(right.tenant, left.tenant)) {
+        return m_tenants.is_before(left.tenant, right.tenant);
     }
     return is_left_in_time ? left.target_time < right.target_time : left.deadline < right.deadline;
 }
@@ -342,9 +334,7 @@
 
 bool slot_limiter::is_admitted(const waiting_request& offered, absl::Time now) const {
     const absl::Duration wait = wait_behind(count_in_time_ahead(offered, now), now);
-    const bool is_strict = m_balance.is_short(now) && queued() > min_queued_per_root_of_slots * std::sqrt(m_slots);
-    const absl::Duration expected = wait + overtaken_wait(wait, offered.priority, now);
-    if (is_in_time(offered, now + (is_strict ? shortage_wait_factor : 1) * expected)) {
+    if (is_in_time(offered, now + wait + overtaken_wait(wait, offered.priority, now))) {
         return true;
     }
     // Late requests get only spare capacity: at most one per slot is queued, and none while another one is in time.
@@ -458,7 +448,7 @@
         return is_before(left, right, now);
     });
     const bool is_of_higher_rank = offered.is_nested != last->is_nested || offered.priority != last->priority ||
-                                   m_tenants.is_far_before(offered.tenant, last->tenant);
+                                   m_tenants.is_before(offered.tenant, last->tenant);
     if (!is_of_higher_rank || !is_before(offered, *last, now)) {
         return false;
     }
