--- a/src/http/private/entry_call.cpp
+++ b/src/http/private/entry_call.cpp
@@ -548,15 +548,6 @@
                                       : absl::ZeroDuration();
     m_has_returned = waited > absl::ZeroDuration();
     m_target_time = m_request.received_at + matched_route.target_latency - waited;
-    if (m_has_returned) {
-        // With the passed target, it would be the last in every queue and mostly be refused again.
-        const std::optional<shortage_request> described = make_shortage_request(matched_route);
-        if (!m_proxy.shortage.can_meet_target(*described)) {
-            m_target_time = m_request.received_at + matched_route.target_latency;
-            m_proxy.log.info(fmt::format("target-renewed request={} route={} waited_ms={}", m_request.info.request_id,
-                                         matched_route.name, absl::ToInt64Milliseconds(waited)));
-        }
-    }
     m_request.info.target_time_left = std::max(absl::ZeroDuration(), m_target_time - m_request.received_at);
 }
 
--- a/src/routing/service_shortage.cpp
+++ b/src/routing/service_shortage.cpp
@@ -99,18 +99,6 @@
            });
 }
 
-bool service_shortage::can_meet_target(const shortage_request& request) const {
-    const auto found = m_services.find(request.service);
-    if (found == m_services.end()) {
-        return request.time_to_target > absl::ZeroDuration();
-    }
-    const auto known = std::ranges::find_if(found->second.kinds, [&](const kind_state& kind) {
-        return kind.kind == request.kind && kind.priority == request.priority;
-    });
-    const absl::Duration service_time = known == found->second.kinds.end() ? absl::ZeroDuration() : known->service_time;
-    return request.time_to_target > target_margin * service_time;
-}
-
 bool service_shortage::is_short(const kind_state& kind, absl::Time now) {
     return now - kind.refused_at <= shortage_validity && kind.offered > probe_ratio * kind.served + tolerated;
 }
--- a/src/routing/service_shortage.h
+++ b/src/routing/service_shortage.h
@@ -56,9 +56,6 @@
     /// @return true if a part of such requests was refused by upstreams within the last second or two.
     bool is_short(const shortage_request& request, absl::Time now) const;
 
-    /// @return false if the reported service time of a request is longer than the time to its target.
-    bool can_meet_target(const shortage_request& request) const;
-
 private:
     struct kind_state {
         std::string kind;
