--- a/src/daemon/cold_state_checks.h
+++ b/src/daemon/cold_state_checks.h
@@ -15,7 +15,8 @@
 namespace amaranthladder {
 
 /// Sends health checks to the upstream beside this daemon to learn whether it is cold, whether it limits the rate of
-/// requests, and how loaded it is. Checks are rare and block, so each runs on a thread of its own, at most one at a time.
+/// requests, and how loaded it is. Checks are rare and block, so each runs on a thread of its own, at most one at a
+/// time.
 class cold_state_checks {
 public:
     /// Called with what the upstream has said and the time at which it was asked.
--- a/src/quota/reach_estimator.h
+++ b/src/quota/reach_estimator.h
@@ -16,8 +16,9 @@
 public:
     /// Time for which an answer, or its absence, counts.
     static constexpr absl::Duration memory = absl::Seconds(1);
-    /// Time after which an ask counts as unanswered. Hosts with a tenth of a core stall for up to 0.1 s.
-    static constexpr absl::Duration answer_timeout = absl::Milliseconds(250);
+    /// Time after which an ask counts as unanswered. Hosts with a tenth of a core stall for up to 0.1 s, and datagrams
+    /// wait behind the bodies of responses on full links, which 250 ms took for a partition.
+    static constexpr absl::Duration answer_timeout = absl::Milliseconds(600);
     /// Time after its last ask for which a daemon without an answer is avoided.
     static constexpr absl::Duration silence_memory = absl::Milliseconds(2500);
 
