--- a/src/daemon/component_settings.cpp
+++ b/src/daemon/component_settings.cpp
@@ -43,6 +43,7 @@
     options.listen_address = settings.listen.requests;
     options.owner_address = settings.listen.owner;
     options.link_mbps = settings.host.link_mbps;
+    options.max_nested_reserve = settings.routing.nested_reserve;
     options.caller_service = settings.daemon.service;
     options.max_connections = static_cast<std::size_t>(settings.requests.max_connections);
     options.max_header_bytes = settings.requests.max_header_bytes;
--- a/src/http/private/slot_semaphore.cpp
+++ b/src/http/private/slot_semaphore.cpp
@@ -17,8 +17,8 @@
 } // namespace
 
 slot_semaphore::slot_semaphore(asio::io_context& context, const steady_clock& clock, int slots, int queue_limit,
-                               queue_order order, cold_start_policy cold)
-    : m_context(context), m_clock(clock), m_limiter(slots, queue_limit, {.order = order, .cold = cold}) {}
+                               const slot_limiter_policy& policy)
+    : m_context(context), m_clock(clock), m_limiter(slots, queue_limit, policy) {}
 
 asio::awaitable<result_code> slot_semaphore::acquire(const slot_request& request) {
     const request_id id = request.id;
--- a/src/http/private/slot_semaphore.h
+++ b/src/http/private/slot_semaphore.h
@@ -21,10 +21,8 @@
 public:
     /// @param slots number of requests that may run at a time.
     /// @param queue_limit number of requests that may wait.
-    /// @param order order in which waiting requests get slots.
-    /// @param cold what the upstream may get while it is cold.
-    slot_semaphore(asio::io_context& context, const steady_clock& clock, int slots, int queue_limit, queue_order order,
-                   cold_start_policy cold = {});
+    slot_semaphore(asio::io_context& context, const steady_clock& clock, int slots, int queue_limit,
+                   const slot_limiter_policy& policy);
 
     /// Waits for a slot.
     /// @return ok if the request holds a slot, which release() frees; otherwise the reason for its refusal.
--- a/src/http/proxy_options.h
+++ b/src/http/proxy_options.h
@@ -20,7 +20,8 @@
     endpoint owner_address;
     queue_order waiting_order = queue_order::earliest_deadline; ///< Order of the requests that wait for a slot.
     cold_start_policy cold;                                     ///< What a cold upstream may get.
-    std::string caller_service; ///< Service of the local upstream, sent to the upstreams that it calls.
+    double max_nested_reserve = 0; ///< Share of an upstream's slots that is kept for nested calls at most.
+    std::string caller_service;    ///< Service of the local upstream, sent to the upstreams that it calls.
     header_names headers;
     double link_mbps = 0; ///< Speed of the host's link in megabits per second; 0: unknown.
     std::size_t max_connections = 2000;
--- a/src/http/request_proxy.cpp
+++ b/src/http/request_proxy.cpp
@@ -128,8 +128,12 @@
         const bool is_new = known == nullptr;
         if (is_new) {
             known = &m_state.local_upstreams[record.id];
-            known->semaphore = std::make_shared<slot_semaphore>(m_state.context, m_state.clock, record.slots,
-                                                                queue_limit, m_options.waiting_order, m_options.cold);
+            slot_limiter_policy policy;
+            policy.order = m_options.waiting_order;
+            policy.max_nested_reserve = m_options.max_nested_reserve;
+            policy.cold = m_options.cold;
+            known->semaphore =
+                std::make_shared<slot_semaphore>(m_state.context, m_state.clock, record.slots, queue_limit, policy);
         } else if (known->record.slots != record.slots) {
             known->semaphore->set_limits(record.slots, queue_limit);
         }
--- a/src/routing/slot_limiter.cpp
+++ b/src/routing/slot_limiter.cpp
@@ -237,8 +237,10 @@
 }
 
 int slot_limiter::reserved_slots(absl::Time now) const {
-    const bool is_reserved = m_policy.reserves_for_nested && m_policy.order == queue_order::target_first;
-    return is_reserved ? m_nested_reserve.reserved(m_slots, now) : 0;
+    if (m_policy.max_nested_reserve <= 0 || m_policy.order != queue_order::target_first) {
+        return 0;
+    }
+    return std::min(m_nested_reserve.reserved(m_slots, now), static_cast<int>(m_slots * m_policy.max_nested_reserve));
 }
 
 bool slot_limiter::is_slot_free(bool is_nested, absl::Time now, int ending) const {
--- a/src/routing/slot_limiter.h
+++ b/src/routing/slot_limiter.h
@@ -57,9 +57,9 @@
     double target_margin = 1.25;
     /// Requests that can no longer meet their deadlines are dropped. False: only expired ones; for comparisons.
     bool drops_unmeetable = true;
-    /// While nested calls are offered, some slots are kept free of new work (nested_reserve); for target_first. False:
-    /// nested calls only go first in the queue; for comparisons.
-    bool reserves_for_nested = true;
+    /// While nested calls are offered, at most this share of the slots is kept free of new work (nested_reserve); for
+    /// target_first. 0: nested calls only go first in the queue.
+    double max_nested_reserve = 0;
     cold_start_policy cold = {}; ///< What a cold upstream may get.
 };
 
--- a/src/settings/daemon_settings.cpp
+++ b/src/settings/daemon_settings.cpp
@@ -59,7 +59,8 @@
                        values.duration("requests", "warm_up"),
                        values.duration("requests", "announcement_timeout"),
                        values.duration("requests", "drain_timeout")};
-    result.routing = {values.decimal("routing", "cross_data_center_ms_per_mb")};
+    result.routing = {values.decimal("routing", "nested_reserve"),
+                      values.decimal("routing", "cross_data_center_ms_per_mb")};
     result.platform = {values.text("platform", "interface"), values.text("platform", "limits"),
                        values.text("platform", "seeds")};
     result.log = {parse_log_level(values.text("log", "level")), values.text("log", "file"),
--- a/src/settings/daemon_settings.h
+++ b/src/settings/daemon_settings.h
@@ -77,6 +77,7 @@
         friend bool operator==(const requests_section&, const requests_section&) = default;
     };
     struct routing_section {
+        double nested_reserve = 0;
         double cross_data_center_ms_per_mb = 0;
 
         friend bool operator==(const routing_section&, const routing_section&) = default;
--- a/src/tests/nested_goodput_test.cpp
+++ b/src/tests/nested_goodput_test.cpp
@@ -109,9 +109,9 @@
             m_first_hosts[service] = host;
             for (int i = 0; i < m_case.hosts[service]; ++i, ++host) {
                 m_service_of_host.push_back(service);
-                m_limiters.emplace_back(
-                    slots, queue_limit,
-                    slot_limiter_policy{.order = queue_order::target_first, .reserves_for_nested = reserves_slots});
+                m_limiters.emplace_back(slots, queue_limit,
+                                        slot_limiter_policy{.order = queue_order::target_first,
+                                                            .max_nested_reserve = reserves_slots ? 0.5 : 0.0});
             }
         }
         m_trips_per_ms = load * capacity_per_ms();
--- a/src/tests/nested_reserve_test.cpp
+++ b/src/tests/nested_reserve_test.cpp
@@ -26,7 +26,7 @@
 
 /// @return a limiter with 4 slots, all free, that has served nested calls of 50 ms at 20 a second.
 slot_limiter limiter_with_nested_calls(absl::Time& now) {
-    slot_limiter limiter(4, 16, {.order = queue_order::target_first});
+    slot_limiter limiter(4, 16, {.order = queue_order::target_first, .max_nested_reserve = 0.5});
     for (request_id id = 1000; id < 1200; ++id, now += absl::Milliseconds(50)) {
         limiter.offer(request(id, now, true), now);
         limiter.finish(id, now + absl::Milliseconds(50));
@@ -92,8 +92,8 @@
 BOOST_AUTO_TEST_CASE(nothing_changes_without_nested_calls) {
     constexpr std::uint64_t seed = 3;
     std::mt19937_64 random(seed);
-    slot_limiter with(6, 16, {.order = queue_order::target_first});
-    slot_limiter without(6, 16, {.order = queue_order::target_first, .reserves_for_nested = false});
+    slot_limiter with(6, 16, {.order = queue_order::target_first, .max_nested_reserve = 0.5});
+    slot_limiter without(6, 16, {.order = queue_order::target_first});
     std::vector<request_id> running;
     absl::Time now = start;
     int different = 0;
