--- a/src/settings/settings_table.cpp
+++ b/src/settings/settings_table.cpp
@@ -58,7 +58,7 @@
     {"requests", "warm_up", setting_type::duration, false, "10s", 0, 10 * minute, "Time over which a new upstream is ramped up to its full share."},
     {"requests", "announcement_timeout", setting_type::duration, false, "3s", 500, 1 * minute, "Time without announcements after which an upstream is withdrawn."},
     {"requests", "drain_timeout", setting_type::duration, false, "60s", 0, 1 * hour, "Time limit for requests in flight at shutdown; a platform's grace period shortens it."},
-    {"routing", "nested_reserve", setting_type::decimal, false, "0", 0, 0.5, "Largest share of an upstream's slots that is kept free of new work for nested calls. For services that call one another in a cycle; otherwise it costs capacity."},
+    {"routing", "nested_reserve", setting_type::decimal, false, "0", 0, 1, "Largest share of an upstream's slots that is kept free of new work for nested calls, half of them at most. For services that call one another in a cycle; otherwise it costs capacity."},
     {"routing", "cross_data_center_ms_per_mb", setting_type::decimal, false, "1000", 0, 1'000'000, "Waiting time in milliseconds that a caller may be asked to accept to save a megabyte between data centres."},
     {"platform", "interface", setting_type::name, false, "own", 0, 0, "Interface to callers, upstreams and the store: own, or the name of a platform adapter."},
     {"platform", "limits", setting_type::text, false, "", 0, 0, "Limits of the platform, in the format of its adapter."},
