--- a/src/tests/peer_server_test.cpp
+++ b/src/tests/peer_server_test.cpp
@@ -174,8 +174,8 @@
         BOOST_REQUIRE(attempt < 32);
         peer_socket.emplace(endpoint{"127.0.0.1", 0});
         settings.address = peer_socket->address();
-        peer.emplace(settings, handlers, [](rpc_kind, std::size_t, std::size_t) {});
         try {
+            peer.emplace(settings, handlers, [](rpc_kind, std::size_t, std::size_t) {});
             peer->start();
         } catch (const error&) {
             peer.reset();
