--- a/src/daemon/mesh_daemon.cpp
+++ b/src/daemon/mesh_daemon.cpp
@@ -87,8 +87,8 @@
             serve_platform();
             m_cold_checks.emplace(
                 m_platform->query_upstream_id,
-                [this](const std::string& id, absl::Duration remaining, absl::Time asked_at) {
-                    m_proxy.report_cold(id, remaining, asked_at);
+                [this](const std::string& id, const health_signals& signals, absl::Time asked_at) {
+                    m_proxy.report_health_check(id, signals, asked_at);
                 },
                 m_clock, m_log);
             m_store_client = m_platform->connect_store(make_intent_store_callbacks(), m_clock, m_log);
@@ -173,7 +173,12 @@
         callbacks.snapshot_bytes = [this](const configuration_digest& held) {
             return m_configuration.update_since(held);
         };
-        callbacks.apply_snapshot = [this](const std::string& bytes) { return m_configuration.apply_update(bytes); };
+        callbacks.apply_snapshot = [this](const std::string& bytes) {
+            if (m_configuration.current() == nullptr) {
+                apply_known_restrictions();
+            }
+            return m_configuration.apply_update(bytes);
+        };
         callbacks.on_change = [this](const node_output& changes) { on_peer_change(changes); };
         callbacks.on_failure = [this](const std::string& task, const std::string& reason) {
             log_failure("peers-" + task, reason);
@@ -205,7 +210,10 @@
 
     store_follower_callbacks make_store_follower_callbacks() {
         store_follower_callbacks callbacks;
-        callbacks.is_watcher_lease_taken = [this](int lease_number) { return is_watcher_lease_taken(lease_number); };
+        callbacks.is_watcher_lease_taken = [this](int lease_number) {
+            return is_watcher_lease_taken(watcher_lease_record_key(m_settings.daemon.data_center, lease_number),
+                                          m_peers.opaque_records(), m_peers.members(), m_peers.address());
+        };
         callbacks.candidate_count = [this] {
             int count = 0;
             for (const auto& peer : m_peers.members(member_state::alive)) {
@@ -349,9 +357,11 @@
                                saved_announcement.id, is_same, answered.id, answered.status, name(answered.failure),
                                absl::ToInt64Milliseconds(m_clock.now() - asked_at)));
         if (is_same) {
-            if (process_announcement(saved_announcement) && answered.remaining_cold) {
-                m_proxy.report_cold(saved_announcement.id, *answered.remaining_cold, asked_at);
+            health_signals signals = answered.signals;
+            if (!process_announcement(saved_announcement)) {
+                signals.remaining_cold.reset(); // A heartbeat may have said something newer; none says a limit.
             }
+            m_proxy.report_health_check(saved_announcement.id, signals, asked_at);
         }
     }
 
@@ -466,28 +476,6 @@
         return m_report_collector.collect(moves, bytes, m_clock.now());
     }
 
-    /// @return true if the watcher lease's record names another daemon that is alive or suspected.
-    bool is_watcher_lease_taken(int lease_number) const {
-        const std::string key = watcher_lease_record_key(m_settings.daemon.data_center, lease_number);
-        for (const auto& record : m_peers.opaque_records()) {
-            if (record.key != key) {
-                continue;
-            }
-            const watcher_lease_record known = watcher_lease_record::decode(record.bytes);
-            return known.holder && *known.holder != m_peers.address() && is_alive_or_suspected(*known.holder);
-        }
-        return false;
-    }
-
-    bool is_alive_or_suspected(const endpoint& address) const {
-        for (const auto& peer : m_peers.members()) {
-            if (peer.address == address) {
-                return peer.state == member_state::alive || peer.state == member_state::suspected;
-            }
-        }
-        return false;
-    }
-
     void on_applied(const std::shared_ptr<const snapshot>& applied) {
         // Aliasing pointer: keeps the snapshot alive.
         m_proxy.set_configuration({applied, &applied->state()});
@@ -535,6 +523,16 @@
         }
     }
 
+    /// Applies the records that forbid requests and that came before the first configuration. They may not have been
+    /// reported by on_peer_change yet.
+    void apply_known_restrictions() {
+        for (const opaque_record& record : m_peers.opaque_records()) {
+            if (record.key.starts_with(evacuation_key_prefix) || record.key.starts_with(departure_key_prefix)) {
+                handle_peer_record(record);
+            }
+        }
+    }
+
     void handle_peer_record(const opaque_record& record) {
         if (record.key.starts_with(watcher_lease_record_prefix) || m_quotas.handle_record(record)) {
             return;
@@ -570,7 +568,7 @@
 
     void handle_announcement(const upstream_announcement& announcement) {
         if (process_announcement(announcement)) {
-            m_proxy.report_cold(announcement.id, announcement.remaining_warm_up);
+            m_proxy.report_heartbeat(announcement.id, announcement.remaining_warm_up);
         }
     }
 
--- a/src/http/private/entry_call.cpp
+++ b/src/http/private/entry_call.cpp
@@ -226,7 +226,7 @@
     const request_id waiter = m_proxy.next_request_id++;
     m_cancel_attempt = [this, waiter] { m_proxy.quotas.cancel(m_request.info.tenant, waiter); };
     const absl::Cleanup forget = [this] { m_cancel_attempt = nullptr; };
-    const quota_verdict verdict = co_await m_proxy.quotas.acquire(tenant, waiter);
+    const quota_verdict verdict = co_await m_proxy.quotas.acquire(tenant, waiter, m_deadline);
     if (verdict.result == quota_verdict::kind::run) {
         m_quota_token_expires = verdict.token_expires;
         co_return result_code::ok;
@@ -375,9 +375,11 @@
     info.mesh = m_proxy.options.mesh;
     info.route = matched_route.name;
     info.upstream = decision.upstream_id;
-    info.time_left = m_deadline - m_proxy.clock.now();
+    const absl::Time now = m_proxy.clock.now();
+    info.sent = send_stamp{m_proxy.process_number, absl::ToUnixMillis(now)};
+    info.time_left = m_deadline - now;
     if (m_target_time < absl::InfiniteFuture()) {
-        info.target_time_left = std::max(absl::ZeroDuration(), m_target_time - m_proxy.clock.now());
+        info.target_time_left = std::max(absl::ZeroDuration(), m_target_time - now);
     }
     write_forwarding_headers(head, info);
     exchange owner_exchange(m_proxy.pool, m_proxy.options, m_proxy.clock);
--- a/src/http/private/inbound_session.cpp
+++ b/src/http/private/inbound_session.cpp
@@ -170,6 +170,7 @@
     };
     try {
         next.request->info = read_forwarding_info(head);
+        deduct_transit_delay(*next.request);
     } catch (const error& failure) {
         next.problem = failure.what();
     }
@@ -367,6 +368,28 @@
     return info;
 }
 
+void inbound_session::deduct_transit_delay(served_request& request) {
+    forwarding_info& info = request.info;
+    if (!info.sent) {
+        return;
+    }
+    const absl::Duration delay = m_proxy.transit_delays.observe(*info.sent, request.received_at);
+    if (delay == absl::ZeroDuration()) {
+        return;
+    }
+    ++m_proxy.counters.delayed_requests;
+    const auto deduct = [delay](std::optional<absl::Duration>& left) {
+        if (left) {
+            left = std::max(absl::ZeroDuration(), *left - delay);
+        }
+    };
+    deduct(info.time_left);
+    deduct(info.target_time_left);
+    m_proxy.log.info(fmt::format("transit-delay request={} delay_ms={} time_left_ms={}", info.request_id,
+                                 absl::ToInt64Milliseconds(delay),
+                                 absl::ToInt64Milliseconds(info.time_left.value_or(absl::InfiniteDuration()))));
+}
+
 absl::Duration inbound_session::time_left(const served_request& request) const {
     return request.received_at + request.info.time_left.value_or(m_proxy.options.default_timeout) - m_proxy.clock.now();
 }
@@ -477,8 +500,12 @@
     const absl::Time started_at = m_proxy.clock.now();
     const local_upstream* const upstream = m_proxy.find_local_upstream(request.info.upstream);
     const body_offer offered = upstream == nullptr ? body_offer{} : make_body_offer(request, *upstream);
-    const result_code admitted =
-        upstream == nullptr ? result_code::no_upstream : co_await m_proxy.bodies.acquire(offered);
+    result_code admitted = result_code::no_upstream;
+    if (upstream != nullptr) {
+        // The entry sends nothing until it is asked for the body, so that only a disconnect can be noticed.
+        const disconnect_watch watch(m_stream, [this, id = offered.id] { m_proxy.bodies.cancel(id); });
+        admitted = co_await m_proxy.bodies.acquire(offered);
+    }
     const absl::Duration waited = m_proxy.clock.now() - started_at;
     if (m_proxy.log.is_enabled(log_level::info)) {
         const body_admission& admission = m_proxy.bodies.admission();
@@ -487,6 +514,10 @@
                                      request.info.request_id, request.info.upstream, name(admitted), offered.bytes,
                                      absl::ToInt64Milliseconds(waited), admission.transfers(), admission.waiting()));
     }
+    if (admitted == result_code::caller_disconnected) {
+        request.keeps_connection = false;
+        co_return serve_result{admitted, 0};
+    }
     if (admitted != result_code::ok) {
         ++m_proxy.counters.bodies_refused;
         // The rest of the connection would be taken for the body.
--- a/src/http/proxy_statistics.h
+++ b/src/http/proxy_statistics.h
@@ -59,6 +59,7 @@
     std::uint64_t bodies_refused = 0;         ///< Requests refused before their bodies were sent.
     std::uint64_t malformed_server_loads = 0; ///< Responses with a load report that cannot be read.
     std::uint64_t nested_requests = 0;        ///< Requests to local upstreams that were taken for nested calls.
+    std::uint64_t delayed_requests = 0;       ///< Requests of entries that were delayed on the way.
     std::uint64_t remote_attempts = 0;        ///< Attempts at upstreams of other data centres.
     std::uint64_t remote_bytes = 0;           ///< Bytes of the bodies of those that were answered, as declared.
     std::uint64_t link_bytes = 0;             ///< Moved over the host's link, in both directions.
@@ -67,6 +68,8 @@
     std::uint64_t refusals_evacuated = 0;    ///< Of the owner, since its data centre is evacuated.
     std::uint64_t refusals_cold = 0;         ///< Of the owner, while its upstream is cold.
     std::uint64_t cold_periods = 0;          ///< Times at which a local upstream became cold or unknown.
+    std::uint64_t unknown_rate_limits = 0;   ///< Local upstreams whose rate limit was unknown when they were recalled.
+    std::uint64_t rate_limit_checks = 0;     ///< Health checks because the first response of such an upstream was late.
     std::uint64_t cold_checks = 0;           ///< Health checks to find out whether a local upstream is cold.
     std::uint64_t upstreams_cold = 0;        ///< Local upstreams that are cold now.
     std::uint64_t refusals_for_shortage = 0; ///< At once, since the service is short; also in refusals_not_run.
--- a/src/quota/reach_estimator.h
+++ b/src/quota/reach_estimator.h
@@ -16,8 +16,9 @@
 public:
     /// Time for which an answer, or its absence, counts.
     static constexpr absl::Duration memory = absl::Seconds(1);
-    /// Time after which an ask counts as unanswered. Hosts with a tenth of a core stall for up to 0.1 s.
-    static constexpr absl::Duration answer_timeout = absl::Milliseconds(250);
+    /// Time after which an ask counts as unanswered. Hosts with a tenth of a core stall for up to 0.1 s, and datagrams
+    /// wait behind the bodies of responses on full links, which 250 ms took for a partition.
+    static constexpr absl::Duration answer_timeout = absl::Milliseconds(600);
     /// Time after its last ask for which a daemon without an answer is avoided.
     static constexpr absl::Duration silence_memory = absl::Milliseconds(2500);
 
@@ -40,6 +41,9 @@
     /// @return true if @p other has not answered an ask of the last seconds for longer than answer_timeout.
     bool is_silent(const endpoint& other, absl::Time now) const;
 
+    /// This process did not run for @p time, so answers may wait unread: that time does not count as silence.
+    void on_stall(absl::Duration time);
+
     /// Forgets old samples.
     void expire(absl::Time now);
 
--- a/src/routing/slot_limiter.cpp
+++ b/src/routing/slot_limiter.cpp
@@ -45,7 +45,14 @@
                                   .is_nested = request.is_nested};
     m_balance.on_offered(offered.priority, now);
     m_tenants.on_offered(offered.tenant, now);
-    if (running() < m_slots && m_queue.empty() && may_start(now)) {
+    if (offered.is_nested) {
+        m_nested_reserve.on_offered(service_time_of(offered.kind), now);
+    }
+    // New work that waits for a slot outside the reserve does not delay a nested call.
+    const bool is_first = offered.is_nested && reserved_slots(now) > 0
+                              ? std::ranges::none_of(m_queue, &waiting_request::is_nested)
+                              : m_queue.empty();
+    if (is_slot_free(offered.is_nested, now) && is_first && may_start(now)) {
         start(offered, now);
         return {admission::verdict::run, result_code::ok};
     }
@@ -152,6 +159,7 @@
 }
 
 slot_change slot_limiter::set_rate_limit(std::optional<double> per_second, absl::Time now) {
+    m_rate_limit_knowledge.end();
     m_start_rate.set_limit(per_second, now);
     return start_queued(now);
 }
@@ -203,10 +211,10 @@
     return std::max(wait_for_slot, wait_for_start(queued(), now));
 }
 
-absl::Duration slot_limiter::wait_of(int priority, absl::Time now) const {
+absl::Duration slot_limiter::wait_of(int priority, absl::Time now, int ending) const {
     const auto ahead = std::ranges::count_if(
         m_queue, [&](const waiting_request& waiting) { return waiting.is_nested || waiting.priority <= priority; });
-    if (running() < m_slots && m_queue.empty()) {
+    if (is_slot_free(false, now, ending) && m_queue.empty()) {
         return wait_for_start(0, now);
     }
     const absl::Duration wait = wait_behind(ahead, now);
@@ -228,6 +236,22 @@
     return cold && requested ? std::min(cold, requested) : (cold ? cold : requested);
 }
 
+int slot_limiter::reserved_slots(absl::Time now) const {
+    if (m_policy.max_nested_reserve <= 0 || m_policy.order != queue_order::target_first) {
+        return 0;
+    }
+    return std::min(m_nested_reserve.reserved(m_slots, now), static_cast<int>(m_slots * m_policy.max_nested_reserve));
+}
+
+bool slot_limiter::is_slot_free(bool is_nested, absl::Time now, int ending) const {
+    if (running() - ending >= m_rate_limit_knowledge.usable_slots(m_slots)) {
+        return false;
+    }
+    const int reserved = is_nested ? 0 : reserved_slots(now);
+    const auto new_work = std::ranges::count(m_running, false, &running_request::is_nested);
+    return reserved == 0 || new_work - ending < m_slots - reserved;
+}
+
 bool slot_limiter::may_start(absl::Time now) const {
     return m_start_rate.may_start(now) && m_cold_starts.may_start(now);
 }
@@ -352,15 +376,20 @@
 void slot_limiter::start(const waiting_request& started, absl::Time now) {
     m_tenants.on_started(started.tenant, now);
     m_balance.on_started(started.priority, service_time_of(started.kind), now);
-    m_running.push_back({started.id, now, started.kind});
+    m_running.push_back({started.id, now, started.kind, started.is_nested});
+    m_rate_limit_knowledge.on_start(now);
     m_start_rate.on_start(now);
     m_cold_starts.on_start(now);
 }
 
 slot_change slot_limiter::start_queued(absl::Time now) {
     slot_change change;
-    while (running() < m_slots && !m_queue.empty() && may_start(now)) {
-        const auto position = m_queue.begin() + static_cast<std::ptrdiff_t>(next_position(now));
+    while (has_free_slot() && !m_queue.empty() && may_start(now)) {
+        const std::size_t index = next_position(now, !is_slot_free(false, now));
+        if (index == m_queue.size()) {
+            break;
+        }
+        const auto position = m_queue.begin() + static_cast<std::ptrdiff_t>(index);
         const waiting_request next = *position;
         m_queue.erase(position);
         if (now >= latest_start(next)) {
@@ -374,7 +403,10 @@
     return change;
 }
 
-std::size_t slot_limiter::next_position(absl::Time now) const {
+std::size_t slot_limiter::next_position(absl::Time now, bool takes_nested_only) const {
+    if (takes_nested_only && std::ranges::none_of(m_queue, &waiting_request::is_nested)) {
+        return m_queue.size();
+    }
     switch (m_policy.order) {
     case queue_order::lifo:
         return m_queue.size() - 1;
@@ -385,6 +417,9 @@
         return static_cast<std::size_t>(
             std::ranges::min_element(m_queue,
                                      [&](const waiting_request& left, const waiting_request& right) {
+                                         if (takes_nested_only && left.is_nested != right.is_nested) {
+                                             return left.is_nested;
+                                         }
                                          return is_before(left, right, now);
                                      }) -
             m_queue.begin());
--- a/src/routing/slot_limiter.h
+++ b/src/routing/slot_limiter.h
@@ -3,8 +3,10 @@
 #include "common/result_code.h"
 #include "routing/cold_start_limit.h"
 #include "routing/fair_order.h"
+#include "routing/nested_reserve.h"
 #include "routing/priority_balance.h"
 #include "routing/start_rate.h"
+#include "routing/unknown_rate_limit.h"
 
 #include <absl/container/flat_hash_map.h>
 #include <absl/time/time.h>
@@ -55,6 +57,9 @@
     double target_margin = 1.25;
     /// Requests that can no longer meet their deadlines are dropped. False: only expired ones; for comparisons.
     bool drops_unmeetable = true;
+    /// While nested calls are offered, at most this share of the slots is kept free of new work (nested_reserve); for
+    /// target_first. 0: nested calls only go first in the queue.
+    double max_nested_reserve = 0;
     cold_start_policy cold = {}; ///< What a cold upstream may get.
 };
 
@@ -114,8 +119,9 @@
     /// @return expected wait until a new request that is queued last can start.
     absl::Duration backlog(absl::Time now) const;
 
+    /// @param ending running requests whose slots are about to be freed.
     /// @return expected wait until a new request of a priority can start; zero if it can start now.
-    absl::Duration wait_of(int priority, absl::Time now) const;
+    absl::Duration wait_of(int priority, absl::Time now, int ending = 0) const;
 
     /// @return part of the recent offers of a priority that did not run; 0 without any.
     double refused_share(int priority) const {
@@ -165,12 +171,22 @@
     /// @return requests to start or refuse now.
     slot_change set_limits(int slots, int queue_limit, absl::Time now);
 
-    /// Limits the rate at which requests start, whatever slots are free.
+    /// Limits the rate at which requests start, whatever slots are free. The limit is known from then on.
     /// @param per_second starts per second; nothing lifts the limit.
     /// @param now current time.
     /// @return requests to start or refuse now.
     slot_change set_rate_limit(std::optional<double> per_second, absl::Time now);
 
+    /// @return whether the upstream's rate limit is known. Its changes take effect with the next start_permitted().
+    unknown_rate_limit& rate_limit_knowledge() {
+        return m_rate_limit_knowledge;
+    }
+
+    /// @copydoc rate_limit_knowledge
+    const unknown_rate_limit& rate_limit_knowledge() const {
+        return m_rate_limit_knowledge;
+    }
+
     /// @return the limit of a cold upstream. Its changes take effect with the next start_permitted().
     cold_start_limit& cold_starts() {
         return m_cold_starts;
@@ -211,6 +227,9 @@
         return m_slots;
     }
 
+    /// @return slots that new work may not use, since nested calls need them.
+    int reserved_slots(absl::Time now) const;
+
     /// @return running and queued requests per slot, which the owner reports with responses. If the rate limit makes a
     ///         new request wait longer than the slots do, the load at which the slots would do so.
     double load(absl::Time now) const;
@@ -238,9 +257,15 @@
         request_id id;
         absl::Time started;
         std::size_t kind;
+        bool is_nested = false;
     };
 
+    bool has_free_slot() const {
+        return running() < m_rate_limit_knowledge.usable_slots(m_slots);
+    }
     bool may_start(absl::Time now) const;
+    /// @return true if a slot is free for new work or, if @p is_nested, for a nested call.
+    bool is_slot_free(bool is_nested, absl::Time now, int ending = 0) const;
     absl::Duration wait_for_start(std::ptrdiff_t ahead, absl::Time now) const;
     absl::Time latest_start(const waiting_request& waiting) const;
     absl::Duration service_time_of(std::size_t kind) const;
@@ -263,7 +288,9 @@
     absl::Duration wait_behind(std::ptrdiff_t ahead, absl::Time now) const;
     void start(const waiting_request& started, absl::Time now);
     slot_change start_queued(absl::Time now);
-    std::size_t next_position(absl::Time now) const;
+    /// @param takes_nested_only new work may not start now.
+    /// @return position of the queued request that starts next; the queue's size if none may.
+    std::size_t next_position(absl::Time now, bool takes_nested_only = false) const;
     bool displace_for(const waiting_request& offered);
     void report_displaced(std::vector<request_id>& dropped);
     bool is_known(request_id id) const;
@@ -276,8 +303,10 @@
     absl::Time m_serves_until = absl::InfiniteFuture(); ///< Nothing is sent to a leaving upstream after this time.
     result_code m_refusal = result_code::ok;            ///< Unless ok, the code with which all requests are refused.
     start_rate m_start_rate;
+    unknown_rate_limit m_rate_limit_knowledge;
     fair_order m_tenants;
     priority_balance m_balance;
+    nested_reserve m_nested_reserve;
     cold_start_limit m_cold_starts;
     std::vector<running_request> m_running; // Small, so a scan is faster than a tree.
     std::vector<waiting_request> m_queue;   // In order of arrival.
