--- a/src/http/private/owner_call.cpp
+++ b/src/http/private/owner_call.cpp
@@ -253,7 +253,7 @@
         ++m_proxy.counters.malformed_rate_limits;
         m_proxy.log.warning(fmt::format("upstream-limit-ignored upstream={} request={} code={}", m_upstream.id,
                                         m_request.info.request_id, name(result_code::response_malformed)));
-        // As for an upstream that names none; otherwise one that always does so would get one request at a time.
+        // As for an upstream that names none; otherwise one that always does so would get few requests at a time.
         m_proxy.end_unknown_rate_limit(*known, "malformed");
     } else if (signals.rate_limit || is_complete) {
         m_proxy.observe_rate_limit(*known, signals.rate_limit, m_started_at, m_request.info.request_id);
--- a/src/routing/unknown_rate_limit.h
+++ b/src/routing/unknown_rate_limit.h
@@ -2,15 +2,20 @@
 
 #include <absl/time/time.h>
 
+#include <algorithm>
 #include <optional>
 
 namespace amaranthladder {
 
 /// Limits the concurrent requests at an upstream whose rate limit its owner does not know: the upstream ran before the
-/// owner did, so it may have named a limit to a previous run. One request at a time is sent until a response says
+/// owner did, so it may have named a limit to a previous run. Few requests at a time are sent until a response says
 /// whether there is a limit. Does no I/O; the time is an argument.
 class unknown_rate_limit {
 public:
+    /// Requests that may run at once. The platform tolerates 5 requests beyond a limit; with one at a time, an upstream
+    /// with 6 slots lost most of its capacity for the first half second after each restart.
+    static constexpr int max_running = 4;
+
     /// Records that the limit is not known.
     void begin();
 
@@ -24,7 +29,7 @@
     /// @param slots requests that the upstream may run at once.
     /// @return requests that may run at once.
     int usable_slots(int slots) const {
-        return m_is_unknown ? 1 : slots;
+        return m_is_unknown ? std::min(slots, max_running) : slots;
     }
 
     /// Records the start of a request.
