--- a/review/mesh_stand_in.py
+++ b/review/mesh_stand_in.py
@@ -488,6 +488,11 @@
     """Runs `case(mesh, is_troubled)`, an async function that returns the list of violations, and exits."""
     is_troubled = os.environ.get("TROUBLE", "1") != "0"
 
+    def end(number, frame):
+        raise CannotRun("ended by a signal")
+
+    signal.signal(signal.SIGTERM, end)
+
     async def run():
         mesh = Mesh(**getattr(case, "mesh_options", {}))
         try:
